--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Every target does all of its own set-up from requirements.lock.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/.ready
+
+.PHONY: demo test bench check format clean
+
+$(READY): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check --require-hashes -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $(READY)
+
+test: $(READY)
+	$(BIN)/python -m pytest
+
+check: $(READY)
+	$(BIN)/black --check --quiet .
+	$(BIN)/ruff check --quiet .
+	$(BIN)/mypy
+
+format: $(READY)
+	$(BIN)/black --quiet .
+	$(BIN)/ruff check --quiet --fix .
+
+demo: $(READY)
+	$(BIN)/python -m examples.demo
+
+bench: $(READY)
+	$(BIN)/python -m benchmarks
+
+clean:
+	rm -rf $(VENV) build .mypy_cache .pytest_cache .ruff_cache
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of decisions and costs; run with ``make bench``."""
--- /dev/null
+++ b/src/cassiawalk/admission/__init__.py
@@ -0,0 +1,6 @@
+"""Which requests are accepted, and in which order accepted ones are dispatched."""
+
+from cassiawalk.admission.fairqueue import FairQueue as FairQueue
+from cassiawalk.admission.gate import AdmissionGate as AdmissionGate
+from cassiawalk.admission.scheduler import Scheduler as Scheduler
+from cassiawalk.admission.scheduler import SlotLease as SlotLease
--- /dev/null
+++ b/src/cassiawalk/caller/__init__.py
@@ -0,0 +1,3 @@
+"""The HTTP interface for callers."""
+
+from cassiawalk.caller.app import CallerApp as CallerApp
--- /dev/null
+++ b/src/cassiawalk/caller/app.py
@@ -0,0 +1,168 @@
+"""Routes of the callers' HTTP interface."""
+
+import collections.abc as cabc
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse
+from starlette.responses import Response
+from starlette.responses import StreamingResponse
+from starlette.routing import Route
+
+from cassiawalk.caller.attach import Attachments
+from cassiawalk.caller.attach import Unknown
+from cassiawalk.caller.events import NumberedEvent
+from cassiawalk.caller.events import WholeAnswer
+from cassiawalk.caller.events import sse_frame
+from cassiawalk.caller.parsing import RecordBuilder
+from cassiawalk.caller.parsing import authenticate
+from cassiawalk.caller.parsing import read_body
+from cassiawalk.caller.problem import problem_response
+from cassiawalk.control import ControlFollower
+from cassiawalk.control.follower import Freshness
+from cassiawalk.dispatch import Dispatcher
+from cassiawalk.ids import RequestId
+from cassiawalk.ids import WorkspaceName
+from cassiawalk.requests import Failed
+from cassiawalk.requests import HandedOver
+from cassiawalk.requests.answer import failed
+from cassiawalk.results import Refusal
+from cassiawalk.results import ResultCode
+
+SSE_TYPE = "text/event-stream"
+ID_HEADER = "x-request-id"
+_Events = cabc.AsyncGenerator[NumberedEvent | Unknown, None]
+
+
+class CallerApp:
+    """Serves new requests and re-attachment to accepted ones."""
+
+    def __init__(
+        self,
+        *,
+        builder: RecordBuilder,
+        control: ControlFollower,
+        dispatcher: Dispatcher,
+        attachments: Attachments,
+    ) -> None:
+        self._builder = builder
+        self._control = control
+        self._dispatcher = dispatcher
+        self._attachments = attachments
+
+    def routes(self) -> list[Route]:
+        """Return the routes for a Starlette application."""
+        return [
+            Route("/v1/services/{service}/{kind}", self.create, methods=["POST"]),
+            Route("/v1/requests/{request_id}", self.attach, methods=["GET"]),
+            Route("/healthz", self.healthz, methods=["GET"]),
+            Route("/readyz", self.readyz, methods=["GET"]),
+        ]
+
+    def asgi(self) -> Starlette:
+        """Return the ASGI application."""
+        return Starlette(routes=self.routes())
+
+    async def create(self, req: Request) -> Response:
+        """Accept a new request and answer it, streamed or whole."""
+        if self._control.freshness is not Freshness.FRESH:
+            return _refuse(
+                Refusal(
+                    code=ResultCode.CONFIGURATION_STALE,
+                    detail=f"the configuration is {self._control.freshness.value}",
+                    retry_after_s=1.0,
+                )
+            )
+        state = self._control.state
+        identity = authenticate(req, state)
+        if isinstance(identity, Refusal):
+            return _refuse(identity)
+        body = await read_body(req)
+        if isinstance(body, Refusal):
+            return _refuse(body)
+        record = self._builder.build(req, body, identity, state)
+        if isinstance(record, Refusal):
+            return _refuse(record)
+        pool_type = state.pools[record.pool].type
+        refusal = self._dispatcher.submit(record, pool_type)
+        if refusal is not None:
+            return _refuse(refusal, record.request_id)
+        return await self._answer(req, record.request_id, record.workspace, after=0)
+
+    async def attach(self, req: Request) -> Response:
+        """Answer with the events of an accepted request."""
+        identity = authenticate(req, self._control.state)
+        if isinstance(identity, Refusal):
+            return _refuse(identity)
+        last_id = req.headers.get("last-event-id", "0")
+        if not last_id.isdigit():
+            detail = f"Last-Event-ID is {last_id!r}; allowed: a whole number"
+            return _refuse(Refusal(code=ResultCode.BAD_REQUEST, detail=detail))
+        request_id = RequestId(req.path_params["request_id"])
+        return await self._answer(req, request_id, identity.name, after=int(last_id))
+
+    async def healthz(self, req: Request) -> Response:
+        """Answer that the process runs."""
+        return JSONResponse({"status": "ok"})
+
+    async def readyz(self, req: Request) -> Response:
+        """Answer whether new requests should be sent here."""
+        freshness = self._control.freshness
+        ready = freshness is Freshness.FRESH and not self._dispatcher.draining
+        body = {
+            "ready": ready,
+            "configuration": freshness.value,
+            "draining": self._dispatcher.draining,
+            "revision": self._control.state.revision,
+        }
+        return JSONResponse(body, status_code=200 if ready else 503)
+
+    async def _answer(
+        self, req: Request, request_id: RequestId, workspace: WorkspaceName, *, after: int
+    ) -> Response:
+        events = self._attachments.follow(request_id, workspace, after=after)
+        if SSE_TYPE in req.headers.get("accept", ""):
+            return await _stream(events, request_id)
+        return await _whole(events, request_id)
+
+
+def _refuse(refusal: Refusal, request_id: str | None = None) -> Response:
+    return problem_response(failed(refusal), request_id)
+
+
+def _unknown(unknown: Unknown, request_id: str) -> Response:
+    refusal = Refusal(code=ResultCode.UNKNOWN_REQUEST, detail=unknown.detail)
+    return _refuse(refusal, request_id)
+
+
+async def _stream(events: _Events, request_id: str) -> Response:
+    first = await anext(events)
+    if isinstance(first, Unknown):
+        return _unknown(first, request_id)
+    if isinstance(first.event, Failed):
+        return problem_response(first.event, request_id)
+
+    async def frames() -> cabc.AsyncIterator[bytes]:
+        yield sse_frame(first, request_id)
+        async for numbered in events:
+            if isinstance(numbered, NumberedEvent):
+                yield sse_frame(numbered, request_id)
+
+    headers = {ID_HEADER: request_id, "cache-control": "no-store"}
+    return StreamingResponse(frames(), media_type=SSE_TYPE, headers=headers)
+
+
+async def _whole(events: _Events, request_id: str) -> Response:
+    answer = WholeAnswer()
+    async for numbered in events:
+        if isinstance(numbered, Unknown):
+            return _unknown(numbered, request_id)
+        answer.add(numbered.event)
+    headers = {ID_HEADER: request_id}
+    if isinstance(answer.final, Failed):
+        return problem_response(answer.final, request_id)
+    if isinstance(answer.final, HandedOver):
+        headers["location"] = f"/v1/requests/{request_id}"
+        return Response(status_code=303, headers=headers)
+    status = answer.result.status if answer.result is not None else 200
+    return JSONResponse(answer.body(request_id), status_code=status, headers=headers)
--- /dev/null
+++ b/src/cassiawalk/caller/problem.py
@@ -0,0 +1,43 @@
+"""Refusals as problem details (RFC 9457)."""
+
+import math
+import typing as t
+
+from starlette.responses import JSONResponse
+
+from cassiawalk.requests import Failed
+from cassiawalk.results import CODES
+
+PROBLEM_TYPE = "application/problem+json"
+
+
+def problem_body(failure: Failed, request_id: str | None) -> dict[str, t.Any]:
+    """Return the problem details of a final answer without a result."""
+    info = CODES[failure.code]
+    body: dict[str, t.Any] = {
+        "type": f"urn:cassiawalk:result:{int(failure.code)}",
+        "title": info.meaning,
+        "status": info.status,
+        "detail": failure.detail,
+        "code": int(failure.code),
+        "name": failure.code.name.lower(),
+        "ran": failure.ran.value,
+    }
+    if request_id is not None:
+        body["request_id"] = request_id
+    if failure.retry_after_s is not None:
+        body["retry_after_s"] = failure.retry_after_s
+    return body
+
+
+def problem_response(failure: Failed, request_id: str | None = None) -> JSONResponse:
+    """Return the HTTP response for a final answer without a result."""
+    headers = {}
+    if failure.retry_after_s is not None:
+        headers["Retry-After"] = str(math.ceil(failure.retry_after_s))
+    return JSONResponse(
+        problem_body(failure, request_id),
+        status_code=CODES[failure.code].status,
+        headers=headers,
+        media_type=PROBLEM_TYPE,
+    )
--- /dev/null
+++ b/src/cassiawalk/cli/__init__.py
@@ -0,0 +1,3 @@
+"""The command-line tool ``cassiawalk``."""
+
+from cassiawalk.cli.main import main as main
--- /dev/null
+++ b/src/cassiawalk/control/__init__.py
@@ -0,0 +1,12 @@
+"""Configuration: commands on the log, folded to the same state on every host."""
+
+from cassiawalk.control.commands import Command as Command
+from cassiawalk.control.commands import ObjectType as ObjectType
+from cassiawalk.control.commands import Operation as Operation
+from cassiawalk.control.commands import Verb as Verb
+from cassiawalk.control.fold import fold as fold
+from cassiawalk.control.follower import ControlFollower as ControlFollower
+from cassiawalk.control.publisher import CommandPublisher as CommandPublisher
+from cassiawalk.control.state import CommandVerdict as CommandVerdict
+from cassiawalk.control.state import ConfigState as ConfigState
+from cassiawalk.control.state import Verdict as Verdict
--- /dev/null
+++ b/src/cassiawalk/control/commands.py
@@ -0,0 +1,69 @@
+"""Records on the ``control`` stream."""
+
+import dataclasses
+import enum
+
+from cassiawalk.ids import CommandId
+from cassiawalk.ids import Revision
+from cassiawalk.wire import Registry
+
+CONTROL_STREAM = "control"
+records = Registry()
+
+FieldValue = str | int | float | bool
+
+
+class ObjectType(enum.Enum):
+    """What a command can change."""
+
+    SERVICE = "service"
+    WORKSPACE = "workspace"
+    KIND = "kind"
+    LIMIT = "limit"
+    POOL = "pool"
+    DRAIN = "drain"
+    QUARANTINE = "quarantine"
+
+
+class Verb(enum.Enum):
+    """How an operation changes an object.
+
+    ``SET`` changes fields of an object that exists. ``PUT`` creates or replaces it.
+    """
+
+    CREATE = "create"
+    SET = "set"
+    PUT = "put"
+    REMOVE = "remove"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Operation:
+    """A change of one object, named by its type and name."""
+
+    verb: Verb
+    object_type: ObjectType
+    name: str
+    fields: dict[str, object] = dataclasses.field(default_factory=dict)
+
+    @property
+    def target(self) -> str:
+        """Return the key under which the object is kept, such as ``kind beds/hold``."""
+        return f"{self.object_type.value} {self.name}"
+
+
+@records.register("command")
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Command:
+    """Operations that are accepted together or not at all.
+
+    ``expected`` is the revision at which the operator read the objects, or None to accept
+    whatever is there. ``issued_s`` is in wall-clock seconds and is kept for the audit only.
+    """
+
+    command_id: CommandId
+    operator: str
+    operations: tuple[Operation, ...]
+    statement: str
+    issued_s: float
+    expected: Revision | None = None
--- /dev/null
+++ b/src/cassiawalk/dispatch/connector.py
@@ -0,0 +1,47 @@
+"""Makes clients for upstreams."""
+
+import abc
+
+from cassiawalk.app import Component
+from cassiawalk.ids import UpstreamId
+from cassiawalk.platform import Engine
+from cassiawalk.platform import PlainService
+from cassiawalk.platform.engine_http import HttpEngine
+from cassiawalk.platform.service_http import HttpPlainService
+from cassiawalk.routing import UpstreamView
+
+
+class Connector(abc.ABC):
+    """Source of upstream clients; tests and experiments put fakes behind it."""
+
+    @abc.abstractmethod
+    def engine(self, upstream: UpstreamView) -> Engine:
+        """Return the client of a model engine."""
+
+    @abc.abstractmethod
+    def plain(self, upstream: UpstreamView) -> PlainService:
+        """Return the client of a plain service."""
+
+
+class HttpConnector(Connector, Component):
+    """Keeps one HTTP client for each upstream address."""
+
+    def __init__(self) -> None:
+        self._engines: dict[tuple[UpstreamId, str], HttpEngine] = {}
+
+    def engine(self, upstream: UpstreamView) -> Engine:
+        """Return the pooled client of a model engine."""
+        key = (upstream.upstream_id, upstream.entry.address)
+        if key not in self._engines:
+            self._engines[key] = HttpEngine(address=upstream.entry.address)
+        return self._engines[key]
+
+    def plain(self, upstream: UpstreamView) -> PlainService:
+        """Return a client of a plain service; it opens a connection for each call."""
+        return HttpPlainService(address=upstream.entry.address)
+
+    async def stop(self) -> None:
+        """Close all clients."""
+        for engine in self._engines.values():
+            await engine.aclose()
+        await super().stop()
--- /dev/null
+++ b/src/cassiawalk/dispatch/outcomes.py
@@ -0,0 +1,43 @@
+"""Records outcomes and abandonments of claims, however long the log is away."""
+
+from cassiawalk.app import Component
+from cassiawalk.clock import Clock
+from cassiawalk.once import Abandon
+from cassiawalk.once import ClaimClient
+from cassiawalk.once import Outcome
+
+RETRY_DELAY_S = 0.5
+
+
+class OutcomeRecorder(Component):
+    """Retries each record until it is in its partition's stream."""
+
+    def __init__(self, *, claims: ClaimClient, clock: Clock) -> None:
+        self._claims = claims
+        self._clock = clock
+        self._pending: dict[str, Outcome | Abandon] = {}
+
+    @property
+    def pending(self) -> list[Outcome | Abandon]:
+        """Return the records that are not yet known to be in a stream."""
+        return list(self._pending.values())
+
+    def outcome(self, claim_id: str) -> Outcome | None:
+        """Return a claim's outcome that is still to be recorded, or None."""
+        record = self._pending.get(claim_id)
+        return record if isinstance(record, Outcome) else None
+
+    def submit(self, record: Outcome | Abandon) -> None:
+        """Record in the background."""
+        self._pending[record.claim_id] = record
+        self.spawn(self._record(record), name=f"record-{record.claim_id}")
+
+    async def drain(self) -> None:
+        """Return once all records are in their streams."""
+        while self._pending:
+            await self._clock.sleep(RETRY_DELAY_S / 10)
+
+    async def _record(self, record: Outcome | Abandon) -> None:
+        while await self._claims.record(record) is not None:
+            await self._clock.sleep(RETRY_DELAY_S)
+        del self._pending[record.claim_id]
--- /dev/null
+++ b/src/cassiawalk/metrics.py
@@ -0,0 +1,87 @@
+"""Metrics, exposed at ``/metrics`` in the Prometheus text format."""
+
+from aioprometheus import collectors
+from aioprometheus import renderer
+
+from cassiawalk.requests import RequestRecord
+from cassiawalk.results import Refusal
+
+LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.4, 2.5, 5.0, 10.0, 60.0]
+INTERVAL_BUCKETS_S = [0.002, 0.005, 0.01, 0.02, 0.036, 0.05, 0.1, 0.25, 1.0, 5.0]
+
+
+class Metrics:
+    """Histograms and counters of one process; request metrics by workspace and kind."""
+
+    def __init__(self) -> None:
+        self.registry = collectors.Registry()
+        self._first = self._histogram(
+            "cassiawalk_first_token_seconds", "Time to the first token.", LATENCY_BUCKETS_S
+        )
+        self._between = self._histogram(
+            "cassiawalk_between_tokens_seconds", "Time between tokens.", INTERVAL_BUCKETS_S
+        )
+        self._whole = self._histogram(
+            "cassiawalk_whole_answer_seconds", "Time to the whole answer.", LATENCY_BUCKETS_S
+        )
+        self._queue = self._histogram(
+            "cassiawalk_queue_wait_seconds", "Wait for a slot.", LATENCY_BUCKETS_S
+        )
+        self._refused = self._counter("cassiawalk_refusals", "Final answers without a result.")
+        self._retries = self._counter("cassiawalk_retries", "Attempts after a failed one.")
+        self._recomputed = self._counter("cassiawalk_recomputed_tokens", "Tokens computed again.")
+        self._saved = self._counter("cassiawalk_saved_tokens", "Tokens found in engine caches.")
+        self._tokens = self._counter("cassiawalk_tokens", "Tokens forwarded.")
+        self._last_text: dict[str, float] = {}
+
+    def note_tokens(self, record: RequestRecord, count: int, now: float) -> None:
+        """Note that tokens came; ``now`` is in monotonic seconds."""
+        labels = _labels(record)
+        self._tokens.add(labels, count)
+        last = self._last_text.get(record.request_id)
+        if record.first_text_at is None:
+            record.first_text_at = now
+            self._first.observe(labels, now - record.accepted_at)
+        elif last is not None:
+            self._between.observe(labels, (now - last) / count)
+        self._last_text[record.request_id] = now
+
+    def note_computed(self, record: RequestRecord, computed: int, cached: int) -> None:
+        """Note what the engine computed and what its caches saved."""
+        self._saved.add(_labels(record), cached)
+        if record.attempt > 1:
+            self._recomputed.add(_labels(record), computed)
+
+    def note_queue_wait(self, record: RequestRecord, wait_s: float) -> None:
+        """Note how long a request waited for a slot, in seconds."""
+        self._queue.observe(_labels(record), wait_s)
+
+    def note_complete(self, record: RequestRecord, now: float) -> None:
+        """Note a whole answer; ``now`` is in monotonic seconds."""
+        self._whole.observe(_labels(record), now - record.accepted_at)
+        self._last_text.pop(record.request_id, None)
+
+    def note_refusal(self, record: RequestRecord, refusal: Refusal) -> None:
+        """Note a final answer without a result."""
+        self._refused.inc({**_labels(record), "code": str(int(refusal.code))})
+        self._last_text.pop(record.request_id, None)
+
+    def note_retry(self, record: RequestRecord) -> None:
+        """Note another attempt."""
+        self._retries.inc(_labels(record))
+
+    def render(self) -> tuple[bytes, dict[str, str]]:
+        """Return the body and headers of a scrape."""
+        return renderer.render(self.registry, ["text/plain"])
+
+    def _histogram(self, name: str, doc: str, buckets: list[float]) -> collectors.Histogram:
+        return collectors.Histogram(
+            name, doc, registry=self.registry, buckets=[*buckets, float("inf")]
+        )
+
+    def _counter(self, name: str, doc: str) -> collectors.Counter:
+        return collectors.Counter(name, doc, registry=self.registry)
+
+
+def _labels(record: RequestRecord) -> dict[str, str]:
+    return {"workspace": record.workspace, "kind": f"{record.service}/{record.kind_name}"}
--- /dev/null
+++ b/src/cassiawalk/peer/links.py
@@ -0,0 +1,150 @@
+"""Connections to peers, opened on first use."""
+
+import asyncio
+import collections.abc as cabc
+import contextlib
+import dataclasses
+import itertools
+import typing as t
+
+import eliot
+from websockets.asyncio.client import ClientConnection
+from websockets.asyncio.client import connect
+from websockets.exceptions import ConnectionClosed
+from websockets.exceptions import InvalidHandshake
+
+from cassiawalk.app import Component
+from cassiawalk.errors import WireError
+from cassiawalk.ids import HostId
+from cassiawalk.membership import Membership
+from cassiawalk.peer import _frames
+from cassiawalk.peer.messages import PeerFault
+from cassiawalk.peer.messages import StreamPart
+
+CONNECT_TIMEOUT_S = 2.0
+_R = t.TypeVar("_R")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PeerFailure:
+    """A call without a usable reply. ``sent`` is False if the peer never got the call."""
+
+    reason: str
+    sent: bool
+
+
+class _Link:
+    """One open connection and its calls in flight."""
+
+    def __init__(self, *, conn: ClientConnection) -> None:
+        self.conn = conn
+        self.replies: dict[int, asyncio.Queue[object]] = {}
+        self.closed = False
+
+    async def receive(self) -> None:
+        """Hand incoming replies to their calls until the connection ends."""
+        try:
+            async for data in self.conn:
+                number, message = _frames.decode_frame(data)
+                queue = self.replies.get(number)
+                if queue is not None:
+                    queue.put_nowait(message or PeerFault(reason="unknown reply"))
+        except (ConnectionClosed, WireError) as exc:
+            eliot.log_message(message_type="peer:link-lost", error=repr(exc))
+        finally:
+            self.closed = True
+            for queue in self.replies.values():
+                queue.put_nowait(PeerFault(reason="connection lost"))
+
+
+class PeerLinks(Component):
+    """Calls peers by host id; each peer has at most one connection."""
+
+    def __init__(self, *, membership: Membership, secret: str) -> None:
+        self._membership = membership
+        self._secret = secret
+        self._links: dict[HostId, _Link] = {}
+        self._locks: dict[HostId, asyncio.Lock] = {}
+        self._numbers = itertools.count(1)
+
+    async def call(
+        self, host: HostId, message: object, reply: type[_R], *, timeout_s: float
+    ) -> _R | PeerFailure:
+        """Send one call and return its reply."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                async with contextlib.aclosing(self._exchange(host, message)) as replies:
+                    answer = await anext(replies)
+        except TimeoutError:
+            return PeerFailure(reason=f"no reply from {host} within {timeout_s} s", sent=True)
+        if isinstance(answer, reply):
+            return answer
+        if isinstance(answer, PeerFailure):
+            return answer
+        reason = answer.reason if isinstance(answer, PeerFault) else "unexpected reply"
+        return PeerFailure(reason=reason, sent=True)
+
+    async def stream(
+        self, host: HostId, message: object
+    ) -> cabc.AsyncGenerator[dict[str, t.Any] | PeerFailure, None]:
+        """Yield the items of a streamed reply; a failure ends the stream as its last item."""
+        async with contextlib.aclosing(self._exchange(host, message)) as replies:
+            async for answer in replies:
+                if not isinstance(answer, StreamPart):
+                    reason = getattr(answer, "reason", "unexpected reply")
+                    yield PeerFailure(reason=reason, sent=True)
+                    return
+                if answer.last:
+                    return
+                if answer.item is not None:
+                    yield answer.item
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        for link in self._links.values():
+            await link.conn.close()
+        await super().stop()
+
+    async def _exchange(self, host: HostId, message: object) -> cabc.AsyncGenerator[object, None]:
+        link = await self._link(host)
+        if isinstance(link, PeerFailure):
+            yield link
+            return
+        number = next(self._numbers)
+        queue: asyncio.Queue[object] = asyncio.Queue()
+        link.replies[number] = queue
+        try:
+            await link.conn.send(_frames.encode_frame(number, message))
+            while True:
+                yield await queue.get()
+        except ConnectionClosed as exc:
+            yield PeerFailure(reason=repr(exc), sent=True)
+        finally:
+            del link.replies[number]
+
+    async def _link(self, host: HostId) -> _Link | PeerFailure:
+        async with self._locks.setdefault(host, asyncio.Lock()):
+            link = self._links.get(host)
+            if link is not None and not link.closed:
+                return link
+            return await self._open(host)
+
+    async def _open(self, host: HostId) -> _Link | PeerFailure:
+        entry = self._membership.entry(host)
+        if entry is None or not entry.peer_address:
+            return PeerFailure(reason=f"no peer address for host {host}", sent=False)
+        try:
+            conn = await connect(
+                f"ws://{entry.peer_address}",
+                additional_headers={_frames.SECRET_HEADER: self._secret},
+                open_timeout=CONNECT_TIMEOUT_S,
+                max_size=_frames.MAX_FRAME_BYTES,
+                compression=None,
+            )
+        except (OSError, TimeoutError, InvalidHandshake) as exc:
+            self._membership.mark_unreachable(host)
+            return PeerFailure(reason=repr(exc), sent=False)
+        link = _Link(conn=conn)
+        self._links[host] = link
+        self.spawn(link.receive(), name=f"peer-link-{host}")
+        return link
--- /dev/null
+++ b/src/cassiawalk/peer/server.py
@@ -0,0 +1,116 @@
+"""Accepts connections from peers and serves their calls."""
+
+import asyncio
+import collections.abc as cabc
+import hmac
+import http
+import socket
+import typing as t
+
+import eliot
+from websockets.asyncio.server import Server
+from websockets.asyncio.server import ServerConnection
+from websockets.asyncio.server import serve
+from websockets.exceptions import ConnectionClosed
+from websockets.http11 import Request
+from websockets.http11 import Response
+
+from cassiawalk.app import Component
+from cassiawalk.errors import WireError
+from cassiawalk.peer import _frames
+from cassiawalk.peer.messages import PeerFault
+from cassiawalk.peer.messages import StreamPart
+
+_M = t.TypeVar("_M")
+Handler = cabc.Callable[[t.Any], cabc.Awaitable[object]]
+StreamHandler = cabc.Callable[[t.Any], cabc.AsyncIterator[object]]
+
+
+class PeerServer(Component):
+    """Serves calls by message type, one task for each connection and call.
+
+    :param secret: the secret that all hosts share; peers without it are refused.
+    """
+
+    def __init__(self, *, sock: socket.socket, secret: str) -> None:
+        self._sock = sock
+        self._secret = secret
+        self._handlers: dict[type, Handler] = {}
+        self._stream_handlers: dict[type, StreamHandler] = {}
+        self._server: Server | None = None
+
+    def handle(
+        self, message: type[_M], handler: cabc.Callable[[_M], cabc.Awaitable[object]]
+    ) -> None:
+        """Serve calls of one type with a single reply."""
+        self._handlers[message] = handler
+
+    def handle_stream(
+        self, message: type[_M], handler: cabc.Callable[[_M], cabc.AsyncIterator[object]]
+    ) -> None:
+        """Serve calls of one type with a stream of ``StreamPart`` replies."""
+        self._stream_handlers[message] = handler
+
+    async def start(self) -> None:
+        """Start accepting connections."""
+        self._server = await serve(
+            self._serve,
+            sock=self._sock,
+            process_request=self._authorize,
+            max_size=_frames.MAX_FRAME_BYTES,
+            compression=None,
+        )
+
+    async def stop(self) -> None:
+        """Close the listening socket and all connections."""
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+        await super().stop()
+
+    def _authorize(self, conn: ServerConnection, req: Request) -> Response | None:
+        offered = req.headers.get(_frames.SECRET_HEADER, "")
+        if hmac.compare_digest(offered.encode(), self._secret.encode()):
+            return None
+        return conn.respond(http.HTTPStatus.FORBIDDEN, "wrong peer secret\n")
+
+    async def _serve(self, conn: ServerConnection) -> None:
+        calls: set[asyncio.Task[None]] = set()
+        try:
+            async for data in conn:
+                number, message = _frames.decode_frame(data)
+                task = asyncio.create_task(self._answer(conn, number, message))
+                calls.add(task)
+                task.add_done_callback(calls.discard)
+        except WireError as exc:
+            eliot.log_message(message_type="peer:bad-frame", fault=str(exc))
+        except ConnectionClosed:
+            pass
+        finally:
+            for task in calls:
+                task.cancel()
+
+    async def _answer(self, conn: ServerConnection, number: int, message: object | None) -> None:
+        try:
+            if type(message) in self._stream_handlers:
+                await self._answer_stream(conn, number, message)
+            else:
+                await conn.send(_frames.encode_frame(number, await self._reply(message)))
+        except ConnectionClosed:
+            return
+
+    async def _answer_stream(self, conn: ServerConnection, number: int, message: object) -> None:
+        async for part in self._stream_handlers[type(message)](message):
+            await conn.send(_frames.encode_frame(number, part))
+        await conn.send(_frames.encode_frame(number, StreamPart(last=True)))
+
+    async def _reply(self, message: object | None) -> object:
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            return PeerFault(reason=f"no handler for {type(message).__name__}")
+        try:
+            return await handler(message)
+        except Exception as exc:
+            # The fault belongs to one call; the connection serves others.
+            eliot.log_message(message_type="peer:handler-failed", error=repr(exc))
+            return PeerFault(reason=repr(exc))
--- /dev/null
+++ b/src/cassiawalk/platform/__init__.py
@@ -0,0 +1,29 @@
+"""Interfaces to the systems around cassiawalk: log service, engines, plain services, hosts."""
+
+from cassiawalk.platform.cloud import CloudApi as CloudApi
+from cassiawalk.platform.cloud import ReclaimNotice as ReclaimNotice
+from cassiawalk.platform.engine import Engine as Engine
+from cassiawalk.platform.engine import EngineEvent as EngineEvent
+from cassiawalk.platform.engine import EngineRequest as EngineRequest
+from cassiawalk.platform.engine import Finished as Finished
+from cassiawalk.platform.engine import Interrupted as Interrupted
+from cassiawalk.platform.engine import LoadReport as LoadReport
+from cassiawalk.platform.engine import Tokens as Tokens
+from cassiawalk.platform.hosts import HostEntry as HostEntry
+from cassiawalk.platform.hosts import HostList as HostList
+from cassiawalk.platform.hosts import HostRole as HostRole
+from cassiawalk.platform.hosts import HostState as HostState
+from cassiawalk.platform.log import Appended as Appended
+from cassiawalk.platform.log import AppendOutcome as AppendOutcome
+from cassiawalk.platform.log import AppendRefused as AppendRefused
+from cassiawalk.platform.log import AppendUnknown as AppendUnknown
+from cassiawalk.platform.log import LogEntry as LogEntry
+from cassiawalk.platform.log import LogService as LogService
+from cassiawalk.platform.log import ReadBatch as ReadBatch
+from cassiawalk.platform.log import ReadFailed as ReadFailed
+from cassiawalk.platform.log import ReadOutcome as ReadOutcome
+from cassiawalk.platform.service import CallAnswered as CallAnswered
+from cassiawalk.platform.service import CallFailed as CallFailed
+from cassiawalk.platform.service import CallOutcome as CallOutcome
+from cassiawalk.platform.service import PlainService as PlainService
+from cassiawalk.platform.service import ServiceCall as ServiceCall
--- /dev/null
+++ b/src/cassiawalk/platform/_http.py
@@ -0,0 +1,69 @@
+"""Shared parts of the HTTP clients."""
+
+import collections.abc as cabc
+import typing as t
+
+import aiosonic
+import aiosonic.exceptions
+import aiosonic.pools
+import aiosonic.timeout
+
+CONNECT_TIMEOUT_S = 2.0
+ANSWER_TIMEOUT_S = 10.0
+POOL_CONNECTIONS = 512
+
+# A chunked answer that is cut surfaces as a ValueError, and one with a length as an
+# IncompleteReadError (an EOFError).
+LOST_ANSWER: tuple[type[BaseException], ...] = (
+    OSError,
+    EOFError,
+    ValueError,
+    TimeoutError,
+    aiosonic.exceptions.BaseTimeout,
+    aiosonic.exceptions.ConnectionDisconnected,
+    aiosonic.exceptions.ConnectionPoolAcquireTimeout,
+    aiosonic.exceptions.HttpParsingError,
+)
+NOT_SENT: tuple[type[BaseException], ...] = (
+    ConnectionRefusedError,
+    aiosonic.exceptions.ConnectTimeout,
+)
+
+
+def new_client(*, answer_timeout_s: float | None = ANSWER_TIMEOUT_S) -> aiosonic.HTTPClient:
+    """Return a client with its own connection pool.
+
+    :param answer_timeout_s: limit for the head of an answer and for the whole exchange, in
+        seconds; None for streams.
+    """
+    pool = aiosonic.pools.PoolConfig(size=POOL_CONNECTIONS)
+    timeouts = aiosonic.timeout.Timeouts(
+        sock_connect=CONNECT_TIMEOUT_S,
+        sock_read=answer_timeout_s,
+        request_timeout=answer_timeout_s,
+    )
+    connector = aiosonic.TCPConnector(pool_configs={":default": pool}, timeouts=timeouts)
+    return aiosonic.HTTPClient(connector)
+
+
+async def close_client(client: aiosonic.HTTPClient) -> None:
+    """Close the client's pooled connections."""
+    await client.connector.cleanup()
+
+
+async def sse_data(chunks: cabc.AsyncIterator[bytes]) -> cabc.AsyncGenerator[list[bytes], None]:
+    """Yield the ``data:`` payloads of each network chunk of a server-sent event stream."""
+    rest = b""
+    async for chunk in chunks:
+        *lines, rest = (rest + chunk).split(b"\n")
+        found = [line[5:].strip() for line in lines if line.startswith(b"data:")]
+        if found:
+            yield found
+
+
+def header_float(headers: t.Mapping[str, str], name: str) -> float | None:
+    """Return a header as a number of seconds, or None if it is absent or malformed."""
+    try:
+        return float(headers[name])
+    except (KeyError, ValueError):
+        return None
--- /dev/null
+++ b/src/cassiawalk/platform/engine_http.py
@@ -0,0 +1,198 @@
+"""Model engines over the completions protocol with server-sent events."""
+
+import asyncio
+import collections.abc as cabc
+import contextlib
+import typing as t
+
+import aiosonic
+import orjson
+
+from cassiawalk.ids import RequestId
+from cassiawalk.platform import _http
+from cassiawalk.platform.engine import CacheRemoved
+from cassiawalk.platform.engine import CacheStored
+from cassiawalk.platform.engine import Engine
+from cassiawalk.platform.engine import EngineEvent
+from cassiawalk.platform.engine import EngineNotice
+from cassiawalk.platform.engine import EngineOrder
+from cassiawalk.platform.engine import EngineRequest
+from cassiawalk.platform.engine import Finished
+from cassiawalk.platform.engine import Interrupted
+from cassiawalk.platform.engine import InterruptReason
+from cassiawalk.platform.engine import LoadReport
+from cassiawalk.platform.engine import OrderOutcome
+from cassiawalk.platform.engine import Tokens
+
+_DONE = b"[DONE]"
+_KV_TIMEOUT_S = 30.0
+_ORDER_TIMEOUT_S = 5.0
+SILENCE_LIMIT_S = 20.0
+
+
+class HttpEngine(Engine):
+    """Client of one engine."""
+
+    def __init__(self, *, address: str, silence_limit_s: float = SILENCE_LIMIT_S) -> None:
+        self._url = f"http://{address}"
+        self._client = _http.new_client(answer_timeout_s=None)
+        self._silence_limit_s = silence_limit_s
+
+    async def generate(self, req: EngineRequest) -> cabc.AsyncGenerator[EngineEvent, None]:
+        """Yield the events of one streamed completion."""
+        stream = self._stream(req)
+        async with contextlib.aclosing(stream):
+            while True:
+                try:
+                    async with asyncio.timeout(self._silence_limit_s):
+                        event = await anext(stream)
+                except StopAsyncIteration:
+                    return
+                except TimeoutError:
+                    yield Interrupted(reason=InterruptReason.SILENT, sent=True)
+                    return
+                yield event
+
+    async def _stream(self, req: EngineRequest) -> cabc.AsyncGenerator[EngineEvent, None]:
+        try:
+            res = await self._client.post(
+                f"{self._url}/v1/completions", data=orjson.dumps(_completion_body(req))
+            )
+        except _http.NOT_SENT as exc:
+            yield _interrupted(InterruptReason.CONNECT_FAILED, exc, sent=False)
+            return
+        except _http.LOST_ANSWER as exc:
+            yield _interrupted(InterruptReason.CONNECTION_LOST, exc, sent=True)
+            return
+        if res.status_code != 200:
+            yield await _refusal(res)
+            return
+        async for event in _completion_events(res):
+            yield event
+
+    async def notices(self) -> cabc.AsyncGenerator[EngineNotice, None]:
+        """Yield the notices of the engine's event stream until it ends."""
+        try:
+            res = await self._client.get(f"{self._url}/events")
+            async for payloads in _http.sse_data(res.read_chunks()):
+                for payload in payloads:
+                    yield _notice(orjson.loads(payload))
+        except _http.LOST_ANSWER:
+            return
+
+    async def export_kv(self, request_id: RequestId) -> bytes | None:
+        """Return the exported cache of one POST."""
+        try:
+            async with asyncio.timeout(_KV_TIMEOUT_S):
+                res = await self._client.post(f"{self._url}/kv/{request_id}/export")
+                body = await res.content()
+        except _http.LOST_ANSWER:
+            return None
+        return bytes(body) if res.status_code == 200 else None
+
+    async def import_kv(self, blob: bytes) -> str | None:
+        """Return the handle of one POST."""
+        try:
+            async with asyncio.timeout(_KV_TIMEOUT_S):
+                res = await self._client.post(f"{self._url}/kv/import", data=blob)
+                body = await res.content()
+            return str(orjson.loads(body)["handle"]) if res.status_code == 201 else None
+        except _http.LOST_ANSWER:
+            return None
+
+    async def order(self, order: EngineOrder) -> OrderOutcome:
+        """Give the order with one POST."""
+        data = {"fence": order.fence, "action": order.action, "argument": order.argument}
+        try:
+            async with asyncio.timeout(_ORDER_TIMEOUT_S):
+                res = await self._client.post(f"{self._url}/orders", data=orjson.dumps(data))
+        except _http.NOT_SENT:
+            return OrderOutcome.REFUSED
+        except _http.LOST_ANSWER:
+            return OrderOutcome.UNKNOWN
+        if res.status_code == 200:
+            return OrderOutcome.DONE
+        return OrderOutcome.STALE_FENCE if res.status_code == 409 else OrderOutcome.REFUSED
+
+    async def aclose(self) -> None:
+        """Close pooled connections."""
+        await _http.close_client(self._client)
+
+
+def _completion_body(req: EngineRequest) -> dict[str, t.Any]:
+    return {
+        "prompt": req.prompt,
+        "max_tokens": req.max_tokens,
+        "stream": True,
+        "priority": req.priority,
+        "request_id": f"{req.request_id}/{req.attempt}",
+        "resume_text": req.resume_text,
+        "resume_tokens": req.resume_tokens,
+        "kv_handle": req.kv_handle,
+    }
+
+
+def _interrupted(reason: InterruptReason, exc: BaseException, *, sent: bool) -> Interrupted:
+    return Interrupted(reason=reason, sent=sent, detail=repr(exc))
+
+
+async def _refusal(res: aiosonic.HttpResponse) -> Interrupted:
+    """Return the event for an answer other than 200; the engine did not run the request."""
+    retry_s = _http.header_float(res.headers, "retry-after")
+    if res.status_code in (429, 503):
+        leaving = res.headers.get("x-leaving") == "1"
+        reason = InterruptReason.LEAVING if leaving else InterruptReason.REFUSED
+        return Interrupted(reason=reason, sent=False, retry_after_s=retry_s)
+    if 400 <= res.status_code < 500:
+        detail = f"status {res.status_code}"
+        return Interrupted(reason=InterruptReason.REJECTED, sent=True, detail=detail)
+    detail = f"status {res.status_code}"
+    return Interrupted(reason=InterruptReason.CONNECTION_LOST, sent=True, detail=detail)
+
+
+async def _completion_events(
+    res: aiosonic.HttpResponse,
+) -> cabc.AsyncGenerator[EngineEvent, None]:
+    """Yield one ``Tokens`` for each network chunk, then the end or the interruption."""
+    finished: Finished | None = None
+    try:
+        async for payloads in _http.sse_data(res.read_chunks()):
+            ended = payloads[-1] == _DONE
+            items = [orjson.loads(p) for p in payloads if p != _DONE]
+            texts = [text for item in items if (text := item["choices"][0]["text"])]
+            if texts:
+                yield Tokens(count=len(texts), text="".join(texts))
+            finished = _finished(items) or finished
+            if ended and finished is not None:
+                yield finished
+                return
+    except _http.LOST_ANSWER as exc:
+        yield _interrupted(InterruptReason.CONNECTION_LOST, exc, sent=True)
+        return
+    yield Interrupted(reason=InterruptReason.CONNECTION_LOST, sent=True, detail="no end marker")
+
+
+def _finished(items: list[t.Any]) -> Finished | None:
+    for item in items:
+        usage = item.get("usage")
+        if usage:
+            return Finished(
+                completion_tokens=usage["completion_tokens"],
+                computed_tokens=usage["computed_tokens"],
+                cached_tokens=usage["cached_tokens"],
+            )
+    return None
+
+
+def _notice(item: dict[str, t.Any]) -> EngineNotice:
+    if item["type"] == "stored":
+        return CacheStored(seq=item["seq"], blocks=tuple(item["blocks"]))
+    if item["type"] == "removed":
+        return CacheRemoved(seq=item["seq"], blocks=tuple(item["blocks"]))
+    return LoadReport(
+        slots=item["slots"],
+        running=item["running"],
+        waiting=item["waiting"],
+        measured_s=item["measured_s"],
+        token_interval_s=item.get("token_interval_s", 0.0),
+    )
--- /dev/null
+++ b/src/cassiawalk/platform/hosts_http.py
@@ -0,0 +1,97 @@
+"""The host list and the cloud API over HTTP."""
+
+import asyncio
+import typing as t
+
+import aiosonic
+import orjson
+
+from cassiawalk.errors import WireError
+from cassiawalk.ids import HostId
+from cassiawalk.platform import _http
+from cassiawalk.platform.cloud import CloudApi
+from cassiawalk.platform.cloud import HostStarted
+from cassiawalk.platform.cloud import MachineOffer
+from cassiawalk.platform.cloud import ReclaimNotice
+from cassiawalk.platform.cloud import StartRefused
+from cassiawalk.platform.hosts import HostEntry
+from cassiawalk.platform.hosts import HostList
+from cassiawalk.wire import from_plain
+from cassiawalk.wire import to_plain
+
+_TIMEOUT_S = 3.0
+
+
+async def _get(client: aiosonic.HTTPClient, url: str, *, timeout_s: float) -> t.Any | None:
+    """Return the JSON answer to a GET, or None if there is no whole answer."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            res = await client.get(url)
+            body = await res.content()
+        return orjson.loads(body) if res.status_code == 200 else None
+    except _http.LOST_ANSWER:
+        return None
+
+
+class HttpHostList(HostList):
+    """Client of the host list."""
+
+    def __init__(self, *, url: str) -> None:
+        self._url = url.rstrip("/")
+        self._client = _http.new_client()
+
+    async def hosts(self) -> tuple[HostEntry, ...] | None:
+        """Return the list of one GET."""
+        answer = await _get(self._client, f"{self._url}/hosts", timeout_s=_TIMEOUT_S)
+        if not isinstance(answer, dict):
+            return None
+        try:
+            return tuple(from_plain(HostEntry, item) for item in answer["hosts"])
+        except (WireError, KeyError):
+            return None
+
+    async def aclose(self) -> None:
+        """Close pooled connections."""
+        await _http.close_client(self._client)
+
+
+class HttpCloudApi(CloudApi):
+    """Client of the cloud API."""
+
+    def __init__(self, *, url: str) -> None:
+        self._url = url.rstrip("/")
+        self._client = _http.new_client(answer_timeout_s=None)
+
+    async def notices(self, *, after: int, wait_s: float) -> tuple[ReclaimNotice, ...] | None:
+        """Return notices by one long-polling GET."""
+        url = f"{self._url}/notices?after={after}&wait={wait_s}"
+        answer = await _get(self._client, url, timeout_s=wait_s + _TIMEOUT_S)
+        if answer is None:
+            return None
+        return tuple(from_plain(ReclaimNotice, item) for item in answer["notices"])
+
+    async def offers(self) -> tuple[MachineOffer, ...] | None:
+        """Return the prices of one GET."""
+        answer = await _get(self._client, f"{self._url}/offers", timeout_s=_TIMEOUT_S)
+        if answer is None:
+            return None
+        return tuple(from_plain(MachineOffer, item) for item in answer["offers"])
+
+    async def start_host(self, offer: MachineOffer) -> HostStarted | StartRefused | None:
+        """Start a host with one POST."""
+        try:
+            async with asyncio.timeout(_TIMEOUT_S):
+                data = orjson.dumps(to_plain(offer))
+                res = await self._client.post(f"{self._url}/instances", data=data)
+                body = await res.content()
+        except _http.NOT_SENT as exc:
+            return StartRefused(reason=repr(exc))
+        except _http.LOST_ANSWER:
+            return None
+        if res.status_code == 201:
+            return HostStarted(host=HostId(orjson.loads(body)["host"]))
+        return StartRefused(reason=f"status {res.status_code}")
+
+    async def aclose(self) -> None:
+        """Close pooled connections."""
+        await _http.close_client(self._client)
--- /dev/null
+++ b/src/cassiawalk/platform/log_http.py
@@ -0,0 +1,81 @@
+"""The log service over HTTP."""
+
+import asyncio
+import base64
+
+import orjson
+
+from cassiawalk.ids import Offset
+from cassiawalk.platform import _http
+from cassiawalk.platform.log import Appended
+from cassiawalk.platform.log import AppendOutcome
+from cassiawalk.platform.log import AppendRefused
+from cassiawalk.platform.log import AppendUnknown
+from cassiawalk.platform.log import LogEntry
+from cassiawalk.platform.log import LogService
+from cassiawalk.platform.log import ReadBatch
+from cassiawalk.platform.log import ReadFailed
+from cassiawalk.platform.log import ReadOutcome
+
+_DEFAULT_RETRY_S = 1.0
+_APPEND_TIMEOUT_S = 3.0
+_READ_MARGIN_S = 3.0
+
+
+class HttpLogService(LogService):
+    """Client of a log service with JSON answers and base64 payloads."""
+
+    def __init__(self, *, url: str) -> None:
+        self._url = url.rstrip("/")
+        self._client = _http.new_client(answer_timeout_s=None)
+
+    async def append(self, *, stream: str, payload: bytes) -> AppendOutcome:
+        """Append with one POST; the client library never repeats a POST by itself."""
+        url = f"{self._url}/streams/{stream}/records"
+        try:
+            async with asyncio.timeout(_APPEND_TIMEOUT_S):
+                res = await self._client.post(url, data=payload)
+                body = await res.content()
+        except _http.NOT_SENT as exc:
+            return AppendRefused(reason=repr(exc), retry_after_s=_DEFAULT_RETRY_S)
+        except _http.LOST_ANSWER as exc:
+            return AppendUnknown(reason=repr(exc))
+        if res.status_code == 201:
+            return Appended(offset=Offset(int(orjson.loads(body)["offset"])))
+        if res.status_code in (429, 503):
+            retry_s = _http.header_float(res.headers, "retry-after") or _DEFAULT_RETRY_S
+            return AppendRefused(reason=f"status {res.status_code}", retry_after_s=retry_s)
+        return AppendUnknown(reason=f"status {res.status_code}")
+
+    async def read(
+        self, *, stream: str, start: Offset, limit: int, wait_s: float = 0.0
+    ) -> ReadOutcome:
+        """Read with one long-polling GET."""
+        url = f"{self._url}/streams/{stream}/records"
+        params = {"start": str(start), "limit": str(limit), "wait": str(wait_s)}
+        try:
+            async with asyncio.timeout(wait_s + _READ_MARGIN_S):
+                res = await self._client.get(url, params=params)
+                body = await res.content()
+            if res.status_code != 200:
+                return ReadFailed(reason=f"status {res.status_code}")
+            return _read_batch(body)
+        except _http.LOST_ANSWER as exc:
+            return ReadFailed(reason=repr(exc))
+
+    async def aclose(self) -> None:
+        """Close pooled connections."""
+        await _http.close_client(self._client)
+
+
+def _read_batch(body: bytes) -> ReadBatch:
+    answer = orjson.loads(body)
+    entries = tuple(
+        LogEntry(offset=Offset(item["offset"]), payload=base64.b64decode(item["payload"]))
+        for item in answer["records"]
+    )
+    return ReadBatch(
+        entries=entries,
+        first_offset=Offset(answer["first_offset"]),
+        end_offset=Offset(answer["end_offset"]),
+    )
--- /dev/null
+++ b/src/cassiawalk/platform/service.py
@@ -0,0 +1,51 @@
+"""Interface to a plain service."""
+
+import abc
+import dataclasses
+
+from cassiawalk.ids import RequestId
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ServiceCall:
+    """One call. ``key`` is the caller's idempotency key, passed on where there is one."""
+
+    request_id: RequestId
+    path: str
+    body: bytes
+    key: str | None = None
+    timeout_s: float = 30.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CallAnswered:
+    """A whole answer with its HTTP status."""
+
+    status: int
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CallFailed:
+    """No whole answer. ``sent`` is False only if it is certain that no byte was sent."""
+
+    reason: str
+    sent: bool
+
+
+CallOutcome = CallAnswered | CallFailed
+
+
+class PlainService(abc.ABC):
+    """A plain service. Failures are returned as outcomes, never raised."""
+
+    @abc.abstractmethod
+    async def call(self, call: ServiceCall) -> CallOutcome:
+        """Send the call exactly once and return its outcome."""
+
+    @abc.abstractmethod
+    async def look_up(self, *, path: str, key: str) -> CallOutcome:
+        """Ask for the outcome of an earlier call by key; status 404 means that it did not run."""
+
+    async def aclose(self) -> None:
+        """Release connections."""
--- /dev/null
+++ b/src/cassiawalk/platform/service_http.py
@@ -0,0 +1,58 @@
+"""Plain services over HTTP and JSON."""
+
+import asyncio
+
+from cassiawalk.platform import _http
+from cassiawalk.platform.service import CallAnswered
+from cassiawalk.platform.service import CallFailed
+from cassiawalk.platform.service import CallOutcome
+from cassiawalk.platform.service import PlainService
+from cassiawalk.platform.service import ServiceCall
+
+_LOOK_UP_TIMEOUT_S = 5.0
+
+
+class HttpPlainService(PlainService):
+    """Client of one plain service.
+
+    Every call opens a fresh connection: a pooled connection that the server has closed fails in
+    the same way as one that was cut after sending, and the two must be told apart.
+    """
+
+    def __init__(self, *, address: str) -> None:
+        self._url = f"http://{address}"
+
+    async def call(self, call: ServiceCall) -> CallOutcome:
+        """Send one POST, which the client library never repeats by itself."""
+        headers = {
+            "content-type": "application/json",
+            "x-request-id": call.request_id,
+            "connection": "close",
+        }
+        if call.key is not None:
+            headers["idempotency-key"] = call.key
+        client = _http.new_client(answer_timeout_s=None)
+        try:
+            async with asyncio.timeout(call.timeout_s):
+                res = await client.post(self._url + call.path, data=call.body, headers=headers)
+                body = await res.content()
+        except _http.NOT_SENT as exc:
+            return CallFailed(reason=repr(exc), sent=False)
+        except _http.LOST_ANSWER as exc:
+            return CallFailed(reason=repr(exc), sent=True)
+        finally:
+            await _http.close_client(client)
+        return CallAnswered(status=res.status_code, body=bytes(body))
+
+    async def look_up(self, *, path: str, key: str) -> CallOutcome:
+        """Ask with one GET; a look-up may be repeated."""
+        client = _http.new_client(answer_timeout_s=None)
+        try:
+            async with asyncio.timeout(_LOOK_UP_TIMEOUT_S):
+                res = await client.get(f"{self._url}{path}/{key}")
+                body = await res.content()
+        except _http.LOST_ANSWER as exc:
+            return CallFailed(reason=repr(exc), sent=True)
+        finally:
+            await _http.close_client(client)
+        return CallAnswered(status=res.status_code, body=bytes(body))
--- /dev/null
+++ b/src/cassiawalk/requests/__init__.py
@@ -0,0 +1,12 @@
+"""Accepted requests and their answers."""
+
+from cassiawalk.requests.answer import AnswerEvent as AnswerEvent
+from cassiawalk.requests.answer import Ended as Ended
+from cassiawalk.requests.answer import Failed as Failed
+from cassiawalk.requests.answer import HandedOver as HandedOver
+from cassiawalk.requests.answer import Result as Result
+from cassiawalk.requests.answer import Text as Text
+from cassiawalk.requests.answer import answers as answers
+from cassiawalk.requests.record import RequestRecord as RequestRecord
+from cassiawalk.requests.record import RequestState as RequestState
+from cassiawalk.requests.store import RequestStore as RequestStore
--- /dev/null
+++ b/src/cassiawalk/requests/store.py
@@ -0,0 +1,56 @@
+"""The requests that this host holds."""
+
+import collections
+import collections.abc as cabc
+
+from cassiawalk.clock import Clock
+from cassiawalk.ids import RequestId
+from cassiawalk.requests.record import FINAL_STATES
+from cassiawalk.requests.record import RequestRecord
+from cassiawalk.requests.record import RequestState
+
+FINISHED_KEPT_S = 60.0
+
+
+class RequestStore:
+    """Records by id. Finished ones stay for a while so that a caller can read them again.
+
+    :param finished_kept_s: how long a finished record stays, in seconds.
+    """
+
+    def __init__(self, *, clock: Clock, finished_kept_s: float = FINISHED_KEPT_S) -> None:
+        self._clock = clock
+        self._finished_kept_s = finished_kept_s
+        self._records: dict[RequestId, RequestRecord] = {}
+        self._finished: collections.deque[tuple[float, RequestId]] = collections.deque()
+
+    def __iter__(self) -> cabc.Iterator[RequestRecord]:
+        return iter(list(self._records.values()))
+
+    def add(self, record: RequestRecord) -> None:
+        """Hold a record."""
+        self._drop_expired()
+        self._records[record.request_id] = record
+
+    def get(self, request_id: RequestId) -> RequestRecord | None:
+        """Return a record, or None if this host does not hold it."""
+        return self._records.get(request_id)
+
+    def finish(self, record: RequestRecord, state: RequestState) -> None:
+        """Note a record's final state and start its time of retention."""
+        record.state = state
+        record.finished_at = self._clock.monotonic()
+        self._finished.append((record.finished_at, record.request_id))
+
+    def unfinished(self) -> list[RequestRecord]:
+        """Return the records that wait or run."""
+        return [record for record in self._records.values() if record.state not in FINAL_STATES]
+
+    def count(self, state: RequestState) -> int:
+        """Return how many records are in a state."""
+        return sum(1 for record in self._records.values() if record.state is state)
+
+    def _drop_expired(self) -> None:
+        limit = self._clock.monotonic() - self._finished_kept_s
+        while self._finished and self._finished[0][0] < limit:
+            self._records.pop(self._finished.popleft()[1], None)
--- /dev/null
+++ b/src/cassiawalk/results.py
@@ -0,0 +1,210 @@
+"""Numbered result codes and the refusal that carries them."""
+
+import dataclasses
+import enum
+import typing as t
+
+
+class Execution(enum.Enum):
+    """Whether a request reached an upstream that may have acted on it."""
+
+    NOT_RUN = "not run"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+class ResultCode(enum.IntEnum):
+    """Every way in which a request or command can end."""
+
+    COMPLETE = 1000
+    RECORDED_ANSWER = 1001
+    BAD_JSON = 2000
+    BAD_REQUEST = 2001
+    MISSING_TOKEN = 2002
+    WRONG_TOKEN = 2003
+    UNKNOWN_SERVICE = 2004
+    UNKNOWN_KIND = 2005
+    UNKNOWN_REQUEST = 2006
+    BAD_KEY = 2007
+    KEY_REQUIRED = 2008
+    KEY_REUSED = 2009
+    KEY_EXPIRED = 2010
+    BODY_TOO_LARGE = 2011
+    BAD_DEADLINE = 2012
+    SERVICE_FORBIDDEN = 2013
+    OVER_LIMIT = 3000
+    DEADLINE_UNREACHABLE = 3001
+    QUEUE_FULL = 3002
+    NO_UPSTREAM = 3003
+    CLAIM_UNAVAILABLE = 3004
+    DRAINING = 3005
+    QUARANTINED = 3006
+    DEADLINE_PASSED_WAITING = 3007
+    CONFIGURATION_STALE = 3008
+    RETRIES_EXHAUSTED = 4000
+    UPSTREAM_REJECTED = 4001
+    DEADLINE_PASSED_RUNNING = 4002
+    CRASHED_UPSTREAM = 4003
+    IN_PROGRESS = 5000
+    OUTCOME_UNKNOWN = 5001
+    COMMAND_ACCEPTED = 6000
+    COMMAND_CONFLICT = 6001
+    COMMAND_REJECTED = 6002
+    COMMAND_UNKNOWN = 6003
+    STATEMENT_FAULT = 6004
+    ROLE_FORBIDDEN = 6005
+    LOG_UNAVAILABLE = 6006
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CodeInfo:
+    """What a result code means to callers and operators."""
+
+    status: int
+    execution: Execution
+    retry: bool
+    meaning: str
+    action: str
+
+
+def _info(status: int, execution: Execution, retry: bool, meaning: str, action: str) -> CodeInfo:
+    return CodeInfo(status=status, execution=execution, retry=retry, meaning=meaning, action=action)
+
+
+_NOT_RUN = Execution.NOT_RUN
+_RAN = Execution.RAN
+_UNKNOWN = Execution.UNKNOWN
+
+CODES: t.Mapping[ResultCode, CodeInfo] = {
+    ResultCode.COMPLETE: _info(200, _RAN, False, "The whole answer was delivered.", "None."),
+    ResultCode.RECORDED_ANSWER: _info(
+        200, _RAN, False, "The key was used before; this is the recorded answer.", "None."
+    ),
+    ResultCode.BAD_JSON: _info(
+        400, _NOT_RUN, False, "The body is not a JSON object.", "Tell the caller."
+    ),
+    ResultCode.BAD_REQUEST: _info(
+        400, _NOT_RUN, False, "A field or header has a wrong value.", "Tell the caller."
+    ),
+    ResultCode.MISSING_TOKEN: _info(
+        401, _NOT_RUN, False, "No bearer token was sent.", "Give the caller a token."
+    ),
+    ResultCode.WRONG_TOKEN: _info(
+        403, _NOT_RUN, False, "The token belongs to no workspace.", "Check the workspace's token."
+    ),
+    ResultCode.UNKNOWN_SERVICE: _info(
+        404, _NOT_RUN, False, "The service does not exist.", "Create it, or tell the caller."
+    ),
+    ResultCode.UNKNOWN_KIND: _info(
+        404, _NOT_RUN, False, "The service has no such request kind.", "Create it."
+    ),
+    ResultCode.UNKNOWN_REQUEST: _info(
+        404, _UNKNOWN, False, "No live host knows this request id.", "See the run-book on loss."
+    ),
+    ResultCode.BAD_KEY: _info(
+        400, _NOT_RUN, False, "The Idempotency-Key is malformed.", "Tell the caller."
+    ),
+    ResultCode.KEY_REQUIRED: _info(
+        400, _NOT_RUN, False, "An at-most-once kind needs an Idempotency-Key.", "Tell the caller."
+    ),
+    ResultCode.KEY_REUSED: _info(
+        422, _NOT_RUN, False, "The key was used with another body.", "Tell the caller."
+    ),
+    ResultCode.KEY_EXPIRED: _info(
+        422, _NOT_RUN, False, "The key is older than the idempotency window.", "Tell the caller."
+    ),
+    ResultCode.BODY_TOO_LARGE: _info(
+        413, _NOT_RUN, False, "The body exceeds the limit.", "Tell the caller."
+    ),
+    ResultCode.BAD_DEADLINE: _info(
+        400, _NOT_RUN, False, "The deadline header is malformed.", "Tell the caller."
+    ),
+    ResultCode.SERVICE_FORBIDDEN: _info(
+        403, _NOT_RUN, False, "The workspace may not use this service.", "Change the workspace."
+    ),
+    ResultCode.OVER_LIMIT: _info(
+        429, _NOT_RUN, True, "The workspace is over its limit.", "Raise the limit if it is meant."
+    ),
+    ResultCode.DEADLINE_UNREACHABLE: _info(
+        503, _NOT_RUN, True, "The deadline can't be met at the present load.", "Add upstreams."
+    ),
+    ResultCode.QUEUE_FULL: _info(
+        503, _NOT_RUN, True, "The queue of this host is full.", "Add hosts or upstreams."
+    ),
+    ResultCode.NO_UPSTREAM: _info(
+        503, _NOT_RUN, True, "No upstream of the pool takes work.", "Look at show upstreams."
+    ),
+    ResultCode.CLAIM_UNAVAILABLE: _info(
+        503, _NOT_RUN, True, "The key can't be claimed now.", "Look at the log service."
+    ),
+    ResultCode.DRAINING: _info(
+        503, _NOT_RUN, True, "This host is stopping; ask again at another.", "None."
+    ),
+    ResultCode.QUARANTINED: _info(
+        503, _NOT_RUN, False, "The request crashed upstreams and is quarantined.", "Run-book."
+    ),
+    ResultCode.DEADLINE_PASSED_WAITING: _info(
+        504, _NOT_RUN, True, "The deadline passed in the queue.", "Add upstreams."
+    ),
+    ResultCode.CONFIGURATION_STALE: _info(
+        503, _NOT_RUN, True, "This host has no current configuration.", "Look at the log service."
+    ),
+    ResultCode.RETRIES_EXHAUSTED: _info(
+        502, _RAN, True, "Upstreams failed and no retry is left.", "Look at show upstreams."
+    ),
+    ResultCode.UPSTREAM_REJECTED: _info(
+        502, _RAN, False, "The upstream answered with an error.", "Look at the upstream."
+    ),
+    ResultCode.DEADLINE_PASSED_RUNNING: _info(
+        504, _RAN, True, "The deadline passed while an upstream worked.", "Check the kind."
+    ),
+    ResultCode.CRASHED_UPSTREAM: _info(
+        502, _RAN, False, "The request crashed the upstream that ran it.", "Run-book."
+    ),
+    ResultCode.IN_PROGRESS: _info(
+        409, _UNKNOWN, True, "A request with this key is still running.", "None."
+    ),
+    ResultCode.OUTCOME_UNKNOWN: _info(
+        500, _UNKNOWN, False, "Whether the request ran can't be told.", "Check the upstream."
+    ),
+    ResultCode.COMMAND_ACCEPTED: _info(
+        200, _RAN, False, "The command is in the configuration.", "None."
+    ),
+    ResultCode.COMMAND_CONFLICT: _info(
+        409, _NOT_RUN, False, "Another command changed the same object.", "Read and repeat."
+    ),
+    ResultCode.COMMAND_REJECTED: _info(
+        422, _NOT_RUN, False, "The command does not fit the configuration.", "Correct it."
+    ),
+    ResultCode.COMMAND_UNKNOWN: _info(
+        202, _UNKNOWN, True, "The log did not confirm the command.", "Ask by its command id."
+    ),
+    ResultCode.STATEMENT_FAULT: _info(
+        400, _NOT_RUN, False, "The statement can't be read.", "Correct it at the caret."
+    ),
+    ResultCode.ROLE_FORBIDDEN: _info(
+        403, _NOT_RUN, False, "The operator's token lacks the role.", "Use a token with the role."
+    ),
+    ResultCode.LOG_UNAVAILABLE: _info(
+        503, _NOT_RUN, True, "The log service refused the command.", "Try again."
+    ),
+}
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Refusal:
+    """A final answer without a result.
+
+    ``retry_after_s`` is in seconds, or None when asking again is of no use.
+    ``execution`` overrides the code's default where more is known.
+    """
+
+    code: ResultCode
+    detail: str
+    retry_after_s: float | None = None
+    execution: Execution | None = None
+
+    @property
+    def ran(self) -> Execution:
+        """Return whether the request ran, as far as it is known."""
+        return self.execution or CODES[self.code].execution
--- /dev/null
+++ b/src/cassiawalk/wire.py
@@ -0,0 +1,144 @@
+"""Typed dataclasses to and from CBOR maps.
+
+Records on the log and messages between processes use the same encoding. A map carries the tag of
+its type under ``"t"``. Fields that are unknown to the reader are ignored and missing fields take
+their defaults, so that hosts of two versions understand each other during a rolling upgrade.
+"""
+
+import collections.abc as cabc
+import dataclasses
+import enum
+import functools
+import types
+import typing as t
+
+import cbor2
+
+from cassiawalk.errors import WireError
+
+_TAG = "t"
+_T = t.TypeVar("_T")
+
+
+class Registry:
+    """Maps tags to dataclasses for one family of messages."""
+
+    def __init__(self) -> None:
+        self._by_tag: dict[str, type] = {}
+        self._tags: dict[type, str] = {}
+
+    def register(self, tag: str) -> t.Callable[[type[_T]], type[_T]]:
+        """Return a class decorator that adds a dataclass under a tag."""
+
+        def decorate(cls: type[_T]) -> type[_T]:
+            if tag in self._by_tag:
+                raise WireError(f"tag {tag!r} is registered twice")
+            self._by_tag[tag] = cls
+            self._tags[cls] = tag
+            return cls
+
+        return decorate
+
+    def to_plain(self, message: object) -> dict[str, t.Any]:
+        """Return the tagged map of a registered dataclass instance."""
+        plain = to_plain(message)
+        plain[_TAG] = self._tags[type(message)]
+        return t.cast(dict[str, t.Any], plain)
+
+    def from_plain(self, plain: t.Any) -> object | None:
+        """Return the dataclass instance of a tagged map, or None if the tag is unknown."""
+        if not isinstance(plain, dict):
+            raise WireError(f"expected a map, got {type(plain).__name__}")
+        cls = self._by_tag.get(str(plain.get(_TAG)))
+        return None if cls is None else from_plain(cls, plain)
+
+    def encode(self, messages: t.Iterable[object]) -> bytes:
+        """Return the CBOR bytes of a batch of messages."""
+        return cbor2.dumps([self.to_plain(message) for message in messages])
+
+    def decode(self, payload: bytes) -> list[object]:
+        """Return the messages of a batch; messages with an unknown tag are left out."""
+        plain = load(payload)
+        if not isinstance(plain, list):
+            raise WireError("expected a list of messages")
+        return [message for item in plain if (message := self.from_plain(item)) is not None]
+
+
+def load(payload: bytes) -> t.Any:
+    """Return the CBOR value in ``payload``.
+
+    :raises WireError: if the bytes are not CBOR.
+    """
+    try:
+        return cbor2.loads(payload)
+    except (cbor2.CBORDecodeError, ValueError, EOFError) as exc:
+        raise WireError(f"not CBOR: {exc}") from exc
+
+
+def to_plain(value: t.Any) -> t.Any:
+    """Return ``value`` as maps, lists and scalars."""
+    if dataclasses.is_dataclass(value):
+        return {f.name: to_plain(getattr(value, f.name)) for f in dataclasses.fields(value)}
+    if isinstance(value, enum.Enum):
+        return value.value
+    if isinstance(value, dict):
+        return {key: to_plain(item) for key, item in value.items()}
+    if isinstance(value, list | tuple | set | frozenset):
+        return [to_plain(item) for item in value]
+    return value
+
+
+@functools.cache
+def _field_types(cls: t.Any) -> dict[str, t.Any]:
+    return t.get_type_hints(cls)
+
+
+def from_plain(cls: type[_T], plain: t.Any) -> _T:
+    """Return an instance of the dataclass ``cls`` from a map.
+
+    :raises WireError: if a required field is missing or a value has the wrong type.
+    """
+    if not isinstance(plain, dict):
+        raise WireError(f"{cls.__name__}: expected a map, got {type(plain).__name__}")
+    hints = _field_types(t.cast(cabc.Hashable, cls))
+    known = {name: plain[name] for name in hints if name in plain}
+    try:
+        return cls(**{name: _convert(hints[name], value) for name, value in known.items()})
+    except TypeError as exc:
+        raise WireError(f"{cls.__name__}: {exc}") from exc
+
+
+def _convert(hint: t.Any, value: t.Any) -> t.Any:
+    if hint is t.Any or hint is object:
+        return value
+    if isinstance(hint, t.NewType):
+        return _convert(hint.__supertype__, value)
+    origin = t.get_origin(hint)
+    if origin in (t.Union, types.UnionType):
+        options = [arg for arg in t.get_args(hint) if arg is not type(None)]
+        return None if value is None else _convert(options[0], value)
+    if origin in (tuple, list):
+        return origin(_convert(t.get_args(hint)[0], item) for item in value)
+    if origin is dict:
+        item_hint = t.get_args(hint)[1]
+        return {key: _convert(item_hint, item) for key, item in value.items()}
+    if isinstance(hint, type) and issubclass(hint, enum.Enum):
+        return _enum_member(hint, value)
+    if dataclasses.is_dataclass(hint):
+        return from_plain(t.cast(type, hint), value)
+    return _scalar(hint, value)
+
+
+def _enum_member(hint: type[enum.Enum], value: t.Any) -> enum.Enum:
+    try:
+        return hint(value)
+    except ValueError as exc:
+        raise WireError(str(exc)) from exc
+
+
+def _scalar(hint: t.Any, value: t.Any) -> t.Any:
+    if hint is float and isinstance(value, int) and not isinstance(value, bool):
+        return float(value)
+    if isinstance(hint, type) and not isinstance(value, hint):
+        raise WireError(f"expected {hint.__name__}, got {type(value).__name__}")
+    return value
--- /dev/null
+++ b/standins/cloud.py
@@ -0,0 +1,157 @@
+"""Stand-in for the host list and the cloud API."""
+
+import asyncio
+import contextlib
+import dataclasses
+import time
+import typing as t
+
+import orjson
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse
+from starlette.responses import Response
+from starlette.routing import Route
+
+from standins import _serve
+
+
+@dataclasses.dataclass(kw_only=True)
+class Faults:
+    """What goes wrong. ``list_lag_s`` delays the host list behind the truth, in seconds."""
+
+    list_lag_s: float = 0.0
+    list_outage: bool = False
+    lose_notices: bool = False
+    refuse_starts: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Version:
+    """The host list as it became at a time."""
+
+    at_s: float
+    hosts: tuple[dict[str, t.Any], ...]
+
+
+class CloudStandIn:
+    """Hosts, notices, prices and starts in memory behind HTTP.
+
+    It stops no process: whoever runs the tests ends a reclaimed host's processes.
+    """
+
+    def __init__(self) -> None:
+        self._versions = [_Version(at_s=0.0, hosts=())]
+        self._notices: list[dict[str, t.Any]] = []
+        self._noticed = asyncio.Event()
+        self._offers: list[dict[str, t.Any]] = []
+        self._faults = Faults()
+        self._started = 0
+
+    def asgi(self) -> Starlette:
+        """Return the ASGI application."""
+        routes = [
+            Route("/hosts", self.list_hosts, methods=["GET"]),
+            Route("/hosts", self.put_host, methods=["POST"]),
+            Route("/hosts/{host}/remove", self.remove_host, methods=["POST"]),
+            Route("/reclaim", self.reclaim, methods=["POST"]),
+            Route("/notices", self.notices, methods=["GET"]),
+            Route("/offers", self.list_offers, methods=["GET"]),
+            Route("/offers", self.set_offers, methods=["POST"]),
+            Route("/instances", self.start_instance, methods=["POST"]),
+            Route("/faults", self.set_faults, methods=["POST"]),
+        ]
+        return Starlette(routes=routes)
+
+    async def list_hosts(self, req: Request) -> Response:
+        """Answer with the host list, as old as the fault says."""
+        if self._faults.list_outage:
+            return Response(status_code=503)
+        limit = time.monotonic() - self._faults.list_lag_s
+        known = [version for version in self._versions if version.at_s <= limit]
+        return JSONResponse({"hosts": list((known or self._versions)[-1].hosts)})
+
+    async def put_host(self, req: Request) -> Response:
+        """Add or replace a host."""
+        entry = orjson.loads(await req.body())
+        others = [host for host in self._hosts() if host["host"] != entry["host"]]
+        self._publish([*others, entry])
+        return Response(status_code=204)
+
+    async def remove_host(self, req: Request) -> Response:
+        """Remove a host from the list."""
+        name = req.path_params["host"]
+        self._publish([host for host in self._hosts() if host["host"] != name])
+        return Response(status_code=204)
+
+    async def reclaim(self, req: Request) -> Response:
+        """Give notice to hosts by name or failure domain."""
+        body = orjson.loads(await req.body())
+        names = body.get("hosts") or [
+            host["host"]
+            for host in self._hosts()
+            if host["failure_domain"] == body["failure_domain"]
+        ]
+        reclaim_s = time.time() + float(body["notice_s"])
+        hosts = [
+            {**host, "state": "leaving"} if host["host"] in names else host
+            for host in self._hosts()
+        ]
+        self._publish(hosts)
+        if not self._faults.lose_notices:
+            self._give_notice(names, reclaim_s)
+        return JSONResponse({"hosts": names, "reclaim_s": reclaim_s})
+
+    async def notices(self, req: Request) -> Response:
+        """Answer with notices after a sequence number, waiting for a first one if asked to."""
+        after = int(req.query_params.get("after", 0))
+        wait_s = float(req.query_params.get("wait", 0))
+        if len(self._notices) <= after and wait_s > 0:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait_s):
+                    await self._noticed.wait()
+        return JSONResponse({"notices": self._notices[after:]})
+
+    async def list_offers(self, req: Request) -> Response:
+        """Answer with the prices."""
+        return JSONResponse({"offers": self._offers})
+
+    async def set_offers(self, req: Request) -> Response:
+        """Set the prices."""
+        self._offers = orjson.loads(await req.body())["offers"]
+        return Response(status_code=204)
+
+    async def start_instance(self, req: Request) -> Response:
+        """Start a host, unless starts are refused."""
+        if self._faults.refuse_starts:
+            return Response(status_code=503)
+        self._started += 1
+        return JSONResponse({"host": f"started-{self._started}"}, status_code=201)
+
+    async def set_faults(self, req: Request) -> Response:
+        """Set the faults in force."""
+        self._faults = Faults(**orjson.loads(await req.body()))
+        return JSONResponse(dataclasses.asdict(self._faults))
+
+    def _hosts(self) -> tuple[dict[str, t.Any], ...]:
+        return self._versions[-1].hosts
+
+    def _publish(self, hosts: list[dict[str, t.Any]]) -> None:
+        self._versions.append(_Version(at_s=time.monotonic(), hosts=tuple(hosts)))
+
+    def _give_notice(self, names: list[str], reclaim_s: float) -> None:
+        for name in names:
+            seq = len(self._notices) + 1
+            self._notices.append({"seq": seq, "host": name, "reclaim_s": reclaim_s})
+        noticed, self._noticed = self._noticed, asyncio.Event()
+        noticed.set()
+
+
+def main() -> None:
+    """Run the stand-in."""
+    args = _serve.base_parser("Stand-in for the host list and the cloud API.").parse_args()
+    _serve.run(CloudStandIn().asgi(), port=args.port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/log_service.py
@@ -0,0 +1,163 @@
+"""Stand-in for the append-only log service."""
+
+import asyncio
+import base64
+import dataclasses
+import time
+
+import orjson
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse
+from starlette.responses import Response
+from starlette.routing import Route
+
+from standins import _serve
+
+DEFAULT_APPENDS_PER_S = 500.0
+BURST_APPENDS = 100.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class Faults:
+    """What goes wrong. ``lose_answers`` is how many appends take effect without an answer."""
+
+    outage: bool = False
+    lose_answers: int = 0
+    delay_s: float = 0.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class Stream:
+    """One stream; ``first`` is the offset of the first retained payload."""
+
+    first: int = 0
+    payloads: list[bytes] = dataclasses.field(default_factory=list)
+    changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+    @property
+    def end(self) -> int:
+        """Return the next offset."""
+        return self.first + len(self.payloads)
+
+    def append(self, payload: bytes) -> int:
+        """Append a payload and return its offset."""
+        self.payloads.append(payload)
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
+        return self.end - 1
+
+    def expire(self, through: int) -> None:
+        """Drop payloads up to and including an offset."""
+        count = max(0, min(through + 1 - self.first, len(self.payloads)))
+        del self.payloads[:count]
+        self.first += count
+
+
+class LogStandIn:
+    """Streams in memory behind HTTP."""
+
+    def __init__(self, *, appends_per_s: float = DEFAULT_APPENDS_PER_S) -> None:
+        self._rate = appends_per_s
+        self._allowance = BURST_APPENDS
+        self._checked_at = time.monotonic()
+        self._streams: dict[str, Stream] = {}
+        self._faults = Faults()
+        self._appends = 0
+
+    def asgi(self) -> Starlette:
+        """Return the ASGI application."""
+        routes = [
+            Route("/streams/{stream}/records", self.append, methods=["POST"]),
+            Route("/streams/{stream}/records", self.read, methods=["GET"]),
+            Route("/faults", self.set_faults, methods=["POST"]),
+            Route("/streams/{stream}/expire", self.expire, methods=["POST"]),
+            Route("/stats", self.stats, methods=["GET"]),
+        ]
+        return Starlette(routes=routes)
+
+    async def append(self, req: Request) -> Response:
+        """Append the body as one record."""
+        payload = await req.body()
+        await asyncio.sleep(self._faults.delay_s)
+        if self._faults.outage:
+            return Response(status_code=503, headers={"Retry-After": "1"})
+        if not self._take_allowance():
+            return Response(status_code=429, headers={"Retry-After": "0.05"})
+        self._appends += 1
+        offset = self._stream(req).append(payload)
+        if self._faults.lose_answers > 0:
+            self._faults.lose_answers -= 1
+            return Response(status_code=504)
+        return JSONResponse({"offset": offset}, status_code=201)
+
+    async def read(self, req: Request) -> Response:
+        """Answer with records from an offset, waiting for a first one if asked to."""
+        if self._faults.outage:
+            return Response(status_code=503)
+        stream = self._stream(req)
+        start = int(req.query_params.get("start", 0))
+        limit = int(req.query_params.get("limit", 100))
+        wait_s = float(req.query_params.get("wait", 0))
+        if stream.end <= start and wait_s > 0:
+            await self._wait(stream, wait_s)
+        if self._faults.outage:
+            return Response(status_code=503)
+        return JSONResponse(_page(stream, max(start, stream.first), limit))
+
+    async def set_faults(self, req: Request) -> Response:
+        """Set the faults in force."""
+        self._faults = Faults(**orjson.loads(await req.body()))
+        return JSONResponse(dataclasses.asdict(self._faults))
+
+    async def expire(self, req: Request) -> Response:
+        """End the retention of records up to an offset."""
+        self._stream(req).expire(int(orjson.loads(await req.body())["through"]))
+        return Response(status_code=204)
+
+    async def stats(self, req: Request) -> Response:
+        """Answer with the counts of appends and the streams' ends."""
+        ends = {name: stream.end for name, stream in self._streams.items()}
+        return JSONResponse({"appends": self._appends, "ends": ends})
+
+    def _stream(self, req: Request) -> Stream:
+        return self._streams.setdefault(req.path_params["stream"], Stream())
+
+    def _take_allowance(self) -> bool:
+        now = time.monotonic()
+        refill = (now - self._checked_at) * self._rate
+        self._allowance = min(BURST_APPENDS, self._allowance + refill)
+        self._checked_at = now
+        if self._allowance < 1:
+            return False
+        self._allowance -= 1
+        return True
+
+    async def _wait(self, stream: Stream, wait_s: float) -> None:
+        try:
+            async with asyncio.timeout(wait_s):
+                await stream.changed.wait()
+        except TimeoutError:
+            return
+
+
+def _page(stream: Stream, start: int, limit: int) -> dict[str, object]:
+    begin = start - stream.first
+    payloads = stream.payloads[begin : begin + limit]
+    records = [
+        {"offset": start + index, "payload": base64.b64encode(payload).decode()}
+        for index, payload in enumerate(payloads)
+    ]
+    return {"records": records, "first_offset": stream.first, "end_offset": stream.end}
+
+
+def main() -> None:
+    """Run the stand-in."""
+    parser = _serve.base_parser("Stand-in for the log service.")
+    parser.add_argument("--appends-per-s", type=float, default=DEFAULT_APPENDS_PER_S)
+    args = parser.parse_args()
+    _serve.run(LogStandIn(appends_per_s=args.appends_per_s).asgi(), port=args.port)
+
+
+if __name__ == "__main__":
+    main()
