--- a/src/cassiawalk/dispatch/once.py
+++ b/src/cassiawalk/dispatch/once.py
@@ -127,7 +127,7 @@
                 detail=f"the call was sent and no whole answer came: {outcome.reason}",
                 execution=Execution.UNKNOWN,
             )
-        self._recorder.submit(
+        await self._recorder.submit_and_wait(
             Outcome(
                 key=claim.key,
                 claim_id=claim.claim_id,
--- a/src/cassiawalk/dispatch/outcomes.py
+++ b/src/cassiawalk/dispatch/outcomes.py
@@ -1,5 +1,7 @@
 """Records outcomes and abandonments of claims, however long the log is away."""
 
+import asyncio
+
 from cassiawalk.app import Component
 from cassiawalk.clock import Clock
 from cassiawalk.once import Abandon
@@ -7,6 +9,7 @@
 from cassiawalk.once import Outcome
 
 RETRY_DELAY_S = 0.5
+ANSWER_WAIT_S = 0.5
 
 
 class OutcomeRecorder(Component):
@@ -27,10 +30,15 @@
         record = self._pending.get(claim_id)
         return record if isinstance(record, Outcome) else None
 
-    def submit(self, record: Outcome | Abandon) -> None:
-        """Record in the background."""
+    def submit(self, record: Outcome | Abandon) -> asyncio.Task[None]:
+        """Record in the background and return the task that does."""
         self._pending[record.claim_id] = record
-        self.spawn(self._record(record), name=f"record-{record.claim_id}")
+        return self.spawn(self._record(record), name=f"record-{record.claim_id}")
+
+    async def submit_and_wait(self, record: Outcome | Abandon) -> None:
+        """Record, and wait for it for ``ANSWER_WAIT_S`` at most; recording goes on after that."""
+        task = self.submit(record)
+        await asyncio.wait([task], timeout=ANSWER_WAIT_S)
 
     async def drain(self) -> None:
         """Return once all records are in their streams."""
