Add the operators' language, the tool and the demonstration

Cause: operators could only create objects and dump JSON; nothing showed the whole path at work. Ruled out: a query library of its own grammar (one grammar must serve queries and commands). Change: one Lark grammar with caret faults; tables with columns, filters, grouping over all hosts; changes that wait until they are in force; 'cassiawalk run' and 'submit'; examples of both deployments; a demonstration that reclaims a failure domain.

--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Example configurations and the demonstration."""
--- a/src/cassiawalk/admin/__init__.py
+++ b/src/cassiawalk/admin/__init__.py
@@ -1,7 +1,10 @@
 """The operators' HTTP interface and its statement language."""
 
 from cassiawalk.admin.app import AdminApp as AdminApp
-from cassiawalk.admin.language import ChangeStatement as ChangeStatement
-from cassiawalk.admin.language import ShowStatement as ShowStatement
+from cassiawalk.admin.changes import ChangeService as ChangeService
+from cassiawalk.admin.fanout import QueryService as QueryService
+from cassiawalk.admin.history import History as History
 from cassiawalk.admin.language import StatementError as StatementError
 from cassiawalk.admin.language import parse_statement as parse_statement
+from cassiawalk.admin.operators import Operators as Operators
+from cassiawalk.admin.rows import RowSource as RowSource
--- a/src/cassiawalk/admin/app.py
+++ b/src/cassiawalk/admin/app.py
@@ -1,5 +1,6 @@
 """Routes of the operators' HTTP interface."""
 
+import dataclasses
 import typing as t
 
 import orjson
@@ -9,23 +10,37 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from cassiawalk.admin.language import ChangeStatement
-from cassiawalk.admin.language import ShowStatement
+from cassiawalk.admin.changes import ChangeService
+from cassiawalk.admin.fanout import QueryService
+from cassiawalk.admin.history import History
 from cassiawalk.admin.language import StatementError
 from cassiawalk.admin.language import parse_statement
 from cassiawalk.admin.operators import Operator
 from cassiawalk.admin.operators import Operators
 from cassiawalk.admin.operators import Role
-from cassiawalk.admin.queries import Queries
-from cassiawalk.clock import Clock
-from cassiawalk.control import Command
-from cassiawalk.control import CommandPublisher
+from cassiawalk.admin.statements import Change
+from cassiawalk.admin.statements import ShowCommand
+from cassiawalk.admin.statements import ShowConfig
+from cassiawalk.control import ControlFollower
+from cassiawalk.control.publisher import outcome_of
 from cassiawalk.ids import CommandId
 from cassiawalk.ids import new_uuid7
 from cassiawalk.metrics import Metrics
 from cassiawalk.results import CODES
 from cassiawalk.results import Execution
 from cassiawalk.results import ResultCode
+from cassiawalk.wire import to_plain
+
+MAX_STATEMENT_LENGTH = 16 * 1024
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Input:
+    """A statement as it was posted."""
+
+    text: str
+    command_id: CommandId
+    wait: bool
 
 
 class AdminApp:
@@ -35,16 +50,18 @@
         self,
         *,
         operators: Operators,
-        publisher: CommandPublisher,
-        queries: Queries,
+        control: ControlFollower,
+        changes: ChangeService,
+        queries: QueryService,
+        history: History,
         metrics: Metrics,
-        clock: Clock,
     ) -> None:
         self._operators = operators
-        self._publisher = publisher
+        self._control = control
+        self._changes = changes
         self._queries = queries
+        self._history = history
         self._metrics = metrics
-        self._clock = clock
 
     def asgi(self) -> Starlette:
         """Return the ASGI application."""
@@ -69,40 +86,68 @@
         operator = self._operator(req)
         if operator is None:
             return _answer(ResultCode.WRONG_TOKEN, "the operator's token is missing or wrong")
+        posted = _read_input(await req.body())
+        if posted is None:
+            detail = f"send a JSON object with a 'statement' of up to {MAX_STATEMENT_LENGTH} bytes"
+            return _answer(ResultCode.BAD_JSON, detail)
         try:
-            body = orjson.loads(await req.body())
-            text = str(body["statement"])
-        except (orjson.JSONDecodeError, KeyError, TypeError):
-            return _answer(ResultCode.BAD_JSON, "send a JSON object with a 'statement'")
-        try:
-            parsed = parse_statement(text)
+            parsed = parse_statement(posted.text)
         except StatementError as exc:
             return _answer(ResultCode.STATEMENT_FAULT, exc.format_message())
-        if isinstance(parsed, ShowStatement):
-            return JSONResponse(await self._queries.show(parsed))
+        if isinstance(parsed, Change):
+            return await self._change(operator, parsed, posted)
+        if isinstance(parsed, ShowConfig):
+            return await self._show_config(parsed)
+        if isinstance(parsed, ShowCommand):
+            return self._show_command(parsed)
+        answer = await self._queries.answer(parsed, posted.text)
+        return JSONResponse({"rows": answer.rows, "not_answering": answer.not_answering})
+
+    async def _change(self, operator: Operator, change: Change, posted: _Input) -> Response:
         if operator.role is not Role.WRITE:
             return _answer(ResultCode.ROLE_FORBIDDEN, "changing needs the role write")
-        command_id = CommandId(str(body.get("command_id") or new_uuid7()))
-        return await self._change(operator, parsed, text, command_id)
-
-    async def _change(
-        self, operator: Operator, parsed: ChangeStatement, text: str, command_id: CommandId
-    ) -> Response:
-        command = Command(
-            command_id=command_id,
-            operator=operator.name,
-            operations=(parsed.operation,),
-            statement=text,
-            issued_s=self._clock.wall(),
-            expected=parsed.expected,
-        )
-        outcome = await self._publisher.publish(command)
+        outcome = await self._changes.publish(change, posted.text, operator, posted.command_id)
+        in_force = await self._changes.wait_in_force(outcome) if posted.wait else None
         return _answer(
             outcome.code,
             outcome.detail,
             ran=outcome.ran,
             command_id=outcome.command_id,
             revision=outcome.revision,
+            in_force=None if in_force is None else to_plain(in_force),
+        )
+
+    async def _show_config(self, parsed: ShowConfig) -> Response:
+        state = self._control.state
+        if parsed.revision is not None:
+            found = await self._history.at(parsed.revision)
+            if found is None:
+                detail = f"revision {parsed.revision} is not retained; now: {state.revision}"
+                return _answer(ResultCode.COMMAND_REJECTED, detail)
+            state = found
+        plain = to_plain(state)
+        plain.pop("verdicts")
+        plain.pop("changes")
+        for workspace in plain["workspaces"].values():
+            workspace.pop("token_sha256")
+        return JSONResponse({"config": plain})
+
+    def _show_command(self, parsed: ShowCommand) -> Response:
+        verdict = self._control.state.verdicts.get(parsed.command_id)
+        if verdict is None:
+            detail = "no record of this command yet; ask again while the log is away"
+            return _answer(ResultCode.COMMAND_UNKNOWN, detail, command_id=parsed.command_id)
+        outcome = outcome_of(parsed.command_id, verdict)
+        return JSONResponse(
+            {
+                "command_id": parsed.command_id,
+                "name": outcome.code.name.lower(),
+                "detail": outcome.detail,
+                "revision": outcome.revision,
+                "operator": verdict.operator,
+                "statement": verdict.statement,
+                "issued_s": verdict.issued_s,
+            }
         )
 
     def _operator(self, req: Request) -> Operator | None:
@@ -110,6 +155,19 @@
         return self._operators.authenticate(token) if scheme.lower() == "bearer" else None
 
 
+def _read_input(body: bytes) -> _Input | None:
+    if len(body) > MAX_STATEMENT_LENGTH:
+        return None
+    try:
+        parsed = orjson.loads(body)
+    except orjson.JSONDecodeError:
+        return None
+    if not isinstance(parsed, dict) or not isinstance(parsed.get("statement"), str):
+        return None
+    command_id = CommandId(str(parsed.get("command_id") or new_uuid7()))
+    return _Input(text=parsed["statement"], command_id=command_id, wait=bool(parsed.get("wait")))
+
+
 def _answer(
     code: ResultCode, detail: str, *, ran: Execution | None = None, **more: t.Any
 ) -> JSONResponse:
--- /dev/null
+++ b/src/cassiawalk/admin/history.py
@@ -0,0 +1,61 @@
+"""Finds the configuration at an earlier revision."""
+
+from cassiawalk.control import ConfigState
+from cassiawalk.control import fold
+from cassiawalk.control.commands import CONTROL_STREAM
+from cassiawalk.control.commands import records
+from cassiawalk.control.state import Snapshot
+from cassiawalk.ids import Offset
+from cassiawalk.ids import Revision
+from cassiawalk.platform import LogEntry
+from cassiawalk.platform import LogService
+from cassiawalk.platform import ReadFailed
+
+READ_LIMIT = 512
+
+
+class History:
+    """Folds the retained part of the ``control`` stream again."""
+
+    def __init__(self, *, log: LogService) -> None:
+        self._log = log
+
+    async def at(self, revision: Revision) -> ConfigState | None:
+        """Return the configuration at a revision, or None if it is retained no more.
+
+        The present revision may have later commands that were not accepted.
+        """
+        entries = await self._entries()
+        if entries is None:
+            return None
+        state = _earliest(entries)
+        if state is None:
+            return None
+        for entry in entries:
+            if state.revision >= revision:
+                break
+            state = fold(state, entry.offset, records.decode(entry.payload))
+        return state if state.revision == revision else None
+
+    async def _entries(self) -> list[LogEntry] | None:
+        entries: list[LogEntry] = []
+        start = Offset(0)
+        while True:
+            batch = await self._log.read(stream=CONTROL_STREAM, start=start, limit=READ_LIMIT)
+            if isinstance(batch, ReadFailed):
+                return None
+            entries.extend(batch.entries)
+            if not batch.entries or batch.entries[-1].offset + 1 >= batch.end_offset:
+                return entries
+            start = Offset(batch.entries[-1].offset + 1)
+
+
+def _earliest(entries: list[LogEntry]) -> ConfigState | None:
+    """Return the state from which the entries can be folded."""
+    if not entries or entries[0].offset == 0:
+        return ConfigState()
+    for entry in entries:
+        for message in records.decode(entry.payload):
+            if isinstance(message, Snapshot):
+                return message.state
+    return None
--- a/src/cassiawalk/cli/main.py
+++ b/src/cassiawalk/cli/main.py
@@ -5,83 +5,164 @@
 import collections.abc as cabc
 import os
 import sys
-import typing as t
 
-import aiosonic
-import orjson
-
-from cassiawalk.errors import CassiawalkError
+from cassiawalk.admin import parse_statement
+from cassiawalk.cli import input as statements
+from cassiawalk.cli import output
+from cassiawalk.cli.client import AdminClient
+from cassiawalk.cli.client import CallerClient
+from cassiawalk.cli.client import Reply
+from cassiawalk.cli.errors import ExitStatus
+from cassiawalk.cli.errors import UnreachableError
+from cassiawalk.cli.submit import Submission
 from cassiawalk.errors import UsageError
-from cassiawalk.platform import _http
 
-EXIT_OK = 0
-EXIT_REFUSED = 1
-EXIT_USAGE = 2
-EXIT_UNREACHABLE = 3
 ADMIN_ENV = "CASSIAWALK_ADMIN"
 TOKEN_ENV = "CASSIAWALK_TOKEN"
+CALLER_ENV = "CASSIAWALK_CALLER"
+CALLER_TOKEN_ENV = "CASSIAWALK_CALLER_TOKEN"
 
+_EPILOG = """\
+examples:
+  cassiawalk run show nodes
+  cassiawalk run 'count refused by workspace last 10m'
+  cassiawalk run --wait 'set kind beds/hold with deadline_s = 10 at revision 118'
+  cassiawalk run --file examples/shayyasandhan.conf
+  cassiawalk submit enquiries/summary '{"prompt": "free beds in Howrah?"}'
 
-class UnreachableError(CassiawalkError):
-    """No answer came from the host."""
+exit status: 0 done, 1 refused, 2 wrong usage or statement, 3 no answer, 4 outcome unknown
+"""
 
 
 def build_parser() -> argparse.ArgumentParser:
     """Return the argument parser."""
     parser = argparse.ArgumentParser(
-        prog="cassiawalk", description="Ask a cassiawalk host, or change the configuration."
+        prog="cassiawalk",
+        description="Ask cassiawalk hosts, change the configuration, or send a request.",
+        epilog=_EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
     )
+    commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
+    _add_run(commands.add_parser("run", help="run statements; at a prompt if none is given"))
+    _add_submit(commands.add_parser("submit", help="send a request and stream its answer"))
+    return parser
+
+
+def _add_run(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("statement", nargs="*", help="one statement, in one or more words")
+    parser.add_argument("--file", metavar="PATH", help="a file of statements; - for standard input")
     parser.add_argument(
-        "--admin",
-        default=os.environ.get(ADMIN_ENV),
-        metavar="URL",
-        help=f"admin address of any host (default: ${ADMIN_ENV})",
+        "--wait", action="store_true", help="return when a change is in force on all live hosts"
     )
     parser.add_argument(
-        "--token",
-        default=os.environ.get(TOKEN_ENV),
-        help=f"operator's token (default: ${TOKEN_ENV})",
+        "--output", choices=("table", "json"), default="table", help="form of the answers"
     )
-    parser.add_argument("statement", nargs="+", help="a statement, such as: show nodes")
-    return parser
+    parser.add_argument(
+        "--check", action="store_true", help="only check that the statements can be read"
+    )
+    _add_connection(parser, "--admin", ADMIN_ENV, "admin address of any host")
+    _add_connection(parser, "--token", TOKEN_ENV, "operator's token")
+
+
+def _add_submit(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("path", metavar="SERVICE/KIND", help="service and request kind")
+    parser.add_argument("body", help="JSON object to send, or @FILE")
+    parser.add_argument("--key", help="Idempotency-Key, for at-most-once kinds")
+    parser.add_argument("--quiet", action="store_true", help="print no progress")
+    _add_connection(parser, "--caller", CALLER_ENV, "caller address of any host")
+    _add_connection(parser, "--caller-token", CALLER_TOKEN_ENV, "workspace's token")
+
+
+def _add_connection(parser: argparse.ArgumentParser, flag: str, env: str, text: str) -> None:
+    parser.add_argument(flag, default=os.environ.get(env), help=f"{text} (default: ${env})")
 
 
 def main(argv: cabc.Sequence[str] | None = None) -> int:
     """Run the tool and return its exit status."""
     args = build_parser().parse_args(argv)
     try:
+        if args.command == "submit":
+            return asyncio.run(_submit(args))
+        if args.check:
+            return _check(args)
         return asyncio.run(_run(args))
     except UsageError as exc:
         print(exc.format_message(), file=sys.stderr)
-        return EXIT_USAGE
+        return ExitStatus.USAGE
     except UnreachableError as exc:
         print(exc.format_message(), file=sys.stderr)
-        return EXIT_UNREACHABLE
+        return ExitStatus.UNREACHABLE
+    except KeyboardInterrupt:
+        return ExitStatus.UNKNOWN
+
+
+def _check(args: argparse.Namespace) -> ExitStatus:
+    given = list(_given(args))
+    for statement in given:
+        parse_statement(statement)
+    print(f"{len(given)} statement(s) can be read")
+    return ExitStatus.OK
 
 
-async def _run(args: argparse.Namespace) -> int:
-    if not args.admin:
-        raise UsageError(f"no host to ask: pass --admin URL or set {ADMIN_ENV}")
-    if not args.token:
-        raise UsageError(f"no operator's token: pass --token or set {TOKEN_ENV}")
-    status, answer = await _post(args.admin, args.token, " ".join(args.statement))
-    text = orjson.dumps(answer, option=orjson.OPT_INDENT_2).decode()
-    print(text, file=sys.stdout if status < 400 else sys.stderr)
-    if status == 400:
-        return EXIT_USAGE
-    return EXIT_OK if status < 400 else EXIT_REFUSED
+async def _run(args: argparse.Namespace) -> ExitStatus:
+    client = AdminClient(
+        url=_required(args.admin, "--admin", ADMIN_ENV),
+        token=_required(args.token, "--token", TOKEN_ENV),
+    )
+    worst = ExitStatus.OK
+    try:
+        for statement in _given(args):
+            reply = await client.run(statement, wait=args.wait)
+            _print_reply(reply, args.output)
+            worst = max(worst, output.status_of(reply))
+            if worst is not ExitStatus.OK and args.file:
+                print(f"stopped at: {statement}", file=sys.stderr)
+                break
+    finally:
+        await client.aclose()
+    return worst
 
 
-async def _post(url: str, token: str, statement: str) -> tuple[int, t.Any]:
-    client: aiosonic.HTTPClient = _http.new_client()
+async def _submit(args: argparse.Namespace) -> ExitStatus:
+    client = CallerClient(
+        url=_required(args.caller, "--caller", CALLER_ENV),
+        token=_required(args.caller_token, "--caller-token", CALLER_TOKEN_ENV),
+    )
+    submission = Submission(client=client, progress=not args.quiet)
     try:
-        res = await client.post(
-            f"{url.rstrip('/')}/admin/v1/statements",
-            data=orjson.dumps({"statement": statement}),
-            headers={"authorization": f"Bearer {token}", "content-type": "application/json"},
-        )
-        return res.status_code, orjson.loads(await res.content())
-    except _http.LOST_ANSWER as exc:
-        raise UnreachableError(f"no answer from {url}: {exc!r}") from exc
+        return await submission.run(args.path, _body(args.body), key=args.key)
     finally:
-        await _http.close_client(client)
+        await client.aclose()
+
+
+def _given(args: argparse.Namespace) -> cabc.Iterable[str]:
+    if args.file and args.statement:
+        raise UsageError("give statements as words or by --file, not both")
+    if args.file:
+        return statements.read_file(args.file)
+    if args.statement:
+        return [" ".join(args.statement)]
+    if sys.stdin.isatty():
+        return statements.prompted()
+    return statements.read_file("-")
+
+
+def _body(text: str) -> bytes:
+    if not text.startswith("@"):
+        return text.encode()
+    try:
+        with open(text[1:], "rb") as file:
+            return file.read()
+    except OSError as exc:
+        raise UsageError(f"the file {text[1:]!r} can't be read: {exc}") from exc
+
+
+def _required(value: str | None, flag: str, env: str) -> str:
+    if value:
+        return value
+    raise UsageError(f"pass {flag} or set {env}")
+
+
+def _print_reply(reply: Reply, form: str) -> None:
+    text = output.format_json(reply.body) if form == "json" else output.format_reply(reply)
+    print(text, file=sys.stdout if reply.status < 400 else sys.stderr)
--- /dev/null
+++ b/src/cassiawalk/cli/output.py
@@ -0,0 +1,79 @@
+"""Prints answers, as tables for people or as JSON."""
+
+import collections.abc as cabc
+import typing as t
+
+import orjson
+
+from cassiawalk.cli.client import Reply
+from cassiawalk.cli.errors import ExitStatus
+
+MAX_CELL_WIDTH = 48
+
+
+def format_json(body: t.Any) -> str:
+    """Return indented JSON."""
+    return orjson.dumps(body, option=orjson.OPT_INDENT_2).decode()
+
+
+def format_reply(reply: Reply) -> str:
+    """Return the text for a person."""
+    body = reply.body
+    if "rows" in body:
+        return "\n".join(_row_lines(body))
+    if "config" in body:
+        return format_json(body["config"])
+    if "detail" not in body:
+        return format_json(body)
+    lines = [f"{body['name']}: {body['detail']}"]
+    if body.get("command_id"):
+        lines.append(f"command id: {body['command_id']}")
+    in_force = body.get("in_force")
+    if in_force is not None:
+        lines.append(_in_force_line(in_force))
+    return "\n".join(lines)
+
+
+def status_of(reply: Reply) -> ExitStatus:
+    """Return the exit status for an answer."""
+    if reply.status == 400:
+        return ExitStatus.USAGE
+    if reply.status == 202:
+        return ExitStatus.UNKNOWN
+    if reply.status >= 400:
+        return ExitStatus.REFUSED
+    in_force = reply.body.get("in_force")
+    if in_force is not None and not in_force["everywhere"]:
+        return ExitStatus.UNKNOWN
+    return ExitStatus.OK
+
+
+def _in_force_line(in_force: dict[str, t.Any]) -> str:
+    if in_force["everywhere"]:
+        return "in force on all live hosts"
+    return "not confirmed by: " + ", ".join(in_force["not_confirmed"])
+
+
+def _row_lines(body: dict[str, t.Any]) -> cabc.Iterator[str]:
+    rows: list[dict[str, t.Any]] = body["rows"]
+    if rows:
+        yield from _table(rows)
+    else:
+        yield "no rows"
+    if body.get("not_answering"):
+        yield "not answering: " + ", ".join(body["not_answering"])
+
+
+def _table(rows: list[dict[str, t.Any]]) -> cabc.Iterator[str]:
+    columns = list(rows[0])
+    cells = [columns] + [[_cell(row.get(column)) for column in columns] for row in rows]
+    widths = [max(len(line[index]) for line in cells) for index in range(len(columns))]
+    for line in cells:
+        yield "  ".join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+
+
+def _cell(value: t.Any) -> str:
+    text = "-" if value is None else str(value)
+    return text if len(text) <= MAX_CELL_WIDTH else text[: MAX_CELL_WIDTH - 1] + "…"
--- a/src/cassiawalk/metrics.py
+++ b/src/cassiawalk/metrics.py
@@ -3,6 +3,9 @@
 from aioprometheus import collectors
 from aioprometheus import renderer
 
+from cassiawalk.clock import Clock
+from cassiawalk.refusals import RefusalLog
+from cassiawalk.refusals import RefusalNote
 from cassiawalk.requests import RequestRecord
 from cassiawalk.results import Refusal
 
@@ -13,7 +16,9 @@
 class Metrics:
     """Histograms and counters of one process; request metrics by workspace and kind."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self.refusals = RefusalLog()
         self.registry = collectors.Registry()
         self._first = self._histogram(
             "cassiawalk_first_token_seconds", "Time to the first token.", LATENCY_BUCKETS_S
@@ -64,6 +69,15 @@
     def note_refusal(self, record: RequestRecord, refusal: Refusal) -> None:
         """Note a final answer without a result."""
         self._refused.inc({**_labels(record), "code": str(int(refusal.code))})
+        self.refusals.add(
+            RefusalNote(
+                workspace=record.workspace,
+                service=record.service,
+                kind=record.kind_name,
+                refusal=refusal,
+                at_s=self._clock.monotonic(),
+            )
+        )
         self._last_text.pop(record.request_id, None)
 
     def note_retry(self, record: RequestRecord) -> None:
--- a/src/cassiawalk/node.py
+++ b/src/cassiawalk/node.py
@@ -3,8 +3,11 @@
 import random
 
 from cassiawalk.admin import AdminApp
-from cassiawalk.admin.operators import Operators
-from cassiawalk.admin.queries import Queries
+from cassiawalk.admin import ChangeService
+from cassiawalk.admin import History
+from cassiawalk.admin import Operators
+from cassiawalk.admin import QueryService
+from cassiawalk.admin import RowSource
 from cassiawalk.admission import AdmissionGate
 from cassiawalk.admission import Scheduler
 from cassiawalk.app import Application
@@ -33,11 +36,10 @@
 from cassiawalk.once import ClaimClient
 from cassiawalk.once import SequencerPool
 from cassiawalk.peer import AttachCall
-from cassiawalk.peer import NodeStatusCall
-from cassiawalk.peer import NodeStatusReply
 from cassiawalk.peer import OnceCall
 from cassiawalk.peer import PeerLinks
 from cassiawalk.peer import PeerServer
+from cassiawalk.peer import QueryCall
 from cassiawalk.platform.hosts_http import HttpCloudApi
 from cassiawalk.platform.hosts_http import HttpHostList
 from cassiawalk.platform.log_http import HttpLogService
@@ -75,7 +77,7 @@
 
     def _build_platform(self) -> None:
         cfg, clock = self._cfg, self._clock
-        self.metrics = Metrics()
+        self.metrics = Metrics(clock=clock)
         self.log = HttpLogService(url=cfg.log_url)
         self.cloud = HttpCloudApi(url=cfg.cloud_url)
         host_list = HttpHostList(url=cfg.host_list_url)
@@ -146,12 +148,10 @@
     def _build_servers(self) -> None:
         cfg = self._cfg
         attachments = Attachments(host=cfg.host_id, store=self.store, links=self.links)
-        queries = Queries(
+        queries = QueryService(
             host=cfg.host_id,
-            control=self.control,
+            source=self._row_source(),
             membership=self.membership,
-            table=self.table,
-            store=self.store,
             links=self.links,
         )
         caller = CallerApp(
@@ -164,22 +164,33 @@
         )
         admin = AdminApp(
             operators=self._operators,
-            publisher=self.publisher,
+            control=self.control,
+            changes=ChangeService(publisher=self.publisher, queries=queries, clock=self._clock),
             queries=queries,
+            history=History(log=self.log),
             metrics=self.metrics,
-            clock=self._clock,
         )
         self.caller_server = HttpServer(asgi=caller.asgi(), sock=self._sockets["caller"])
         self.admin_server = HttpServer(asgi=admin.asgi(), sock=self._sockets["admin"])
         self.peer_server = PeerServer(sock=self._sockets["peer"], secret=self._secret)
         self._handle_peer_calls(attachments, queries)
 
-    def _handle_peer_calls(self, attachments: Attachments, queries: Queries) -> None:
-        async def node_status(_: NodeStatusCall) -> NodeStatusReply:
-            return queries.node_status(draining=self.dispatcher.draining)
+    def _row_source(self) -> RowSource:
+        return RowSource(
+            host=self._cfg.host_id,
+            failure_domain=self._cfg.failure_domain,
+            control=self.control,
+            table=self.table,
+            store=self.store,
+            dispatcher=self.dispatcher,
+            recorder=self.recorder,
+            refusals=self.metrics.refusals,
+            clock=self._clock,
+        )
 
+    def _handle_peer_calls(self, attachments: Attachments, queries: QueryService) -> None:
         self.peer_server.handle(OnceCall, self.claims.handle_call)
-        self.peer_server.handle(NodeStatusCall, node_status)
+        self.peer_server.handle(QueryCall, queries.handle)
         self.peer_server.handle_stream(AttachCall, attachments.serve)
 
     def _components(self) -> list[Component]:
--- a/src/cassiawalk/peer/__init__.py
+++ b/src/cassiawalk/peer/__init__.py
@@ -10,6 +10,8 @@
 from cassiawalk.peer.messages import OnceCall as OnceCall
 from cassiawalk.peer.messages import OnceReply as OnceReply
 from cassiawalk.peer.messages import PeerFault as PeerFault
+from cassiawalk.peer.messages import QueryCall as QueryCall
+from cassiawalk.peer.messages import QueryReply as QueryReply
 from cassiawalk.peer.messages import StreamPart as StreamPart
 from cassiawalk.peer.messages import messages as messages
 from cassiawalk.peer.server import PeerServer as PeerServer
--- a/src/cassiawalk/peer/messages.py
+++ b/src/cassiawalk/peer/messages.py
@@ -70,6 +70,22 @@
     host: HostId | None = None
 
 
+@messages.register("query")
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class QueryCall:
+    """Asks for the peer's part of the answer to an operator's query."""
+
+    statement: str
+
+
+@messages.register("query-reply")
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class QueryReply:
+    """The peer's rows, by column name."""
+
+    rows: tuple[dict[str, t.Any], ...]
+
+
 @messages.register("node-status")
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class NodeStatusCall:
