--- a/src/cassiawalk/cli/main.py
+++ b/src/cassiawalk/cli/main.py
@@ -105,13 +105,14 @@
 
 
 async def _run(args: argparse.Namespace) -> ExitStatus:
+    given = _given(args)
     client = AdminClient(
         url=_required(args.admin, "--admin", ADMIN_ENV),
         token=_required(args.token, "--token", TOKEN_ENV),
     )
     worst = ExitStatus.OK
     try:
-        for statement in _given(args):
+        for statement in given:
             reply = await client.run(statement, wait=args.wait)
             _print_reply(reply, args.output)
             worst = max(worst, output.status_of(reply))
--- a/src/cassiawalk/cli/output.py
+++ b/src/cassiawalk/cli/output.py
@@ -28,6 +28,8 @@
     lines = [f"{body['name']}: {body['detail']}"]
     if body.get("command_id"):
         lines.append(f"command id: {body['command_id']}")
+    if body.get("statement"):
+        lines.append(f"issued by {body['operator']}: {body['statement']}")
     in_force = body.get("in_force")
     if in_force is not None:
         lines.append(_in_force_line(in_force))
