Make the token metrics cheap, and count gaps as callers see them

Ruled out: sampling tokens (the 95th percentile would be a guess). Change: the collectors of a workspace and kind are found once; buckets are counted by bisection and added up on a scrape; the first of joined tokens counts the whole gap, the others zero.

--- /dev/null
+++ b/src/cassiawalk/_histogram.py
@@ -0,0 +1,49 @@
+"""A histogram whose observations cost little enough for every token."""
+
+import bisect
+import collections
+import itertools
+import typing as t
+
+from aioprometheus import collectors
+from aioprometheus import histogram
+
+
+class BisectHistogram(histogram.Histogram):
+    """Counts each bucket apart and adds them up only when they are read."""
+
+    def __init__(self, *bounds: float) -> None:
+        self._bounds = list(bounds)
+        self._counts = [0] * len(self._bounds)
+        self.observations = 0
+        self.sum = 0.0
+
+    def observe(self, value: float) -> None:
+        """Count one value."""
+        self._counts[bisect.bisect_left(self._bounds, value)] += 1
+        self.observations += 1
+        self.sum += value
+
+    def observe_zeros(self, count: int) -> None:
+        """Count the value zero ``count`` times."""
+        self._counts[0] += count
+        self.observations += count
+
+    @property
+    def buckets(self) -> "collections.OrderedDict[float, int]":  # type: ignore[override]
+        """Return the cumulative counts by upper bound."""
+        totals = itertools.accumulate(self._counts)
+        return collections.OrderedDict(zip(self._bounds, totals, strict=True))
+
+
+class HandleHistogram(collectors.Histogram):
+    """A collector that gives out the histogram of a set of labels."""
+
+    def handle(self, labels: dict[str, str]) -> BisectHistogram:
+        """Return the histogram of ``labels``, made on first use."""
+        try:
+            return t.cast(BisectHistogram, self.get_value(labels))
+        except KeyError:
+            made = BisectHistogram(*self.upper_bounds)
+            self.set_value(labels, made)
+            return made
--- a/src/cassiawalk/metrics.py
+++ b/src/cassiawalk/metrics.py
@@ -1,5 +1,6 @@
 """Metrics, exposed at ``/metrics`` in the Prometheus text format."""
 
+import dataclasses
 import pathlib
 import resource
 import time
@@ -7,6 +8,8 @@
 from aioprometheus import collectors
 from aioprometheus import renderer
 
+from cassiawalk._histogram import BisectHistogram
+from cassiawalk._histogram import HandleHistogram
 from cassiawalk.clock import Clock
 from cassiawalk.metering import Meter
 from cassiawalk.refusals import RefusalLog
@@ -18,6 +21,18 @@
 INTERVAL_BUCKETS_S = [0.002, 0.005, 0.01, 0.02, 0.036, 0.05, 0.1, 0.25, 1.0, 5.0]
 
 
+@dataclasses.dataclass(kw_only=True)
+class _Handles:
+    """The collectors of one workspace and kind, found once and used for every token."""
+
+    labels: dict[str, str]
+    first: BisectHistogram
+    between: BisectHistogram
+    whole: BisectHistogram
+    queue: BisectHistogram
+    tokens: int = 0
+
+
 class Metrics:
     """Histograms and counters of one process; request metrics by workspace and kind."""
 
@@ -43,6 +58,7 @@
         self._saved = self._counter("cassiawalk_saved_tokens", "Tokens found in engine caches.")
         self._tokens = self._counter("cassiawalk_tokens", "Tokens forwarded.")
         self._last_text: dict[str, float] = {}
+        self._handles: dict[tuple[str, str, str], _Handles] = {}
         self.control = Meter()
         self._control_cpu = self._gauge(
             "cassiawalk_control_cpu_seconds", "Processor time of the control work."
@@ -60,14 +76,15 @@
 
     def note_tokens(self, record: RequestRecord, count: int, now: float) -> None:
         """Note that tokens came; ``now`` is in monotonic seconds."""
-        labels = _labels(record)
-        self._tokens.add(labels, count)
+        handles = self._handles_of(record)
+        handles.tokens += count
         last = self._last_text.get(record.request_id)
         if record.first_text_at is None:
             record.first_text_at = now
-            self._first.observe(labels, now - record.accepted_at)
+            handles.first.observe(now - record.accepted_at)
         elif last is not None:
-            self._between.observe(labels, (now - last) / count)
+            handles.between.observe(now - last)
+            handles.between.observe_zeros(count - 1)
         self._last_text[record.request_id] = now
 
     def note_computed(self, record: RequestRecord, computed: int, cached: int) -> None:
@@ -78,11 +95,11 @@
 
     def note_queue_wait(self, record: RequestRecord, wait_s: float) -> None:
         """Note how long a request waited for a slot, in seconds."""
-        self._queue.observe(_labels(record), wait_s)
+        self._handles_of(record).queue.observe(wait_s)
 
     def note_complete(self, record: RequestRecord, now: float) -> None:
         """Note a whole answer; ``now`` is in monotonic seconds."""
-        self._whole.observe(_labels(record), now - record.accepted_at)
+        self._handles_of(record).whole.observe(now - record.accepted_at)
         self._last_text.pop(record.request_id, None)
 
     def note_refusal(self, record: RequestRecord, refusal: Refusal) -> None:
@@ -103,8 +120,25 @@
         """Note another attempt."""
         self._retries.inc(_labels(record))
 
+    def _handles_of(self, record: RequestRecord) -> _Handles:
+        key = (record.workspace, record.service, record.kind_name)
+        handles = self._handles.get(key)
+        if handles is None:
+            labels = _labels(record)
+            handles = _Handles(
+                labels=labels,
+                first=self._first.handle(labels),
+                between=self._between.handle(labels),
+                whole=self._whole.handle(labels),
+                queue=self._queue.handle(labels),
+            )
+            self._handles[key] = handles
+        return handles
+
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the body and headers of a scrape."""
+        for handles in self._handles.values():
+            self._tokens.set(handles.labels, handles.tokens)
         self._control_cpu.set({}, self.control.cpu_s)
         self._control_sent.set({}, self.control.bytes_sent)
         self._control_received.set({}, self.control.bytes_received)
@@ -112,10 +146,8 @@
         self._resident.set({}, _resident_bytes())
         return renderer.render(self.registry, ["text/plain"])
 
-    def _histogram(self, name: str, doc: str, buckets: list[float]) -> collectors.Histogram:
-        return collectors.Histogram(
-            name, doc, registry=self.registry, buckets=[*buckets, float("inf")]
-        )
+    def _histogram(self, name: str, doc: str, buckets: list[float]) -> HandleHistogram:
+        return HandleHistogram(name, doc, registry=self.registry, buckets=[*buckets, float("inf")])
 
     def _gauge(self, name: str, doc: str) -> collectors.Gauge:
         return collectors.Gauge(name, doc, registry=self.registry)
