--- a/src/cassiawalk/admin/app.py
+++ b/src/cassiawalk/admin/app.py
@@ -18,6 +18,7 @@
 from cassiawalk.admin.operators import Operator
 from cassiawalk.admin.operators import Operators
 from cassiawalk.admin.operators import Role
+from cassiawalk.admin.rows import mask_digests
 from cassiawalk.admin.statements import Change
 from cassiawalk.admin.statements import ShowCommand
 from cassiawalk.admin.statements import ShowConfig
@@ -145,7 +146,7 @@
                 "detail": outcome.detail,
                 "revision": outcome.revision,
                 "operator": verdict.operator,
-                "statement": verdict.statement,
+                "statement": mask_digests(verdict.statement),
                 "issued_s": verdict.issued_s,
             }
         )
--- a/src/cassiawalk/admin/rows.py
+++ b/src/cassiawalk/admin/rows.py
@@ -1,6 +1,7 @@
 """Reads this host's rows of each table."""
 
 import collections.abc as cabc
+import re
 import typing as t
 
 from cassiawalk.admin.statements import Row
@@ -20,6 +21,7 @@
 from cassiawalk.wire import to_plain
 
 _HIDDEN_FIELDS = ("token_sha256",)
+_DIGEST = re.compile(r"[0-9a-f]{64}")
 
 
 class RowSource:
@@ -115,7 +117,11 @@
     def _command_rows(self) -> list[Row]:
         verdicts = self._control.state.verdicts
         return [
-            {"command_id": command_id, **_scalars(to_plain(verdict))}
+            {
+                "command_id": command_id,
+                **_scalars(to_plain(verdict)),
+                "statement": mask_digests(verdict.statement),
+            }
             for command_id, verdict in reversed(list(verdicts.items()))
         ]
 
@@ -142,5 +148,10 @@
     return [{"name": name, **_scalars(to_plain(value))} for name, value in objects.items()]
 
 
+def mask_digests(statement: str) -> str:
+    """Return a statement without the digests of tokens, which readers have no use for."""
+    return _DIGEST.sub("(digest)", statement)
+
+
 def _scalars(fields: dict[str, t.Any]) -> dict[str, Scalar]:
     return {name: value for name, value in fields.items() if name not in _HIDDEN_FIELDS}
--- a/src/cassiawalk/cli/submit.py
+++ b/src/cassiawalk/cli/submit.py
@@ -63,13 +63,16 @@
             return None
         if event.name == "result":
             print(format_json(event.data["answer"]))
+            if event.data["recorded"]:
+                self._note("the recorded answer of an earlier request with this key")
             return None
         if event.name == "handover":
             self._request_id = str(event.data["location"]).rpartition("/")[2]
             self._note(f"handed over to host {event.data['host']}")
             return None
         if event.name == "end":
-            print()
+            if self._tokens:
+                print()
             self._note(f"complete, {event.data['tokens']} tokens, request {self._request_id}")
             return ExitStatus.OK
         print(format_json(event.data), file=sys.stderr)
