Keep claims for a window, resolve lost answers, ask a claim's holder

Cause: the ledger grew for ever, a lost append answer became a refusal at once, a repeat of a key was told "in progress" even when its host was dead, and an outage let claims pile up. Ruled out: expiry by a local clock (readers would fold differently), expiry by the claim's own stamp (a slow clock would shorten the window), pooled keys per workspace upstream.

--- a/src/cassiawalk/dispatch/call.py
+++ b/src/cassiawalk/dispatch/call.py
@@ -33,6 +33,7 @@
         path=record.kind.path,
         body=record.body,
         key=record.key,
+        workspace=record.workspace,
         timeout_s=max(0.0, record.deadline_s - clock.wall()),
     )
     return await connector.plain(lease.upstream).call(call)
--- /dev/null
+++ b/src/cassiawalk/dispatch/holder.py
@@ -0,0 +1,98 @@
+"""What this host knows of the claims that it made, and how it asks others about theirs."""
+
+from cassiawalk.clock import Clock
+from cassiawalk.dispatch.outcomes import OutcomeRecorder
+from cassiawalk.ids import ClaimId
+from cassiawalk.ids import HostId
+from cassiawalk.once import Abandon
+from cassiawalk.once import Claim
+from cassiawalk.once import Outcome
+from cassiawalk.once.pool import CLOCK_MARGIN_S
+from cassiawalk.peer import ClaimStatusCall
+from cassiawalk.peer import ClaimStatusReply
+from cassiawalk.peer import HolderState
+from cassiawalk.peer import PeerFailure
+from cassiawalk.peer import PeerLinks
+
+ASK_TIMEOUT_S = 2.0
+
+
+class ClaimHolder:
+    """Keeps the claims that run here, and those that were sent, for longer than any ledger does.
+
+    A claim of this process that is neither running nor was ever sent will never be sent, so its
+    key may be freed; every other doubt stays a doubt.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: HostId,
+        incarnation: str,
+        links: PeerLinks,
+        recorder: OutcomeRecorder,
+        clock: Clock,
+        window_s: float,
+    ) -> None:
+        self._host = host
+        self._incarnation = incarnation
+        self._links = links
+        self._recorder = recorder
+        self._clock = clock
+        self._keep_s = 2 * (window_s + CLOCK_MARGIN_S)
+        self._running: set[ClaimId] = set()
+        self._sent: dict[ClaimId, float] = {}
+
+    def begin(self, claim: Claim) -> None:
+        """Note that a request runs under the claim."""
+        self._running.add(claim.claim_id)
+
+    def note_sent(self, claim: Claim) -> None:
+        """Note that the request is about to be sent."""
+        now = self._clock.monotonic()
+        while self._sent and next(iter(self._sent.values())) < now - self._keep_s:
+            del self._sent[next(iter(self._sent))]
+        self._sent[claim.claim_id] = now
+
+    def note_not_sent(self, claim: Claim) -> None:
+        """Note that certainly no byte of the request was sent."""
+        self._sent.pop(claim.claim_id, None)
+
+    def end(self, claim: Claim) -> None:
+        """Note that the request has its final answer."""
+        self._running.discard(claim.claim_id)
+
+    async def ask(self, claim: Claim) -> ClaimStatusReply:
+        """Ask the claim's gateway what became of it."""
+        call = ClaimStatusCall(
+            key=claim.key,
+            claim_id=claim.claim_id,
+            claimed_s=claim.claimed_s,
+            incarnation=claim.incarnation,
+        )
+        if claim.gateway == self._host:
+            return await self.status(call)
+        reply = await self._links.call(
+            claim.gateway, call, ClaimStatusReply, timeout_s=ASK_TIMEOUT_S
+        )
+        if isinstance(reply, PeerFailure):
+            return ClaimStatusReply(state=HolderState.LOST)
+        return reply
+
+    async def status(self, call: ClaimStatusCall) -> ClaimStatusReply:
+        """Serve a question about a claim of this host."""
+        if call.incarnation != self._incarnation:
+            return ClaimStatusReply(state=HolderState.LOST)
+        pending = self._recorder.pending_record(call.claim_id)
+        if isinstance(pending, Outcome):
+            return ClaimStatusReply(
+                state=HolderState.ANSWERED, status=pending.status, body=pending.body
+            )
+        if call.claim_id in self._running:
+            return ClaimStatusReply(state=HolderState.RUNNING)
+        if call.claim_id in self._sent:
+            return ClaimStatusReply(state=HolderState.UNRESOLVED)
+        if pending is None:
+            abandon = Abandon(key=call.key, claim_id=call.claim_id, claimed_s=call.claimed_s)
+            self._recorder.submit(abandon)
+        return ClaimStatusReply(state=HolderState.RELEASED)
--- a/src/cassiawalk/dispatch/once.py
+++ b/src/cassiawalk/dispatch/once.py
@@ -1,9 +1,15 @@
 """Runs at-most-once requests: claim the key, send once, record the outcome."""
 
+import asyncio
+
+import eliot
+
 from cassiawalk.admission import Scheduler
 from cassiawalk.clock import Clock
 from cassiawalk.dispatch.call import send_call
 from cassiawalk.dispatch.connector import Connector
+from cassiawalk.dispatch.holder import ClaimHolder
+from cassiawalk.dispatch.lookup import OutcomeLookUp
 from cassiawalk.dispatch.outcomes import OutcomeRecorder
 from cassiawalk.dispatch.runner import Runner
 from cassiawalk.ids import ClaimId
@@ -16,7 +22,9 @@
 from cassiawalk.once import Granted
 from cassiawalk.once import Outcome
 from cassiawalk.once import Taken
+from cassiawalk.once import Unavailable
 from cassiawalk.once.records import body_digest
+from cassiawalk.peer import HolderState
 from cassiawalk.platform import CallAnswered
 from cassiawalk.platform import CallFailed
 from cassiawalk.requests import Ended
@@ -27,10 +35,17 @@
 from cassiawalk.results import ResultCode
 
 IN_PROGRESS_RETRY_S = 1.0
+RELEASE_RETRY_S = 1.0
+USABLE_WINDOW_SHARE = 0.5
+_SERVER_ERROR = 500
 
 
 class OnceRunner(Runner):
-    """Dispatches a request only under a claim that won its key."""
+    """Dispatches a request only under a claim that won its key.
+
+    :param window_s: the idempotency window in seconds. A claim older than half of it is given up
+        rather than sent, because another claim may win the key once the window has passed.
+    """
 
     def __init__(
         self,
@@ -38,33 +53,64 @@
         host: HostId,
         incarnation: str,
         claims: ClaimClient,
+        holder: ClaimHolder,
         recorder: OutcomeRecorder,
+        look_up: OutcomeLookUp,
         scheduler: Scheduler,
         connector: Connector,
         clock: Clock,
+        window_s: float,
     ) -> None:
         self._host = host
         self._incarnation = incarnation
         self._claims = claims
+        self._holder = holder
         self._recorder = recorder
+        self._look_up = look_up
         self._scheduler = scheduler
         self._connector = connector
         self._clock = clock
+        self._usable_s = window_s * USABLE_WINDOW_SHARE
 
     async def run(self, record: RequestRecord) -> Refusal | None:
         """Claim the key and run, or answer from the record of its earlier run."""
         claim = self._new_claim(record)
+        self._holder.begin(claim)
+        try:
+            return await self._run(record, claim)
+        except asyncio.CancelledError:
+            eliot.log_message(
+                message_type="once:cut",
+                key=claim.key,
+                claim_id=claim.claim_id,
+                attempts=record.attempt,
+            )
+            raise
+        finally:
+            self._holder.end(claim)
+
+    async def _run(self, record: RequestRecord, claim: Claim) -> Refusal | None:
+        begun_at = self._clock.monotonic()
         decision = await self._claims.claim(claim)
+        if isinstance(decision, Taken) and decision.outcome is None:
+            refusal = await self._ask_holder(record, claim, decision)
+            if refusal is not None or record.is_final:
+                return refusal
+            # The holder does not know the end of its call, or is lost. Its outcome may have
+            # reached the stream, or its abandonment may have freed the key, since the decision.
+            decision = await self._claims.claim(claim)
         if isinstance(decision, Taken):
-            return self._answer_taken(record, claim, decision)
-        if not isinstance(decision, Granted):
-            self._abandon(claim)
+            return await self._answer_taken(record, claim, decision)
+        if isinstance(decision, Unavailable):
+            if decision.appended:
+                self._abandon(claim)
             return Refusal(
                 code=ResultCode.CLAIM_UNAVAILABLE,
                 detail=decision.reason,
                 retry_after_s=decision.retry_after_s,
             )
-        return await self._run_claimed(record, claim)
+        assert isinstance(decision, Granted)
+        return await self._run_claimed(record, claim, begun_at)
 
     def _new_claim(self, record: RequestRecord) -> Claim:
         return Claim(
@@ -80,26 +126,49 @@
         )
 
     def _abandon(self, claim: Claim) -> None:
-        self._recorder.submit(Abandon(key=claim.key, claim_id=claim.claim_id))
+        abandon = Abandon(key=claim.key, claim_id=claim.claim_id, claimed_s=claim.claimed_s)
+        self._recorder.submit(abandon)
 
-    def _answer_taken(self, record: RequestRecord, claim: Claim, taken: Taken) -> Refusal | None:
+    async def _ask_holder(
+        self, record: RequestRecord, claim: Claim, taken: Taken
+    ) -> Refusal | None:
+        """Answer by what the claim's gateway knows; None without a final event if it does not."""
         if taken.claim.body_digest != claim.body_digest:
+            return _key_reused(record)
+        reply = await self._holder.ask(taken.claim)
+        if reply.state is HolderState.ANSWERED:
+            return _answer(record, CallAnswered(status=reply.status, body=reply.body), again=True)
+        if reply.state is HolderState.RUNNING:
             return Refusal(
-                code=ResultCode.KEY_REUSED,
-                detail=f"key {record.key!r} was used for another request",
+                code=ResultCode.IN_PROGRESS,
+                detail=f"request {taken.claim.request_id} holds the key",
+                retry_after_s=IN_PROGRESS_RETRY_S,
             )
-        outcome = taken.outcome or self._recorder.outcome(taken.claim.claim_id)
-        if outcome is not None:
-            record.add(Result(status=outcome.status, body=outcome.body, recorded=True))
-            record.add(Ended(tokens=0))
-            return None
-        return Refusal(
-            code=ResultCode.IN_PROGRESS,
-            detail=f"request {taken.claim.request_id} holds the key",
-            retry_after_s=IN_PROGRESS_RETRY_S,
-        )
+        if reply.state is HolderState.RELEASED:
+            return Refusal(
+                code=ResultCode.CLAIM_UNAVAILABLE,
+                detail=f"request {taken.claim.request_id} gives the key back",
+                retry_after_s=RELEASE_RETRY_S,
+            )
+        return None
 
-    async def _run_claimed(self, record: RequestRecord, claim: Claim) -> Refusal | None:
+    async def _answer_taken(
+        self, record: RequestRecord, claim: Claim, taken: Taken
+    ) -> Refusal | None:
+        if taken.claim.body_digest != claim.body_digest:
+            return _key_reused(record)
+        if taken.outcome is not None:
+            answered = CallAnswered(status=taken.outcome.status, body=taken.outcome.body)
+            return _answer(record, answered, again=True)
+        found = await self._look_up.find(record)
+        if found is None:
+            return _unknown(f"request {taken.claim.request_id} held the key when its host was lost")
+        await self._record_outcome(taken.claim, found)
+        return _answer(record, found, again=True)
+
+    async def _run_claimed(
+        self, record: RequestRecord, claim: Claim, begun_at: float
+    ) -> Refusal | None:
         tried: frozenset[UpstreamId] = frozenset()
         while True:
             lease = await self._scheduler.acquire(record, exclude=tried)
@@ -107,34 +176,88 @@
                 self._abandon(claim)
                 return lease
             try:
+                refusal = self._refusal_to_send(record, claim, begun_at)
+                if refusal is not None:
+                    self._abandon(claim)
+                    return refusal
+                self._holder.note_sent(claim)
                 outcome = await send_call(
                     record, lease, connector=self._connector, clock=self._clock
                 )
             finally:
                 self._scheduler.release(lease)
             if isinstance(outcome, CallFailed) and not outcome.sent:
+                self._holder.note_not_sent(claim)
                 lease.upstream.fire("note_failure")
                 tried = tried | {lease.upstream.upstream_id}
                 continue
             return await self._settle(record, claim, outcome)
 
+    def _refusal_to_send(
+        self, record: RequestRecord, claim: Claim, begun_at: float
+    ) -> Refusal | None:
+        """Return why the request must not be sent any more, as after a pause of this process."""
+        if self._clock.wall() >= record.deadline_s:
+            return Refusal(
+                code=ResultCode.DEADLINE_PASSED_WAITING,
+                detail="the deadline passed before the request was sent",
+                retry_after_s=0.0,
+            )
+        # A suspended machine may stop the monotonic clock; the wall clock goes on.
+        age_s = max(self._clock.monotonic() - begun_at, abs(self._clock.wall() - claim.claimed_s))
+        if age_s < self._usable_s:
+            return None
+        return Refusal(
+            code=ResultCode.CLAIM_UNAVAILABLE,
+            detail=f"the claim is {age_s:.1f} s old; allowed: under {self._usable_s:g} s",
+            retry_after_s=RELEASE_RETRY_S,
+        )
+
     async def _settle(
         self, record: RequestRecord, claim: Claim, outcome: CallAnswered | CallFailed
     ) -> Refusal | None:
+        if isinstance(outcome, CallAnswered) and outcome.status < _SERVER_ERROR:
+            await self._record_outcome(claim, outcome)
+            return _answer(record, outcome)
+        found = await self._look_up.find(record)
+        if found is not None:
+            await self._record_outcome(claim, found)
+            return _answer(record, found)
         if isinstance(outcome, CallFailed):
-            return Refusal(
-                code=ResultCode.OUTCOME_UNKNOWN,
-                detail=f"the call was sent and no whole answer came: {outcome.reason}",
-                execution=Execution.UNKNOWN,
-            )
+            return _unknown(f"the call was sent and no whole answer came: {outcome.reason}")
+        await self._record_outcome(claim, outcome)
+        return _answer(record, outcome)
+
+    async def _record_outcome(self, claim: Claim, answered: CallAnswered) -> None:
         await self._recorder.submit_and_wait(
             Outcome(
                 key=claim.key,
                 claim_id=claim.claim_id,
-                status=outcome.status,
-                body=outcome.body,
+                status=answered.status,
+                body=answered.body,
             )
         )
-        record.add(Result(status=outcome.status, body=outcome.body))
-        record.add(Ended(tokens=0))
-        return None
+
+
+def _answer(
+    record: RequestRecord, answered: CallAnswered, *, again: bool = False
+) -> Refusal | None:
+    """Add the answer to the record; an upstream's error leaves open whether the call ran."""
+    if answered.status >= _SERVER_ERROR:
+        return Refusal(
+            code=ResultCode.UPSTREAM_REJECTED,
+            detail=f"the upstream answered with status {answered.status}",
+            execution=Execution.UNKNOWN,
+        )
+    record.add(Result(status=answered.status, body=answered.body, recorded=again))
+    record.add(Ended(tokens=0))
+    return None
+
+
+def _key_reused(record: RequestRecord) -> Refusal:
+    detail = f"key {record.key!r} was used for another request"
+    return Refusal(code=ResultCode.KEY_REUSED, detail=detail)
+
+
+def _unknown(detail: str) -> Refusal:
+    return Refusal(code=ResultCode.OUTCOME_UNKNOWN, detail=detail, execution=Execution.UNKNOWN)
--- a/src/cassiawalk/dispatch/outcomes.py
+++ b/src/cassiawalk/dispatch/outcomes.py
@@ -2,13 +2,16 @@
 
 import asyncio
 
+import eliot
+
 from cassiawalk.app import Component
 from cassiawalk.clock import Clock
 from cassiawalk.once import Abandon
 from cassiawalk.once import ClaimClient
 from cassiawalk.once import Outcome
 
-RETRY_DELAY_S = 0.5
+RETRY_DELAY_S = 0.25
+RETRY_LIMIT_S = 2.0
 ANSWER_WAIT_S = 0.5
 
 
@@ -19,12 +22,17 @@
         self._claims = claims
         self._clock = clock
         self._pending: dict[str, Outcome | Abandon] = {}
+        self._settled = asyncio.Event()
 
     @property
     def pending(self) -> list[Outcome | Abandon]:
         """Return the records that are not yet known to be in a stream."""
         return list(self._pending.values())
 
+    def pending_record(self, claim_id: str) -> Outcome | Abandon | None:
+        """Return a claim's record that is still to be recorded, or None."""
+        return self._pending.get(claim_id)
+
     def outcome(self, claim_id: str) -> Outcome | None:
         """Return a claim's outcome that is still to be recorded, or None."""
         record = self._pending.get(claim_id)
@@ -33,6 +41,7 @@
     def submit(self, record: Outcome | Abandon) -> asyncio.Task[None]:
         """Record in the background and return the task that does."""
         self._pending[record.claim_id] = record
+        self._settled.clear()
         return self.spawn(self._record(record), name=f"record-{record.claim_id}")
 
     async def submit_and_wait(self, record: Outcome | Abandon) -> None:
@@ -43,9 +52,25 @@
     async def drain(self) -> None:
         """Return once all records are in their streams."""
         while self._pending:
-            await self._clock.sleep(RETRY_DELAY_S / 10)
+            await self._settled.wait()
+
+    async def stop(self) -> None:
+        """Stop, and log what is not in its stream, so that operators can tell its callers."""
+        await super().stop()
+        for record in self._pending.values():
+            eliot.log_message(
+                message_type="once:unrecorded",
+                record=type(record).__name__.lower(),
+                key=record.key,
+                claim_id=record.claim_id,
+                status=getattr(record, "status", None),
+            )
 
     async def _record(self, record: Outcome | Abandon) -> None:
+        delay_s = RETRY_DELAY_S
         while await self._claims.record(record) is not None:
-            await self._clock.sleep(RETRY_DELAY_S)
+            await self._clock.sleep(delay_s)
+            delay_s = min(RETRY_LIMIT_S, 2 * delay_s)
         del self._pending[record.claim_id]
+        if not self._pending:
+            self._settled.set()
--- a/src/cassiawalk/node.py
+++ b/src/cassiawalk/node.py
@@ -22,6 +22,8 @@
 from cassiawalk.dispatch import RetryPolicy
 from cassiawalk.dispatch import UpstreamWatcher
 from cassiawalk.dispatch.call import CallRunner
+from cassiawalk.dispatch.holder import ClaimHolder
+from cassiawalk.dispatch.lookup import OutcomeLookUp
 from cassiawalk.dispatch.once import OnceRunner
 from cassiawalk.dispatch.stream import StreamRunner
 from cassiawalk.httpserver import HttpServer
@@ -31,8 +33,10 @@
 from cassiawalk.membership import Membership
 from cassiawalk.metrics import Metrics
 from cassiawalk.once import ClaimClient
+from cassiawalk.once import Placement
 from cassiawalk.once import SequencerPool
 from cassiawalk.peer import AttachCall
+from cassiawalk.peer import ClaimStatusCall
 from cassiawalk.peer import NodeStatusCall
 from cassiawalk.peer import NodeStatusReply
 from cassiawalk.peer import OnceCall
@@ -85,13 +89,14 @@
             log=self.log, clock=clock, staleness_bound_s=cfg.control_staleness_bound_s
         )
         self.publisher = CommandPublisher(log=self.log, follower=self.control, clock=clock)
-        self.sequencers = SequencerPool(log=self.log)
+        placement = Placement(
+            host=cfg.host_id, membership=self.membership, partitions=cfg.once_partitions
+        )
+        self.sequencers = SequencerPool(
+            log=self.log, clock=clock, placement=placement, window_s=cfg.once_window_s
+        )
         self.claims = ClaimClient(
-            host=cfg.host_id,
-            membership=self.membership,
-            links=self.links,
-            pool=self.sequencers,
-            partitions=cfg.once_partitions,
+            host=cfg.host_id, placement=placement, links=self.links, pool=self.sequencers
         )
 
     def _build_requests(self) -> None:
@@ -105,6 +110,14 @@
         self.watcher = UpstreamWatcher(table=self.table, connector=self.connector, clock=clock)
         self.retries = RetryPolicy(clock=clock, rng=self._rng)
         self.recorder = OutcomeRecorder(claims=self.claims, clock=clock)
+        self.holder = ClaimHolder(
+            host=self._cfg.host_id,
+            incarnation=self.incarnation,
+            links=self.links,
+            recorder=self.recorder,
+            clock=clock,
+            window_s=self._cfg.once_window_s,
+        )
         self.dispatcher = Dispatcher(
             gate=self.gate,
             runners={PoolType.ENGINE: self._stream_runner(), PoolType.PLAIN: self._call_runner()},
@@ -137,10 +150,15 @@
             host=self._cfg.host_id,
             incarnation=self.incarnation,
             claims=self.claims,
+            holder=self.holder,
             recorder=self.recorder,
+            look_up=OutcomeLookUp(
+                config=lambda: self.control.state, table=self.table, connector=self.connector
+            ),
             scheduler=self.scheduler,
             connector=self.connector,
             clock=self._clock,
+            window_s=self._cfg.once_window_s,
         )
 
     def _build_servers(self) -> None:
@@ -179,6 +197,7 @@
             return queries.node_status(draining=self.dispatcher.draining)
 
         self.peer_server.handle(OnceCall, self.claims.handle_call)
+        self.peer_server.handle(ClaimStatusCall, self.holder.status)
         self.peer_server.handle(NodeStatusCall, node_status)
         self.peer_server.handle_stream(AttachCall, attachments.serve)
 
--- a/src/cassiawalk/once/client.py
+++ b/src/cassiawalk/once/client.py
@@ -1,60 +1,51 @@
 """Finds the sequencer of a key and talks to it."""
 
+import dataclasses
+
 from cassiawalk.ids import HostId
-from cassiawalk.membership import Membership
-from cassiawalk.membership import rank
 from cassiawalk.once.decisions import ClaimDecision
 from cassiawalk.once.decisions import Unavailable
 from cassiawalk.once.decisions import decisions
+from cassiawalk.once.placement import Placement
+from cassiawalk.once.pool import SequencerPool
 from cassiawalk.once.records import Claim
 from cassiawalk.once.records import OnceRecord
-from cassiawalk.once.records import partition_of
 from cassiawalk.once.records import records
-from cassiawalk.once.sequencer import SequencerPool
 from cassiawalk.peer import OnceCall
 from cassiawalk.peer import OnceReply
 from cassiawalk.peer import PeerFailure
 from cassiawalk.peer import PeerLinks
 
-PARTITIONS = 16
 HOSTS_TRIED = 2
 CALL_TIMEOUT_S = 4.0
+_NOBODY = Unavailable(reason="no sequencer could be reached", appended=False)
 
 
 class ClaimClient:
-    """Claims keys and records outcomes, here or at the partition's host.
-
-    :param partitions: the number of partitions; the same on every host.
-    """
+    """Claims keys and records outcomes, here or at the partition's host."""
 
     def __init__(
-        self,
-        *,
-        host: HostId,
-        membership: Membership,
-        links: PeerLinks,
-        pool: SequencerPool,
-        partitions: int = PARTITIONS,
+        self, *, host: HostId, placement: Placement, links: PeerLinks, pool: SequencerPool
     ) -> None:
         self._host = host
-        self._membership = membership
+        self._placement = placement
         self._links = links
         self._pool = pool
-        self._partitions = partitions
 
     async def claim(self, claim: Claim) -> ClaimDecision:
         """Return the decision on a claim. The same claim may be sent again: its id decides."""
-        failure = Unavailable(reason="no sequencer could be reached")
+        failure = _NOBODY
         for host in self._candidates(claim.key):
             decision = await self._send(host, claim)
-            if decision is None or not isinstance(decision, Unavailable):
-                return decision or failure
-            failure = decision
+            if decision is not None and not isinstance(decision, Unavailable):
+                return decision
+            unclear = decision or Unavailable(reason="the sequencer's answer can't be read")
+            failure = dataclasses.replace(unclear, appended=failure.appended or unclear.appended)
         return failure
 
     async def record(self, record: OnceRecord) -> Unavailable | None:
         """Append an outcome or abandonment; None means that it is in the stream."""
-        failure: Unavailable | None = Unavailable(reason="no sequencer could be reached")
+        failure: Unavailable | None = _NOBODY
         for host in self._candidates(record.key):
             answer = await self._send(host, record)
             if not isinstance(answer, Unavailable):
@@ -63,9 +54,7 @@
         return failure
 
     def _candidates(self, key: str) -> list[HostId]:
-        partition = partition_of(key, partitions=self._partitions)
-        hosts = self._membership.reachable_entry_hosts() or [self._host]
-        return rank(f"once-{partition}", hosts)[:HOSTS_TRIED]
+        return self._placement.hosts(self._placement.partition(key))[:HOSTS_TRIED]
 
     async def _send(self, host: HostId, record: OnceRecord) -> ClaimDecision | None:
         if host == self._host:
@@ -73,7 +62,7 @@
         call = OnceCall(record=records.to_plain(record))
         reply = await self._links.call(host, call, OnceReply, timeout_s=CALL_TIMEOUT_S)
         if isinstance(reply, PeerFailure):
-            return Unavailable(reason=reply.reason)
+            return Unavailable(reason=reply.reason, appended=reply.sent)
         if reply.decision is None:
             return None
         decision = decisions.from_plain(reply.decision)
@@ -83,8 +72,7 @@
 
     async def handle_local(self, record: OnceRecord) -> ClaimDecision | None:
         """Serve a claim or record at this host's own sequencer."""
-        partition = partition_of(record.key, partitions=self._partitions)
-        sequencer = await self._pool.sequencer(partition)
+        sequencer = await self._pool.sequencer(self._placement.partition(record.key))
         if isinstance(record, Claim):
             return await sequencer.claim(record)
         return await sequencer.record(record)
--- a/src/cassiawalk/once/decisions.py
+++ b/src/cassiawalk/once/decisions.py
@@ -27,10 +27,15 @@
 @decisions.register("unavailable")
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Unavailable:
-    """No decision could be had. The claim may be on the log: its gateway must abandon it."""
+    """No decision could be had; ``retry_after_s`` is in seconds.
+
+    ``appended`` is False only if the record is certainly not in the stream. Otherwise it may be,
+    and the gateway of a claim must abandon it.
+    """
 
     reason: str
     retry_after_s: float = 1.0
+    appended: bool = True
 
 
 ClaimDecision = Granted | Taken | Unavailable
--- a/src/cassiawalk/once/ledger.py
+++ b/src/cassiawalk/once/ledger.py
@@ -3,38 +3,62 @@
 import collections.abc as cabc
 import dataclasses
 
+from cassiawalk.ids import ClaimId
 from cassiawalk.ids import Offset
+from cassiawalk.once.checkpoint import AbandonedClaim
+from cassiawalk.once.checkpoint import LedgerEntry
+from cassiawalk.once.checkpoint import LedgerState
+from cassiawalk.once.logtime import LogTime
+from cassiawalk.once.logtime import Stamp
 from cassiawalk.once.records import Abandon
 from cassiawalk.once.records import Claim
+from cassiawalk.once.records import OnceRecord
 from cassiawalk.once.records import Outcome
 
-
-@dataclasses.dataclass(kw_only=True)
-class LedgerEntry:
-    """The winning claim of a key and its outcome."""
-
-    claim: Claim
-    outcome: Outcome | None = None
+SWEEPS_PER_WINDOW = 8
 
 
 class Ledger:
     """Folds a partition in offset order.
 
-    An abandoned claim id stays abandoned, so a record of the same claim that was appended twice
-    can't win the key again.
+    The time comes from the records themselves, so every reader keeps and forgets the same keys.
+    An abandoned claim id stays abandoned for as long as a late copy of its claim could be taken
+    in, so a record that was appended twice can't win the key again.
+
+    :param keep_s: how long claims and abandoned ids are kept, in seconds of log time.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, keep_s: float) -> None:
+        self._keep_s = keep_s
         self._entries: dict[str, LedgerEntry] = {}
-        self._abandoned: set[str] = set()
+        self._abandoned: dict[ClaimId, float] = {}
+        self._time = LogTime()
+        self._swept_s = 0.0
         self.next_offset = Offset(0)
 
     def __len__(self) -> int:
         return len(self._entries)
 
+    @property
+    def now_s(self) -> float:
+        """Return the log time in wall-clock seconds."""
+        return self._time.now_s
+
     def entry(self, key: str) -> LedgerEntry | None:
         """Return the entry of a key, or None if the key is free."""
-        return self._entries.get(key)
+        entry = self._entries.get(key)
+        return None if entry is None or self._is_old(entry.since_s) else entry
+
+    def is_settled(self, record: OnceRecord) -> bool:
+        """Return whether the fold already decides what becomes of a record."""
+        entry = self.entry(record.key)
+        if record.claim_id in self._abandoned:
+            return True
+        if isinstance(record, Claim):
+            return entry is not None
+        if isinstance(record, Outcome):
+            return entry is None or entry.claim.claim_id != record.claim_id or bool(entry.outcome)
+        return entry is not None and bool(entry.outcome)
 
     def fold(self, offset: Offset, messages: cabc.Iterable[object]) -> None:
         """Apply the records of one log entry; entries already applied change nothing."""
@@ -48,24 +72,59 @@
                 self._fold_outcome(message)
             elif isinstance(message, Abandon):
                 self._fold_abandon(message)
+        if self.now_s - self._swept_s > self._keep_s / SWEEPS_PER_WINDOW:
+            self._sweep()
+
+    def state(self) -> LedgerState:
+        """Return the fold as far as it was read, for a checkpoint."""
+        self._sweep()
+        abandoned = self._abandoned.items()
+        return LedgerState(
+            through_offset=Offset(self.next_offset - 1),
+            stamps=self._time.stamps,
+            entries=tuple(self._entries.values()),
+            abandoned=tuple(AbandonedClaim(claim_id=c, since_s=since) for c, since in abandoned),
+        )
+
+    def restore(self, state: LedgerState) -> None:
+        """Go on from a checkpoint."""
+        self._entries = {entry.claim.key: entry for entry in state.entries}
+        self._abandoned = {item.claim_id: item.since_s for item in state.abandoned}
+        self._time = LogTime(stamps=state.stamps)
+        self.next_offset = Offset(state.through_offset + 1)
+
+    def _is_old(self, since_s: float) -> bool:
+        return since_s < self.now_s - self._keep_s
 
     def _fold_claim(self, claim: Claim) -> None:
-        if claim.claim_id in self._abandoned or claim.key in self._entries:
+        self._time.note(Stamp(host=claim.gateway, at_s=claim.claimed_s))
+        if self._is_old(claim.claimed_s) or claim.claim_id in self._abandoned:
             return
-        self._entries[claim.key] = LedgerEntry(claim=claim)
+        if self.entry(claim.key) is None:
+            since_s = max(self.now_s, claim.claimed_s)
+            self._entries[claim.key] = LedgerEntry(claim=claim, since_s=since_s)
 
     def _fold_outcome(self, outcome: Outcome) -> None:
-        entry = self._entries.get(outcome.key)
+        entry = self.entry(outcome.key)
         if entry is None or entry.claim.claim_id != outcome.claim_id:
             return
         if entry.outcome is None:
-            entry.outcome = outcome
+            self._entries[outcome.key] = dataclasses.replace(entry, outcome=outcome)
 
     def _fold_abandon(self, abandon: Abandon) -> None:
-        entry = self._entries.get(abandon.key)
+        entry = self.entry(abandon.key)
         holds = entry is not None and entry.claim.claim_id == abandon.claim_id
         if holds and entry is not None and entry.outcome is not None:
             return
-        self._abandoned.add(abandon.claim_id)
+        since_s = max(self.now_s, abandon.claimed_s)
+        self._abandoned[abandon.claim_id] = since_s
         if holds:
             del self._entries[abandon.key]
+
+    def _sweep(self) -> None:
+        """Forget what is older than the window."""
+        self._swept_s = self.now_s
+        entries = self._entries.items()
+        self._entries = {key: entry for key, entry in entries if not self._is_old(entry.since_s)}
+        abandoned = self._abandoned.items()
+        self._abandoned = {c: since for c, since in abandoned if not self._is_old(since)}
--- /dev/null
+++ b/src/cassiawalk/once/pool.py
@@ -0,0 +1,89 @@
+"""The sequencers that one host runs."""
+
+import typing as t
+
+from cassiawalk.app import Component
+from cassiawalk.clock import Clock
+from cassiawalk.ids import Partition
+from cassiawalk.once.sequencer import Sequencer
+from cassiawalk.platform import LogService
+
+MAINTAIN_INTERVAL_S = 10.0
+IDLE_LIMIT_S = 60.0
+CLOCK_MARGIN_S = 300.0
+APPENDS_PER_S = 300.0
+
+
+class Owner(t.Protocol):
+    """Says which partitions this host looks after; ``Placement`` is one."""
+
+    @property
+    def partitions(self) -> int:
+        """Return the number of partitions."""
+
+    def owned(self) -> list[Partition]:
+        """Return the partitions whose first choice is this host."""
+
+
+class SequencerPool(Component):
+    """One sequencer for each partition that this host owns or was asked for.
+
+    Owned partitions get their checkpoints here, so that a partition without any calls keeps a
+    start that new sequencers can use. A sequencer that is neither owned nor used is stopped.
+
+    :param window_s: the idempotency window in seconds; ledgers keep claims ``CLOCK_MARGIN_S``
+        longer, for hosts whose clocks differ.
+    """
+
+    def __init__(self, *, log: LogService, clock: Clock, placement: Owner, window_s: float) -> None:
+        self._log = log
+        self._clock = clock
+        self._placement = placement
+        self._keep_s = window_s + CLOCK_MARGIN_S
+        self._sequencers: dict[Partition, Sequencer] = {}
+
+    def __len__(self) -> int:
+        return len(self._sequencers)
+
+    async def start(self) -> None:
+        """Look after the owned partitions from now on."""
+        self.spawn(self._maintain(), name="sequencer-pool")
+
+    async def sequencer(self, partition: Partition) -> Sequencer:
+        """Return the partition's sequencer, started on first use."""
+        sequencer = self._sequencers.get(partition)
+        if sequencer is None:
+            sequencer = Sequencer(
+                log=self._log,
+                partition=partition,
+                clock=self._clock,
+                keep_s=self._keep_s,
+                append_interval_s=self._placement.partitions / APPENDS_PER_S,
+            )
+            self._sequencers[partition] = sequencer
+            await sequencer.start()
+        return sequencer
+
+    async def maintain(self) -> None:
+        """Keep up with the owned partitions and stop sequencers that are idle."""
+        owned = set(self._placement.owned())
+        for partition in owned:
+            await (await self.sequencer(partition)).keep_up()
+        unused = [p for p, seq in self._sequencers.items() if p not in owned and self._is_idle(seq)]
+        for partition in unused:
+            await self._sequencers.pop(partition).stop()
+
+    async def stop(self) -> None:
+        """Stop all sequencers."""
+        await super().stop()
+        for sequencer in self._sequencers.values():
+            await sequencer.stop()
+
+    def _is_idle(self, sequencer: Sequencer) -> bool:
+        unused_s = self._clock.monotonic() - sequencer.last_used
+        return sequencer.is_idle and unused_s >= IDLE_LIMIT_S
+
+    async def _maintain(self) -> None:
+        while True:
+            await self._clock.sleep(MAINTAIN_INTERVAL_S)
+            await self.maintain()
--- /dev/null
+++ b/src/cassiawalk/once/reader.py
@@ -0,0 +1,176 @@
+"""Reads one partition from the log and keeps its fold."""
+
+import asyncio
+
+import eliot
+
+from cassiawalk.clock import Clock
+from cassiawalk.errors import WireError
+from cassiawalk.ids import Offset
+from cassiawalk.ids import Partition
+from cassiawalk.once.checkpoint import Assembler
+from cassiawalk.once.checkpoint import CheckpointPart
+from cassiawalk.once.checkpoint import LedgerState
+from cassiawalk.once.decisions import Unavailable
+from cassiawalk.once.ledger import Ledger
+from cassiawalk.once.records import records
+from cassiawalk.once.records import stream_of
+from cassiawalk.platform import LogEntry
+from cassiawalk.platform import LogService
+from cassiawalk.platform import ReadBatch
+from cassiawalk.platform import ReadFailed
+
+READ_LIMIT = 64
+OUTAGE_RETRY_S = 2.0
+
+
+class PartitionReader:
+    """The fold of a partition, read from its newest checkpoint on.
+
+    A partition whose start has expired and that holds no whole checkpoint can't be folded: lost
+    claims may be younger than the window. It becomes usable once the window has passed since the
+    gap was first seen, for then no lost claim is inside it.
+
+    :param keep_s: how long the ledger keeps a claim, in seconds.
+    """
+
+    def __init__(
+        self, *, log: LogService, partition: Partition, clock: Clock, keep_s: float
+    ) -> None:
+        self.stream = stream_of(partition)
+        self.ledger = Ledger(keep_s=keep_s)
+        self.checkpoint_s = 0.0
+        self.checkpoint_offset = Offset(0)
+        self._log = log
+        self._clock = clock
+        self._keep_s = keep_s
+        self._loaded = False
+        self._gap_seen_s: float | None = None
+        self._turn = asyncio.Lock()
+
+    @property
+    def is_loaded(self) -> bool:
+        """Return whether the fold has a known start."""
+        return self._loaded
+
+    async def load(self) -> Unavailable | None:
+        """Find the start of the fold; None means that reading can go on from there."""
+        async with self._turn:
+            return None if self._loaded else await self._load()
+
+    async def read_through(self, offset: Offset) -> Unavailable | None:
+        """Fold the partition up to and including ``offset``."""
+        async with self._turn:
+            while self.ledger.next_offset <= offset:
+                batch = await self._read_on()
+                if isinstance(batch, Unavailable):
+                    return batch
+            return None
+
+    async def catch_up(self) -> Unavailable | None:
+        """Fold the partition up to its present end."""
+        async with self._turn:
+            while True:
+                batch = await self._read_on()
+                if isinstance(batch, Unavailable):
+                    return batch
+                if self.ledger.next_offset >= batch.end_offset:
+                    return None
+
+    async def _read_on(self) -> ReadBatch | Unavailable:
+        if not self._loaded:
+            failure = await self._load()
+            if failure is not None:
+                return failure
+        batch = await self._read(self.ledger.next_offset)
+        if isinstance(batch, Unavailable):
+            return batch
+        if batch.first_offset > self.ledger.next_offset:
+            self._loaded = False
+            return Unavailable(reason=f"{self.stream}: records expired before they were read")
+        if batch.end_offset < self.ledger.next_offset:
+            return Unavailable(
+                reason=f"{self.stream} ends at offset {batch.end_offset}, but "
+                f"{self.ledger.next_offset} was read before"
+            )
+        for entry in batch.entries:
+            messages = _decode(entry)
+            self._note_checkpoints(messages)
+            self.ledger.fold(entry.offset, messages)
+        return batch
+
+    async def _load(self) -> Unavailable | None:
+        head = await self._read(Offset(0), limit=1)
+        if isinstance(head, Unavailable):
+            return head
+        state = await self._find_checkpoint(head)
+        if isinstance(state, Unavailable):
+            return state
+        if state is not None:
+            self.ledger.restore(state)
+        elif head.first_offset > 0:
+            failure = self._wait_out_gap()
+            if failure is not None:
+                return failure
+            self.ledger = Ledger(keep_s=self._keep_s)
+            self.ledger.next_offset = head.first_offset
+        self._loaded = True
+        self._gap_seen_s = None
+        return None
+
+    async def _find_checkpoint(self, head: ReadBatch) -> LedgerState | None | Unavailable:
+        """Look for the newest whole checkpoint from the end of the stream backwards."""
+        assembler = Assembler()
+        end = head.end_offset
+        while end > head.first_offset:
+            start = Offset(max(head.first_offset, end - READ_LIMIT))
+            batch = await self._read(start, limit=end - start)
+            if isinstance(batch, Unavailable):
+                return batch
+            if batch.first_offset > start or not batch.entries:
+                break
+            for entry in batch.entries:
+                for message in _decode(entry):
+                    if isinstance(message, CheckpointPart):
+                        assembler.add(message)
+            state = assembler.newest(first_offset=batch.first_offset)
+            if state is not None:
+                return state
+            end = start
+        return None
+
+    def _wait_out_gap(self) -> Unavailable | None:
+        now = self._clock.monotonic()
+        if self._gap_seen_s is None:
+            self._gap_seen_s = now
+            eliot.log_message(message_type="once:gap", stream=self.stream, wait_s=self._keep_s)
+        left_s = self._gap_seen_s + self._keep_s - now
+        if left_s <= 0:
+            return None
+        return Unavailable(
+            reason=f"{self.stream} has lost its start and holds no whole checkpoint",
+            retry_after_s=left_s,
+            appended=False,
+        )
+
+    async def _read(self, start: Offset, *, limit: int = READ_LIMIT) -> ReadBatch | Unavailable:
+        batch = await self._log.read(stream=self.stream, start=start, limit=limit)
+        if isinstance(batch, ReadFailed):
+            return Unavailable(reason=batch.reason, retry_after_s=OUTAGE_RETRY_S)
+        return batch
+
+    def _note_checkpoints(self, messages: list[object]) -> None:
+        for message in messages:
+            if isinstance(message, CheckpointPart) and message.index == message.parts - 1:
+                # A writer whose clock is ahead must not put off the next checkpoint.
+                written_s = min(message.written_s, self._clock.wall())
+                self.checkpoint_s = max(self.checkpoint_s, written_s)
+                self.checkpoint_offset = max(self.checkpoint_offset, message.through_offset)
+
+
+def _decode(entry: LogEntry) -> list[object]:
+    try:
+        return records.decode(entry.payload)
+    except WireError as exc:
+        eliot.log_message(message_type="once:bad-entry", offset=entry.offset, fault=str(exc))
+        return []
--- a/src/cassiawalk/once/records.py
+++ b/src/cassiawalk/once/records.py
@@ -13,7 +13,7 @@
 
 
 @records.register("claim")
-@dataclasses.dataclass(frozen=True, kw_only=True)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Claim:
     """A gateway's wish to run the request of a key.
 
@@ -32,7 +32,7 @@
 
 
 @records.register("outcome")
-@dataclasses.dataclass(frozen=True, kw_only=True)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Outcome:
     """The recorded answer of a claim: the upstream's HTTP status and body."""
 
@@ -43,12 +43,17 @@
 
 
 @records.register("abandon")
-@dataclasses.dataclass(frozen=True, kw_only=True)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Abandon:
-    """The claim's gateway gave up before dispatch; the key is free again."""
+    """The claim's gateway gave up before dispatch; the key is free again.
+
+    ``claimed_s`` is the claim's own, in wall-clock seconds: the id has to be kept as long as a
+    late copy of the claim could be taken in.
+    """
 
     key: str
     claim_id: ClaimId
+    claimed_s: float = 0.0
 
 
 OnceRecord = Claim | Outcome | Abandon
--- a/src/cassiawalk/peer/__init__.py
+++ b/src/cassiawalk/peer/__init__.py
@@ -3,6 +3,9 @@
 from cassiawalk.peer.links import PeerFailure as PeerFailure
 from cassiawalk.peer.links import PeerLinks as PeerLinks
 from cassiawalk.peer.messages import AttachCall as AttachCall
+from cassiawalk.peer.messages import ClaimStatusCall as ClaimStatusCall
+from cassiawalk.peer.messages import ClaimStatusReply as ClaimStatusReply
+from cassiawalk.peer.messages import HolderState as HolderState
 from cassiawalk.peer.messages import LocateCall as LocateCall
 from cassiawalk.peer.messages import LocateReply as LocateReply
 from cassiawalk.peer.messages import NodeStatusCall as NodeStatusCall
--- a/src/cassiawalk/peer/messages.py
+++ b/src/cassiawalk/peer/messages.py
@@ -1,8 +1,10 @@
 """Typed messages of the inner protocol."""
 
 import dataclasses
+import enum
 import typing as t
 
+from cassiawalk.ids import ClaimId
 from cassiawalk.ids import HostId
 from cassiawalk.ids import RequestId
 from cassiawalk.ids import WorkspaceName
@@ -35,6 +37,40 @@
     decision: dict[str, t.Any] | None = None
 
 
+class HolderState(enum.Enum):
+    """What a claim's gateway knows of its claim.
+
+    ``LOST`` stands for a gateway that can't be reached or was restarted.
+    """
+
+    RUNNING = "running"
+    ANSWERED = "answered"
+    UNRESOLVED = "unresolved"
+    RELEASED = "released"
+    LOST = "lost"
+
+
+@messages.register("claim-status")
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ClaimStatusCall:
+    """Asks a claim's gateway what became of the claim."""
+
+    key: str
+    claim_id: ClaimId
+    claimed_s: float
+    incarnation: str
+
+
+@messages.register("claim-status-reply")
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ClaimStatusReply:
+    """The state of the claim; an answer that is still to be recorded comes along."""
+
+    state: HolderState
+    status: int = 0
+    body: bytes = b""
+
+
 @messages.register("attach")
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class AttachCall:
--- a/src/cassiawalk/platform/service.py
+++ b/src/cassiawalk/platform/service.py
@@ -8,12 +8,17 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ServiceCall:
-    """One call. ``key`` is the caller's idempotency key, passed on where there is one."""
+    """One call. ``key`` is the caller's idempotency key, passed on where there is one.
+
+    Two workspaces may use the same key, so a service must take ``workspace`` and ``key`` together.
+    ``timeout_s`` is in seconds.
+    """
 
     request_id: RequestId
     path: str
     body: bytes
     key: str | None = None
+    workspace: str = ""
     timeout_s: float = 30.0
 
 
@@ -44,8 +49,11 @@
         """Send the call exactly once and return its outcome."""
 
     @abc.abstractmethod
-    async def look_up(self, *, path: str, key: str) -> CallOutcome:
-        """Ask for the outcome of an earlier call by key; status 404 means that it did not run."""
+    async def look_up(self, *, path: str, workspace: str, key: str) -> CallOutcome:
+        """Ask for the outcome of an earlier call by its workspace and key.
+
+        Status 200 carries the call's answer. Status 404 proves nothing: a call may still arrive.
+        """
 
     async def aclose(self) -> None:
         """Release connections."""
--- a/src/cassiawalk/platform/service_http.py
+++ b/src/cassiawalk/platform/service_http.py
@@ -31,6 +31,8 @@
         }
         if call.key is not None:
             headers["idempotency-key"] = call.key
+        if call.workspace:
+            headers["x-workspace"] = call.workspace
         client = _http.new_client(answer_timeout_s=None)
         try:
             async with asyncio.timeout(call.timeout_s):
@@ -44,12 +46,12 @@
             await _http.close_client(client)
         return CallAnswered(status=res.status_code, body=bytes(body))
 
-    async def look_up(self, *, path: str, key: str) -> CallOutcome:
+    async def look_up(self, *, path: str, workspace: str, key: str) -> CallOutcome:
         """Ask with one GET; a look-up may be repeated."""
         client = _http.new_client(answer_timeout_s=None)
         try:
             async with asyncio.timeout(_LOOK_UP_TIMEOUT_S):
-                res = await client.get(f"{self._url}{path}/{key}")
+                res = await client.get(f"{self._url}{path}/{key}", params={"workspace": workspace})
                 body = await res.content()
         except _http.LOST_ANSWER as exc:
             return CallFailed(reason=repr(exc), sent=True)
