--- a/standins/log_service.py
+++ b/standins/log_service.py
@@ -13,6 +13,7 @@
 from starlette.routing import Route
 
 from standins import _serve
+from standins.gate import Gate
 
 DEFAULT_APPENDS_PER_S = 500.0
 BURST_APPENDS = 100.0
@@ -20,10 +21,22 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Faults:
-    """What goes wrong. ``lose_answers`` is how many appends take effect without an answer."""
+    """What goes wrong on streams whose names start with ``streams``.
 
+    ``lose_answers`` is how many appends take effect without an answer, ``drop_appends`` how many
+    get no answer and take no effect, and ``late_appends`` how many get no answer and take effect
+    when ``hold_late`` is taken back. ``cut_reads`` answers to reads are cut. ``hold`` keeps
+    appends waiting until it is taken back.
+    """
+
+    streams: str = ""
     outage: bool = False
     lose_answers: int = 0
+    drop_appends: int = 0
+    late_appends: int = 0
+    cut_reads: int = 0
+    hold: bool = False
+    hold_late: bool = False
     delay_s: float = 0.0
 
 
@@ -64,6 +77,9 @@
         self._streams: dict[str, Stream] = {}
         self._faults = Faults()
         self._appends = 0
+        self._gate = Gate()
+        self._late_gate = Gate()
+        self._late: set[asyncio.Task[None]] = set()
 
     def asgi(self) -> Starlette:
         """Return the ASGI application."""
@@ -72,6 +88,7 @@
             Route("/streams/{stream}/records", self.read, methods=["GET"]),
             Route("/faults", self.set_faults, methods=["POST"]),
             Route("/streams/{stream}/expire", self.expire, methods=["POST"]),
+            Route("/held", self.held, methods=["GET"]),
             Route("/stats", self.stats, methods=["GET"]),
         ]
         return Starlette(routes=routes)
@@ -79,21 +96,33 @@
     async def append(self, req: Request) -> Response:
         """Append the body as one record."""
         payload = await req.body()
-        await asyncio.sleep(self._faults.delay_s)
-        if self._faults.outage:
+        faults = self._faults_of(req)
+        await asyncio.sleep(faults.delay_s)
+        if faults.outage:
             return Response(status_code=503, headers={"Retry-After": "1"})
+        if faults.drop_appends > 0:
+            faults.drop_appends -= 1
+            return Response(status_code=504)
+        if faults.late_appends > 0:
+            faults.late_appends -= 1
+            task = asyncio.create_task(self._append_late(self._stream(req), payload))
+            self._late.add(task)
+            task.add_done_callback(self._late.discard)
+            return Response(status_code=504)
+        if faults.hold:
+            await self._gate.pass_through()
         if not self._take_allowance():
             return Response(status_code=429, headers={"Retry-After": "0.05"})
         self._appends += 1
         offset = self._stream(req).append(payload)
-        if self._faults.lose_answers > 0:
-            self._faults.lose_answers -= 1
+        if faults.lose_answers > 0:
+            faults.lose_answers -= 1
             return Response(status_code=504)
         return JSONResponse({"offset": offset}, status_code=201)
 
     async def read(self, req: Request) -> Response:
         """Answer with records from an offset, waiting for a first one if asked to."""
-        if self._faults.outage:
+        if self._faults_of(req).outage:
             return Response(status_code=503)
         stream = self._stream(req)
         start = int(req.query_params.get("start", 0))
@@ -101,15 +130,25 @@
         wait_s = float(req.query_params.get("wait", 0))
         if stream.end <= start and wait_s > 0:
             await self._wait(stream, wait_s)
-        if self._faults.outage:
+        faults = self._faults_of(req)
+        if faults.outage:
             return Response(status_code=503)
+        if faults.cut_reads > 0:
+            faults.cut_reads -= 1
+            return Response(b'{"records":', headers={"content-length": "1000"})
         return JSONResponse(_page(stream, max(start, stream.first), limit))
 
     async def set_faults(self, req: Request) -> Response:
         """Set the faults in force."""
         self._faults = Faults(**orjson.loads(await req.body()))
+        self._gate.set_closed(self._faults.hold)
+        self._late_gate.set_closed(self._faults.hold_late)
         return JSONResponse(dataclasses.asdict(self._faults))
 
+    async def held(self, req: Request) -> Response:
+        """Answer once so many appends are held."""
+        return JSONResponse({"held": await self._gate.wait_held(int(req.query_params["count"]))})
+
     async def expire(self, req: Request) -> Response:
         """End the retention of records up to an offset."""
         self._stream(req).expire(int(orjson.loads(await req.body())["through"]))
@@ -120,6 +159,14 @@
         ends = {name: stream.end for name, stream in self._streams.items()}
         return JSONResponse({"appends": self._appends, "ends": ends})
 
+    def _faults_of(self, req: Request) -> Faults:
+        hit = req.path_params["stream"].startswith(self._faults.streams)
+        return self._faults if hit else Faults()
+
+    async def _append_late(self, stream: Stream, payload: bytes) -> None:
+        await self._late_gate.pass_through()
+        stream.append(payload)
+
     def _stream(self, req: Request) -> Stream:
         return self._streams.setdefault(req.path_params["stream"], Stream())
 
--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import collections.abc as cabc
 import dataclasses
 
 import orjson
@@ -9,18 +10,34 @@
 from starlette.requests import Request
 from starlette.responses import JSONResponse
 from starlette.responses import Response
+from starlette.responses import StreamingResponse
 from starlette.routing import Route
+from starlette.types import Receive
+from starlette.types import Scope
+from starlette.types import Send
 
 from standins import _serve
+from standins.gate import Gate
 
 
 @dataclasses.dataclass(kw_only=True)
 class Faults:
-    """What goes wrong. ``cut_after_run`` answers are dropped after the run took effect."""
+    """What goes wrong.
+
+    ``cut_after_run`` answers are dropped after the run took effect, with ``cut_chunked`` in the
+    middle of a chunk. ``fail_after_run`` runs are answered with status 500, and
+    ``drop_before_answer`` connections end without an answer. ``hold_before_run`` and
+    ``hold_after_run`` keep calls waiting until the fault is taken back.
+    """
 
     delay_s: float = 0.0
     cut_after_run: int = 0
+    cut_chunked: bool = False
+    drop_before_answer: int = 0
     fail_before_run: int = 0
+    fail_after_run: int = 0
+    hold_before_run: bool = False
+    hold_after_run: bool = False
 
 
 class PlainStandIn:
@@ -29,9 +46,12 @@
     def __init__(self, *, name: str) -> None:
         self._name = name
         self._runs: collections.Counter[str] = collections.Counter()
-        self._answers: dict[str, dict[str, object]] = {}
+        self._answers: dict[tuple[str, str], dict[str, object]] = {}
         self._running = 0
+        self._most_running = 0
         self._faults = Faults()
+        self._before_run = Gate()
+        self._after_run = Gate()
 
     def asgi(self) -> Starlette:
         """Return the ASGI application."""
@@ -39,6 +59,7 @@
             Route("/runs", self.runs, methods=["GET"]),
             Route("/load", self.load, methods=["GET"]),
             Route("/faults", self.set_faults, methods=["POST"]),
+            Route("/held", self.held, methods=["GET"]),
             Route("/outcomes/{key}", self.outcome, methods=["GET"]),
             Route("/{path:path}", self.call, methods=["POST"]),
         ]
@@ -50,9 +71,11 @@
         if self._faults.fail_before_run > 0:
             self._faults.fail_before_run -= 1
             return Response(status_code=500)
+        await self._before_run.pass_through()
         key = req.headers.get("idempotency-key") or req.headers.get("x-request-id", "")
         self._runs[key] += 1
         self._running += 1
+        self._most_running = max(self._most_running, self._running)
         try:
             await asyncio.sleep(self._faults.delay_s)
         finally:
@@ -63,11 +86,28 @@
             "run": self._runs[key],
             "service": self._name,
         }
-        self._answers[key] = answer
+        self._answers[req.headers.get("x-workspace", ""), key] = answer
+        await self._after_run.pass_through()
+        return self._spoilt_answer() or JSONResponse(answer)
+
+    def _spoilt_answer(self) -> Response | None:
         if self._faults.cut_after_run > 0:
             self._faults.cut_after_run -= 1
+            if self._faults.cut_chunked:
+                return StreamingResponse(_cut_chunks(), media_type="application/json")
             return Response(b"{", headers={"content-length": "1000"})
-        return JSONResponse(answer)
+        if self._faults.drop_before_answer > 0:
+            self._faults.drop_before_answer -= 1
+            return _Dropped()
+        if self._faults.fail_after_run > 0:
+            self._faults.fail_after_run -= 1
+            return Response(status_code=500)
+        return None
+
+    async def held(self, req: Request) -> Response:
+        """Answer once so many calls wait at a gate: ``before`` or ``after`` the run."""
+        gate = self._after_run if req.query_params["gate"] == "after" else self._before_run
+        return JSONResponse({"held": await gate.wait_held(int(req.query_params["count"]))})
 
     async def runs(self, req: Request) -> Response:
         """Answer with the number of runs by key."""
@@ -75,11 +115,14 @@
 
     async def load(self, req: Request) -> Response:
         """Answer with the present load."""
-        return JSONResponse({"slots": 16, "running": self._running, "waiting": 0})
+        return JSONResponse(
+            {"slots": 16, "running": self._running, "waiting": 0, "most": self._most_running}
+        )
 
     async def outcome(self, req: Request) -> Response:
-        """Answer with the outcome of an earlier call by its key."""
-        answer = self._answers.get(req.path_params["key"])
+        """Answer with the outcome of an earlier call by its workspace and key."""
+        workspace = req.query_params.get("workspace", "")
+        answer = self._answers.get((workspace, req.path_params["key"]))
         if answer is None:
             return Response(status_code=404)
         return JSONResponse(answer)
@@ -87,9 +130,23 @@
     async def set_faults(self, req: Request) -> Response:
         """Set the faults in force."""
         self._faults = Faults(**orjson.loads(await req.body()))
+        self._before_run.set_closed(self._faults.hold_before_run)
+        self._after_run.set_closed(self._faults.hold_after_run)
         return JSONResponse(dataclasses.asdict(self._faults))
 
 
+async def _cut_chunks() -> cabc.AsyncIterator[bytes]:
+    yield b'{"path":'
+    raise ConnectionAbortedError("the stand-in cuts this answer")
+
+
+class _Dropped(Response):
+    """Ends the connection without an answer."""
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        raise ConnectionAbortedError("the stand-in drops this answer")
+
+
 def main() -> None:
     """Run the stand-in."""
     parser = _serve.base_parser("Stand-in for a plain service.")
--- /dev/null
+++ b/tests/once_fakes.py
@@ -0,0 +1,160 @@
+"""A log in memory with faults, a clock that tests move, and short ways to make records."""
+
+import asyncio
+import collections
+import dataclasses
+import enum
+
+from cassiawalk.clock import Clock
+from cassiawalk.ids import ClaimId
+from cassiawalk.ids import HostId
+from cassiawalk.ids import Offset
+from cassiawalk.ids import Partition
+from cassiawalk.ids import RequestId
+from cassiawalk.once import Abandon
+from cassiawalk.once import Claim
+from cassiawalk.once import Outcome
+from cassiawalk.once import Sequencer
+from cassiawalk.platform import Appended
+from cassiawalk.platform import AppendOutcome
+from cassiawalk.platform import AppendRefused
+from cassiawalk.platform import AppendUnknown
+from cassiawalk.platform import LogEntry
+from cassiawalk.platform import LogService
+from cassiawalk.platform import ReadBatch
+from cassiawalk.platform import ReadFailed
+from cassiawalk.platform import ReadOutcome
+
+EPOCH_S = 1_800_000_000.0
+KEEP_S = 1000.0
+OUTAGE_RETRY_S = 1.0
+
+
+class Effect(enum.Enum):
+    """What becomes of one append."""
+
+    ANSWERED = "answered"
+    LOST = "in the stream, answer lost"
+    DROPPED = "not in the stream, no answer"
+    LATE = "in the stream later, no answer"
+
+
+class FakeClock(Clock):
+    """Time that moves only by ``sleep`` and ``advance``."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall(self) -> float:
+        return EPOCH_S + self.now
+
+    async def sleep(self, delay_s: float) -> None:
+        self.now += max(0.0, delay_s)
+        await asyncio.sleep(0)
+
+    def advance(self, span_s: float) -> None:
+        self.now += span_s
+
+
+@dataclasses.dataclass
+class _Stream:
+    first: int = 0
+    payloads: list[bytes] = dataclasses.field(default_factory=list)
+
+    @property
+    def end(self) -> int:
+        return self.first + len(self.payloads)
+
+
+class FakeLog(LogService):
+    """Streams in memory; ``effects`` says what becomes of the next appends."""
+
+    def __init__(self) -> None:
+        self.streams: dict[str, _Stream] = collections.defaultdict(_Stream)
+        self.effects: collections.deque[Effect] = collections.deque()
+        self.late: list[tuple[str, bytes]] = []
+        self.outage = False
+        self.failing_reads = 0
+        self.appends = 0
+
+    async def append(self, *, stream: str, payload: bytes) -> AppendOutcome:
+        await asyncio.sleep(0)
+        self.appends += 1
+        if self.outage:
+            return AppendRefused(reason="outage", retry_after_s=OUTAGE_RETRY_S)
+        effect = self.effects.popleft() if self.effects else Effect.ANSWERED
+        if effect is Effect.LATE:
+            self.late.append((stream, payload))
+        if effect in (Effect.LATE, Effect.DROPPED):
+            return AppendUnknown(reason=effect.value)
+        self.streams[stream].payloads.append(payload)
+        if effect is Effect.LOST:
+            return AppendUnknown(reason=effect.value)
+        return Appended(offset=Offset(self.streams[stream].end - 1))
+
+    async def read(
+        self, *, stream: str, start: Offset, limit: int, wait_s: float = 0.0
+    ) -> ReadOutcome:
+        await asyncio.sleep(0)
+        if self.failing_reads > 0:
+            self.failing_reads -= 1
+            return ReadFailed(reason="read lost")
+        if self.outage:
+            return ReadFailed(reason="outage")
+        held = self.streams[stream]
+        begin = max(start, held.first)
+        payloads = held.payloads[begin - held.first : begin - held.first + limit]
+        return ReadBatch(
+            entries=tuple(
+                LogEntry(offset=Offset(begin + index), payload=payload)
+                for index, payload in enumerate(payloads)
+            ),
+            first_offset=Offset(held.first),
+            end_offset=Offset(held.end),
+        )
+
+    def deliver_late(self) -> None:
+        """Let the late appends take effect."""
+        late, self.late = self.late, []
+        for stream, payload in late:
+            self.streams[stream].payloads.append(payload)
+
+    def expire(self, stream: str, through: int) -> None:
+        """End the retention of entries up to an offset."""
+        held = self.streams[stream]
+        count = max(0, min(through + 1 - held.first, len(held.payloads)))
+        del held.payloads[:count]
+        held.first += count
+
+
+def make_claim(
+    key: str, number: int, *, at_s: float = 0.0, gateway: str = "host-a", digest: str = "d"
+) -> Claim:
+    """Return a claim made at ``at_s`` seconds of the fake clock."""
+    return Claim(
+        key=key,
+        claim_id=ClaimId(f"claim-{number}"),
+        body_digest=digest,
+        gateway=HostId(gateway),
+        incarnation="one",
+        request_id=RequestId(f"request-{number}"),
+        claimed_s=EPOCH_S + at_s,
+    )
+
+
+def outcome_of(claim: Claim, *, status: int = 200) -> Outcome:
+    """Return an outcome of a claim."""
+    return Outcome(key=claim.key, claim_id=claim.claim_id, status=status, body=b"{}")
+
+
+def abandon_of(claim: Claim) -> Abandon:
+    """Return the abandonment of a claim."""
+    return Abandon(key=claim.key, claim_id=claim.claim_id, claimed_s=claim.claimed_s)
+
+
+def make_sequencer(log: LogService, clock: Clock) -> Sequencer:
+    """Return a sequencer of partition 0, not yet started."""
+    return Sequencer(log=log, partition=Partition(0), clock=clock, keep_s=KEEP_S)
--- /dev/null
+++ b/tests/test_once_machine.py
@@ -0,0 +1,195 @@
+"""History checking: two sequencers, a log with faults, gateways that pause, crash and give up."""
+
+import asyncio
+import collections
+import dataclasses
+import typing as t
+
+import hypothesis
+import hypothesis.strategies as st
+from hypothesis.stateful import Bundle
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import consumes
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+
+from cassiawalk.once import Claim
+from cassiawalk.once import Granted
+from cassiawalk.once import Outcome
+from cassiawalk.once import Sequencer
+from cassiawalk.once import Taken
+from cassiawalk.once import Unavailable
+from cassiawalk.once.sequencer import OUTAGE_HOLD_S
+from tests.once_fakes import KEEP_S
+from tests.once_fakes import Effect
+from tests.once_fakes import FakeClock
+from tests.once_fakes import FakeLog
+from tests.once_fakes import abandon_of
+from tests.once_fakes import make_claim
+from tests.once_fakes import make_sequencer
+from tests.once_fakes import outcome_of
+
+STREAM = "once-0"
+KEYS = st.sampled_from(["k", "l"])
+SIDES = st.sampled_from([0, 1])
+HOSTS = st.sampled_from(["host-a", "host-b", "host-c"])
+
+
+@dataclasses.dataclass(eq=False)
+class Attempt:
+    """A gateway's granted claim that it has not sent yet."""
+
+    claim: Claim
+    granted_at: float
+
+
+class OnceMachine(RuleBasedStateMachine):
+    """Gateways claim, pause, send, give up or die, while the log loses answers and records."""
+
+    granted = Bundle("granted")
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.log = FakeLog()
+        self.clock = FakeClock()
+        self.sides: list[Sequencer] = []
+        self.number = 0
+        self.sent: collections.defaultdict[str, list[float]] = collections.defaultdict(list)
+        self.runs: set[str] = set()
+        self.refused: set[str] = set()
+        self.unrecorded: list[t.Any] = []
+
+    def teardown(self) -> None:
+        for side in self.sides:
+            self.run(side.stop())
+        self.loop.close()
+
+    def run(self, coro: t.Coroutine[t.Any, t.Any, t.Any]) -> t.Any:
+        return self.loop.run_until_complete(coro)
+
+    @initialize()
+    def begin(self) -> None:
+        for _ in range(2):
+            self.sides.append(self.new_side())
+
+    def new_side(self) -> Sequencer:
+        async def started() -> Sequencer:
+            sequencer = make_sequencer(self.log, self.clock)
+            await sequencer.start()
+            return sequencer
+
+        return t.cast(Sequencer, self.run(started()))
+
+    @rule(target=granted, key=KEYS, side=SIDES, host=HOSTS)
+    def claim(self, key: str, side: int, host: str) -> t.Any:
+        self.number += 1
+        claim = make_claim(key, self.number, at_s=self.clock.now, gateway=host)
+        asked_at = self.clock.now
+        decision = self.run(self.sides[side].claim(claim))
+        if isinstance(decision, Granted):
+            return Attempt(claim=claim, granted_at=asked_at)
+        self.refused.add(claim.claim_id)
+        if isinstance(decision, Unavailable) and decision.appended:
+            self.unrecorded.append(abandon_of(claim))
+        if isinstance(decision, Taken) and decision.outcome is not None:
+            assert decision.outcome.claim_id in self.runs
+        return hypothesis.stateful.multiple()
+
+    @rule(attempt=consumes(granted))
+    def send(self, attempt: Attempt) -> None:
+        """Send, unless the claim has become too old, as after a pause."""
+        if self.clock.now - attempt.granted_at >= KEEP_S / 2:
+            self.refused.add(attempt.claim.claim_id)
+            self.unrecorded.append(abandon_of(attempt.claim))
+            return
+        self.sent[attempt.claim.key].append(self.clock.now)
+        self.runs.add(attempt.claim.claim_id)
+        self.unrecorded.append(outcome_of(attempt.claim))
+
+    @rule(attempt=consumes(granted))
+    def send_and_die(self, attempt: Attempt) -> None:
+        """The gateway dies after sending: no outcome is ever recorded."""
+        if self.clock.now - attempt.granted_at < KEEP_S / 2:
+            self.sent[attempt.claim.key].append(self.clock.now)
+            self.runs.add(attempt.claim.claim_id)
+
+    @rule(attempt=consumes(granted))
+    def give_up(self, attempt: Attempt) -> None:
+        self.refused.add(attempt.claim.claim_id)
+        self.unrecorded.append(abandon_of(attempt.claim))
+
+    @rule(attempt=consumes(granted))
+    def die(self, attempt: Attempt) -> None:
+        """The gateway dies before sending; the key stays held."""
+
+    @rule(side=SIDES)
+    def record(self, side: int) -> None:
+        """Record one outcome or abandonment, in whatever order they are tried again."""
+        if not self.unrecorded:
+            return
+        record = self.unrecorded.pop(0)
+        if self.run(self.sides[side].record(record)) is not None:
+            self.unrecorded.append(record)
+
+    @rule(effects=st.lists(st.sampled_from(Effect), min_size=1, max_size=3))
+    def spoil_appends(self, effects: list[Effect]) -> None:
+        self.log.effects.extend(effects)
+
+    @rule(count=st.sampled_from([1, 3, 200]))
+    def spoil_reads(self, count: int) -> None:
+        self.log.failing_reads = count
+
+    @rule()
+    def deliver_late(self) -> None:
+        self.log.deliver_late()
+
+    @rule(outage=st.booleans())
+    def set_outage(self, outage: bool) -> None:
+        self.log.outage = outage
+
+    @rule(span=st.sampled_from([OUTAGE_HOLD_S, KEEP_S / 8, KEEP_S / 3]))
+    def let_time_pass(self, span: float) -> None:
+        self.clock.advance(span)
+
+    @rule(side=SIDES)
+    def replace_sequencer(self, side: int) -> None:
+        self.run(self.sides[side].stop())
+        self.sides[side] = self.new_side()
+
+    @rule(side=SIDES)
+    def checkpoint_and_expire(self, side: int) -> None:
+        """Write a checkpoint if one is due, and end the retention of what it covers."""
+        self.log.outage = False
+        self.log.failing_reads = 0
+
+        async def write() -> None:
+            await self.sides[side].keep_up()
+            while not self.sides[side].is_idle:
+                await asyncio.sleep(0)
+
+        self.run(write())
+        self.log.expire(STREAM, self.sides[side]._reader.checkpoint_offset)
+
+    @invariant()
+    def runs_at_most_once(self) -> None:
+        for key, times in self.sent.items():
+            for earlier, later in zip(times, times[1:], strict=False):
+                assert later - earlier >= KEEP_S / 2, f"{key} ran at {earlier} and {later}"
+
+    @invariant()
+    def not_run_is_true(self) -> None:
+        assert not self.runs & self.refused
+
+    @invariant()
+    def outcomes_belong_to_runs(self) -> None:
+        for record in self.unrecorded:
+            if isinstance(record, Outcome):
+                assert record.claim_id in self.runs
+
+
+TestOnceMachine = OnceMachine.TestCase
+TestOnceMachine.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=40, deadline=None
+)
