Merge reclaim notices and leaving marks of all sources

Cause: only the host list was read, so a notice was missed and each host learnt by itself. Change: a few hosts by rendezvous, one a failure domain first, read the host list and the cloud's notices; the others follow one of them over a stream of changes and poll by themselves after 3 s of silence. Marks are bound to a host's address and keep the notice's deadline.

--- a/src/cassiawalk/membership/hosts.py
+++ b/src/cassiawalk/membership/hosts.py
@@ -1,47 +1,53 @@
 """Merges the host list, reclaim notices and peers' observations into one view."""
 
 import collections.abc as cabc
-import enum
+import dataclasses
 
 import eliot
 
 from cassiawalk.app import Component
 from cassiawalk.clock import Clock
+from cassiawalk.ids import FailureDomain
 from cassiawalk.ids import HostId
+from cassiawalk.membership.marks import STALE_NOTICE_S
+from cassiawalk.membership.marks import LeavingMark
+from cassiawalk.membership.marks import LeavingSource
+from cassiawalk.membership.rendezvous import rank
 from cassiawalk.platform import HostEntry
 from cassiawalk.platform import HostList
 from cassiawalk.platform import HostRole
 from cassiawalk.platform import HostState
+from cassiawalk.platform import ReclaimNotice
 
 POLL_INTERVAL_S = 1.0
 UNREACHABLE_HOLD_S = 5.0
+POLLERS = 3
+FEED_SILENCE_S = 3.0
+_POLLER_KEY = "membership pollers"
 
-
-class LeavingSource(enum.Enum):
-    """Who said first that a host is leaving."""
-
-    HOST_LIST = "host list"
-    CLOUD_NOTICE = "cloud notice"
-    UPSTREAM = "upstream"
-    PEER = "peer"
-    OPERATOR = "operator"
+LeavingListener = cabc.Callable[[HostId, LeavingSource], None]
 
 
 class Membership(Component):
-    """This host's view of all hosts. It is soft: no promise rests on its being right."""
+    """This host's view of all hosts. It is soft: no promise rests on its being right.
+
+    A few hosts, the pollers, read the host list and the cloud's notices. The others follow a
+    poller, and poll by themselves when none has been heard for a few seconds.
+    """
 
     def __init__(self, *, host: HostId, host_list: HostList, clock: Clock) -> None:
         self._host = host
         self._host_list = host_list
         self._clock = clock
         self._entries: dict[HostId, HostEntry] = {}
-        self._leaving: dict[HostId, LeavingSource] = {}
+        self._leaving: dict[HostId, LeavingMark] = {}
         self._unreachable_until: dict[HostId, float] = {}
+        self._feed_heard_at: float | None = None
         self._listeners: list[cabc.Callable[[], None]] = []
-        self._leaving_listeners: list[cabc.Callable[[HostId, LeavingSource], None]] = []
+        self._leaving_listeners: list[LeavingListener] = []
 
     async def start(self) -> None:
-        """Read the list once, then keep polling it."""
+        """Read the list once, then keep it up to date."""
         await self.refresh()
         self.spawn(self._poll(), name="membership-poll")
 
@@ -49,7 +55,7 @@
         """Call ``listener`` whenever the view changes."""
         self._listeners.append(listener)
 
-    def add_leaving_listener(self, listener: cabc.Callable[[HostId, LeavingSource], None]) -> None:
+    def add_leaving_listener(self, listener: LeavingListener) -> None:
         """Call ``listener`` once for each host that starts to leave."""
         self._leaving_listeners.append(listener)
 
@@ -61,10 +67,23 @@
         """Return all listed hosts of a role, leaving ones included."""
         return [entry for entry in self._entries.values() if entry.role is role]
 
+    def all_entries(self) -> dict[HostId, HostEntry]:
+        """Return all listed hosts."""
+        return dict(self._entries)
+
     def is_leaving(self, host: HostId) -> bool:
         """Return whether any source said that the host is leaving."""
         return host in self._leaving
 
+    def leaving_marks(self) -> list[LeavingMark]:
+        """Return what is known of all leaving hosts."""
+        return list(self._leaving.values())
+
+    def reclaim_s(self, host: HostId) -> float | None:
+        """Return the wall-clock time at which a host is taken away, or None if unknown."""
+        mark = self._leaving.get(host)
+        return None if mark is None else mark.reclaim_s
+
     def reachable_entry_hosts(self) -> list[HostId]:
         """Return entry hosts that are neither leaving nor known to be unreachable."""
         now = self._clock.monotonic()
@@ -74,14 +93,72 @@
             if not self.is_leaving(entry.host) and self._unreachable_until.get(entry.host, 0) <= now
         ]
 
-    def mark_leaving(self, host: HostId, source: LeavingSource) -> None:
-        """Note that a host is leaving; the first source counts."""
-        if host in self._leaving:
+    def pollers(self) -> list[HostId]:
+        """Return the hosts that read the platform, each of another failure domain if possible."""
+        ranked = rank(_POLLER_KEY, self.reachable_entry_hosts())
+        domains: set[FailureDomain] = set()
+        first: list[HostId] = []
+        others: list[HostId] = []
+        for host in ranked:
+            domain = self._entries[host].failure_domain
+            (others if domain in domains else first).append(host)
+            domains.add(domain)
+        return [*first, *others][:POLLERS]
+
+    @property
+    def polls(self) -> bool:
+        """Return whether this host reads the host list and the cloud's notices itself."""
+        if self._host in self.pollers() or self._feed_heard_at is None:
+            return True
+        return self._clock.monotonic() - self._feed_heard_at > FEED_SILENCE_S
+
+    def note_feed(self) -> None:
+        """Note that a poller was heard."""
+        self._feed_heard_at = self._clock.monotonic()
+
+    def mark_leaving(
+        self, host: HostId, source: LeavingSource, *, reclaim_s: float | None = None
+    ) -> None:
+        """Note that a host is leaving; the first source counts.
+
+        :param reclaim_s: wall-clock time of the reclaim, where the source knows it.
+        """
+        entry = self._entries.get(host)
+        mark = LeavingMark(
+            host=host,
+            source=source,
+            noted_s=self._clock.wall(),
+            address="" if entry is None else entry.address,
+            reclaim_s=reclaim_s,
+        )
+        self.take_over_mark(mark)
+
+    def mark_noticed(self, notice: ReclaimNotice) -> None:
+        """Note a cloud's notice; one long past belongs to an earlier host of the same id."""
+        if notice.reclaim_s + STALE_NOTICE_S < self._clock.wall():
             return
-        self._leaving[host] = source
-        eliot.log_message(message_type="membership:leaving", host=host, source=source.value)
+        self.mark_leaving(notice.host, LeavingSource.CLOUD_NOTICE, reclaim_s=notice.reclaim_s)
+
+    def take_over_mark(self, mark: LeavingMark) -> None:
+        """Keep a mark, unless it is about an earlier host with the same id."""
+        entry = self._entries.get(mark.host)
+        if entry is not None and mark.address not in ("", entry.address):
+            return
+        known = self._leaving.get(mark.host)
+        if known is not None:
+            if known.reclaim_s is None and mark.reclaim_s is not None:
+                self._leaving[mark.host] = dataclasses.replace(known, reclaim_s=mark.reclaim_s)
+                self._notify()
+            return
+        self._leaving[mark.host] = mark
+        eliot.log_message(
+            message_type="membership:leaving",
+            host=mark.host,
+            source=mark.source.value,
+            reclaim_s=mark.reclaim_s,
+        )
         for listener in self._leaving_listeners:
-            listener(host, source)
+            listener(mark.host, mark.source)
         self._notify()
 
     def mark_unreachable(self, host: HostId) -> None:
@@ -91,18 +168,34 @@
     async def refresh(self) -> None:
         """Read the host list once; in an outage the last view stays."""
         hosts = await self._host_list.hosts()
-        if hosts is None:
-            return
-        entries = {entry.host: entry for entry in hosts}
+        if hosts is not None:
+            self.replace_entries({entry.host: entry for entry in hosts})
+
+    def replace_entries(self, entries: cabc.Mapping[HostId, HostEntry]) -> None:
+        """Take over a whole list."""
         changed = entries != self._entries
-        self._entries = entries
-        self._leaving = {host: src for host, src in self._leaving.items() if host in entries}
-        for entry in hosts:
+        self._entries = dict(entries)
+        self._leaving = {
+            host: kept for host, mark in self._leaving.items() if (kept := self._still(mark))
+        }
+        for entry in entries.values():
             if entry.state is HostState.LEAVING:
                 self.mark_leaving(entry.host, LeavingSource.HOST_LIST)
         if changed:
             self._notify()
 
+    def _still(self, mark: LeavingMark) -> LeavingMark | None:
+        """Return the mark as it holds under the present list, or None if it is over."""
+        entry = self._entries.get(mark.host)
+        expired = self._clock.wall() > mark.expires_s()
+        if entry is None:
+            return None if expired else mark
+        if mark.address not in ("", entry.address):
+            return None
+        if expired and entry.state is HostState.LIVE:
+            return None
+        return mark if mark.address else dataclasses.replace(mark, address=entry.address)
+
     def _notify(self) -> None:
         for listener in self._listeners:
             listener()
@@ -110,4 +203,5 @@
     async def _poll(self) -> None:
         while True:
             await self._clock.sleep(POLL_INTERVAL_S)
-            await self.refresh()
+            if self.polls:
+                await self.refresh()
--- a/src/cassiawalk/peer/__init__.py
+++ b/src/cassiawalk/peer/__init__.py
@@ -1,5 +1,11 @@
 """The protocol between cassiawalk's own processes."""
 
+from cassiawalk.peer.board import Note as Note
+from cassiawalk.peer.board import NoteBoard as NoteBoard
+from cassiawalk.peer.board import NoteTopic as NoteTopic
+from cassiawalk.peer.feed import FeedCall as FeedCall
+from cassiawalk.peer.feed import MembershipFeed as MembershipFeed
+from cassiawalk.peer.feed import ShareCall as ShareCall
 from cassiawalk.peer.links import PeerFailure as PeerFailure
 from cassiawalk.peer.links import PeerLinks as PeerLinks
 from cassiawalk.peer.messages import AttachCall as AttachCall
--- /dev/null
+++ b/src/cassiawalk/peer/feed.py
@@ -0,0 +1,205 @@
+"""Passes the host list, leaving marks and notes from the few hosts that poll on to the others."""
+
+import asyncio
+import collections.abc as cabc
+import contextlib
+import dataclasses
+
+from cassiawalk.app import Component
+from cassiawalk.clock import Clock
+from cassiawalk.errors import WireError
+from cassiawalk.ids import HostId
+from cassiawalk.membership import LeavingMark
+from cassiawalk.membership import LeavingSource
+from cassiawalk.membership import Membership
+from cassiawalk.membership import rank
+from cassiawalk.peer.board import Note
+from cassiawalk.peer.board import NoteBoard
+from cassiawalk.peer.board import NoteKey
+from cassiawalk.peer.links import PeerFailure
+from cassiawalk.peer.links import PeerLinks
+from cassiawalk.peer.messages import StreamPart
+from cassiawalk.peer.messages import messages
+from cassiawalk.platform import CloudApi
+from cassiawalk.platform import HostEntry
+from cassiawalk.wire import from_plain
+from cassiawalk.wire import to_plain
+
+NOTICE_WAIT_S = 10.0
+ROLE_CHECK_S = 1.0
+HEARTBEAT_S = 1.0
+OUTAGE_DELAY_S = 0.5
+CALL_TIMEOUT_S = 2.0
+
+
+@messages.register("share")
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ShareCall:
+    """Tells a poller of what the sender learnt by itself."""
+
+    marks: tuple[LeavingMark, ...] = ()
+    notes: tuple[Note, ...] = ()
+
+
+@messages.register("share-reply")
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ShareReply:
+    """The marks and notes were taken over."""
+
+
+@messages.register("feed")
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FeedCall:
+    """Asks for the host list and all marks, and then for their changes."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FeedUpdate:
+    """Changes since the update before; an empty one is a heartbeat."""
+
+    entries: tuple[HostEntry, ...] = ()
+    removed: tuple[HostId, ...] = ()
+    marks: tuple[LeavingMark, ...] = ()
+    notes: tuple[Note, ...] = ()
+
+
+class MembershipFeed(Component):
+    """Polls the cloud's notices or follows a host that does.
+
+    What this host learns by itself goes to the pollers at once, and from them to all others.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: HostId,
+        membership: Membership,
+        links: PeerLinks,
+        board: NoteBoard,
+        cloud: CloudApi,
+        clock: Clock,
+    ) -> None:
+        self._host = host
+        self._membership = membership
+        self._links = links
+        self._board = board
+        self._cloud = cloud
+        self._clock = clock
+        self._after = 0
+        self._changed = asyncio.Event()
+
+    async def start(self) -> None:
+        """Start polling or following."""
+        self._membership.add_listener(self._wake)
+        self._membership.add_leaving_listener(self._pass_on)
+        self._board.add_listener(self._note_changed)
+        self.spawn(self._poll_notices(), name="cloud-notices")
+        self.spawn(self._follow(), name="membership-feed")
+
+    async def handle_share(self, call: ShareCall) -> ShareReply:
+        """Take over a peer's marks and notes."""
+        for mark in call.marks:
+            self._take_over(mark)
+        for note in call.notes:
+            self._board.take_over(note)
+        return ShareReply()
+
+    async def share(self, note: Note) -> None:
+        """Put a note on the board and return once the reachable pollers have it."""
+        self._board.take_over(note)
+        await self._tell_pollers(ShareCall(notes=(note,)))
+
+    async def serve(self, _: FeedCall) -> cabc.AsyncIterator[StreamPart]:
+        """Yield updates for a follower, and a heartbeat when nothing changes."""
+        sent: dict[HostId, HostEntry] = {}
+        marked: set[LeavingMark] = set()
+        noted: dict[NoteKey, Note] = {}
+        while True:
+            changed = self._changed
+            entries = self._membership.all_entries()
+            marks = set(self._membership.leaving_marks())
+            notes = self._board.notes()
+            update = FeedUpdate(
+                entries=tuple(e for h, e in entries.items() if sent.get(h) != e),
+                removed=tuple(h for h in sent if h not in entries),
+                marks=tuple(marks - marked),
+                notes=tuple(n for key, n in notes.items() if noted.get(key) != n),
+            )
+            yield StreamPart(item=to_plain(update))
+            sent, marked, noted = entries, marks, notes
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(HEARTBEAT_S):
+                    await changed.wait()
+
+    def _wake(self) -> None:
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    def _take_over(self, mark: LeavingMark) -> None:
+        self._membership.take_over_mark(dataclasses.replace(mark, source=LeavingSource.PEER))
+
+    def _pass_on(self, host: HostId, source: LeavingSource) -> None:
+        if source is LeavingSource.PEER:
+            return
+        marks = tuple(m for m in self._membership.leaving_marks() if m.host == host)
+        self.spawn(self._tell_pollers(ShareCall(marks=marks)), name=f"leaving-{host}")
+
+    def _note_changed(self, _: Note) -> None:
+        self._wake()
+
+    async def _tell_pollers(self, call: ShareCall) -> None:
+        pollers = [host for host in self._membership.pollers() if host != self._host]
+        calls = [
+            self._links.call(poller, call, ShareReply, timeout_s=CALL_TIMEOUT_S)
+            for poller in pollers
+        ]
+        await asyncio.gather(*calls)
+
+    async def _poll_notices(self) -> None:
+        while True:
+            if not self._membership.polls:
+                await self._clock.sleep(ROLE_CHECK_S)
+                continue
+            notices = await self._cloud.notices(after=self._after, wait_s=NOTICE_WAIT_S)
+            if notices is None:
+                await self._clock.sleep(OUTAGE_DELAY_S)
+                continue
+            for notice in notices:
+                self._after = max(self._after, notice.seq)
+                self._membership.mark_noticed(notice)
+
+    async def _follow(self) -> None:
+        while True:
+            pollers = [h for h in self._membership.pollers() if h != self._host]
+            if self._host in self._membership.pollers() or not pollers:
+                await self._clock.sleep(ROLE_CHECK_S)
+                continue
+            await self._follow_one(rank(self._host, pollers)[0])
+            await self._clock.sleep(OUTAGE_DELAY_S)
+
+    async def _follow_one(self, poller: HostId) -> None:
+        """Take over a poller's updates until it fails or is a poller no more."""
+        entries: dict[HostId, HostEntry] = {}
+        items = self._links.stream(poller, FeedCall())
+        with contextlib.suppress(TimeoutError, StopAsyncIteration, WireError):
+            async with contextlib.aclosing(items):
+                while poller in self._membership.pollers():
+                    async with asyncio.timeout(3 * HEARTBEAT_S):
+                        item = await anext(items)
+                    if isinstance(item, PeerFailure):
+                        break
+                    self._apply(entries, from_plain(FeedUpdate, item))
+                return
+        self._membership.mark_unreachable(poller)
+
+    def _apply(self, entries: dict[HostId, HostEntry], update: FeedUpdate) -> None:
+        self._membership.note_feed()
+        for host in update.removed:
+            entries.pop(host, None)
+        entries.update({entry.host: entry for entry in update.entries})
+        if update.entries or update.removed:
+            self._membership.replace_entries(entries)
+        for mark in update.marks:
+            self._take_over(mark)
+        for note in update.notes:
+            self._board.take_over(note)
