Keep states, reports and cache knowledge of each upstream

Change: a suspect upstream returns only by a report newer than its failure over a fresh connection; ejection never covers more than half a pool; cache events fill a bounded set in which a gap means doubt; plain services' loads are polled; an id with a new address is new.

--- a/src/cassiawalk/dispatch/watcher.py
+++ b/src/cassiawalk/dispatch/watcher.py
@@ -1,7 +1,10 @@
-"""Reads load reports and cache events of the engines."""
+"""Reads load reports and cache events of the upstreams."""
 
 import asyncio
+import collections.abc as cabc
 import contextlib
+import dataclasses
+import random
 
 from cassiawalk.app import Component
 from cassiawalk.clock import Clock
@@ -9,45 +12,118 @@
 from cassiawalk.ids import UpstreamId
 from cassiawalk.platform import HostRole
 from cassiawalk.platform import LoadReport
+from cassiawalk.platform.engine import CacheRemoved
+from cassiawalk.platform.engine import CacheStored
+from cassiawalk.platform.engine import EngineNotice
+from cassiawalk.routing import UpstreamState
 from cassiawalk.routing import UpstreamTable
 from cassiawalk.routing import UpstreamView
 
-RECONNECT_DELAY_S = 1.0
+RECONNECT_BASE_S = 0.25
+RECONNECT_LIMIT_S = 4.0
+NOTICE_SILENCE_S = 5.0
+PLAIN_POLL_S = 1.0
+DeathListener = cabc.Callable[[UpstreamView], None]
+
+
+@dataclasses.dataclass(kw_only=True, eq=False)
+class _Watch:
+    """The task that watches one view."""
+
+    view: UpstreamView
+    task: asyncio.Task[None]
 
 
 class UpstreamWatcher(Component):
-    """Keeps one notice stream open to each engine in the table."""
+    """Keeps one notice stream open to each engine in the table, and polls plain services.
 
-    def __init__(self, *, table: UpstreamTable, connector: Connector, clock: Clock) -> None:
+    A failure of an upstream ends its watch and begins another over a fresh connection, whose
+    first report is the probe that brings the upstream back.
+    """
+
+    def __init__(
+        self, *, table: UpstreamTable, connector: Connector, clock: Clock, rng: random.Random
+    ) -> None:
         self._table = table
         self._connector = connector
         self._clock = clock
-        self._watches: dict[UpstreamId, asyncio.Task[None]] = {}
+        self._rng = rng
+        self._watches: dict[UpstreamId, _Watch] = {}
+        self._death_listeners: list[DeathListener] = []
 
     async def start(self) -> None:
-        """Watch the engines of the table and those that join later."""
+        """Watch the upstreams of the table and those that join later."""
         self._table.add_listener(self._refresh)
         self._refresh()
 
+    def add_death_listener(self, listener: DeathListener) -> None:
+        """Call ``listener`` when an engine that sent notices closes its notice stream."""
+        self._death_listeners.append(listener)
+
     def _refresh(self) -> None:
-        engines = {
-            view.upstream_id: view
-            for view in self._table.all()
-            if view.entry.role is HostRole.ENGINE
-        }
-        for upstream_id in [u for u in self._watches if u not in engines]:
-            self._watches.pop(upstream_id).cancel()
-        for upstream_id, view in engines.items():
+        views = {view.upstream_id: view for view in self._table.all()}
+        for upstream_id, watch in list(self._watches.items()):
+            if views.get(upstream_id) is not watch.view:
+                self._watches.pop(upstream_id).task.cancel()
+        for upstream_id, view in views.items():
             if upstream_id not in self._watches:
-                task = self.spawn(self._watch(view), name=f"watch-{upstream_id}")
-                self._watches[upstream_id] = task
+                self._begin(view)
+
+    def _begin(self, view: UpstreamView) -> None:
+        engine = view.entry.role is HostRole.ENGINE
+        coro = self._watch_engine(view) if engine else self._poll_plain(view)
+        task = self.spawn(coro, name=f"watch-{view.upstream_id}")
+        self._watches[view.upstream_id] = _Watch(view=view, task=task)
+
+    async def _watch_engine(self, view: UpstreamView) -> None:
+        attempts = 0
+        while True:
+            heard = await self._read_notices(view)
+            attempts = 0 if heard else attempts + 1
+            if heard and view.state is not UpstreamState.LEAVING:
+                self._note_lost(view)
+            ceiling = min(RECONNECT_LIMIT_S, RECONNECT_BASE_S * 2.0**attempts)
+            await self._clock.sleep(self._rng.uniform(ceiling / 2, ceiling))
+
+    async def _read_notices(self, view: UpstreamView) -> bool:
+        """Take over notices until the stream ends; return whether there was any.
+
+        The stream is left as well when the upstream fails, so that a fresh one is the probe.
+        """
+        opened_at = self._clock.monotonic()
+        failures = view.failures
+        heard = False
+        notices = self._connector.engine(view).notices()
+        view.cached_blocks.note_reconnected()
+        async with contextlib.aclosing(notices):
+            while True:
+                try:
+                    async with asyncio.timeout(NOTICE_SILENCE_S):
+                        notice = await anext(notices)
+                except (StopAsyncIteration, TimeoutError):
+                    return heard
+                heard = True
+                self._take_over(view, notice, opened_at)
+                if view.failures != failures:
+                    return False
+
+    def _take_over(self, view: UpstreamView, notice: EngineNotice, opened_at: float) -> None:
+        if isinstance(notice, LoadReport):
+            view.note_report(notice, asked_at=opened_at)
+            self._table.notify()
+        elif isinstance(notice, CacheStored | CacheRemoved):
+            view.cached_blocks.note(notice)
+
+    def _note_lost(self, view: UpstreamView) -> None:
+        view.fire("note_failure")
+        for listener in self._death_listeners:
+            listener(view)
 
-    async def _watch(self, view: UpstreamView) -> None:
+    async def _poll_plain(self, view: UpstreamView) -> None:
         while True:
-            notices = self._connector.engine(view).notices()
-            async with contextlib.aclosing(notices):
-                async for notice in notices:
-                    if isinstance(notice, LoadReport):
-                        view.note_report(notice)
-                        self._table.notify()
-            await self._clock.sleep(RECONNECT_DELAY_S)
+            asked_at = self._clock.monotonic()
+            report = await self._connector.plain(view).load()
+            if report is not None:
+                view.note_report(report, asked_at=asked_at)
+                self._table.notify()
+            await self._clock.sleep(self._rng.uniform(PLAIN_POLL_S / 2, PLAIN_POLL_S))
--- a/src/cassiawalk/platform/service.py
+++ b/src/cassiawalk/platform/service.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from cassiawalk.ids import RequestId
+from cassiawalk.platform.engine import LoadReport
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -47,5 +48,9 @@
     async def look_up(self, *, path: str, key: str) -> CallOutcome:
         """Ask for the outcome of an earlier call by key; status 404 means that it did not run."""
 
+    async def load(self) -> LoadReport | None:
+        """Return the service's load, or None if it can't be had or is not reported."""
+        return None
+
     async def aclose(self) -> None:
         """Release connections."""
--- a/src/cassiawalk/platform/service_http.py
+++ b/src/cassiawalk/platform/service_http.py
@@ -1,8 +1,12 @@
 """Plain services over HTTP and JSON."""
 
 import asyncio
+import time
+
+import orjson
 
 from cassiawalk.platform import _http
+from cassiawalk.platform.engine import LoadReport
 from cassiawalk.platform.service import CallAnswered
 from cassiawalk.platform.service import CallFailed
 from cassiawalk.platform.service import CallOutcome
@@ -10,6 +14,8 @@
 from cassiawalk.platform.service import ServiceCall
 
 _LOOK_UP_TIMEOUT_S = 5.0
+_LOAD_TIMEOUT_S = 2.0
+_BAD_LOAD: tuple[type[BaseException], ...] = (*_http.LOST_ANSWER, KeyError, TypeError)
 
 
 class HttpPlainService(PlainService):
@@ -56,3 +62,23 @@
         finally:
             await _http.close_client(client)
         return CallAnswered(status=res.status_code, body=bytes(body))
+
+    async def load(self) -> LoadReport | None:
+        """Return the report of one GET; a report without a time counts as measured now."""
+        client = _http.new_client(answer_timeout_s=None)
+        try:
+            async with asyncio.timeout(_LOAD_TIMEOUT_S):
+                res = await client.get(f"{self._url}/load")
+                answer = orjson.loads(await res.content())
+            if res.status_code != 200:
+                return None
+            return LoadReport(
+                slots=int(answer["slots"]),
+                running=int(answer["running"]),
+                waiting=int(answer["waiting"]),
+                measured_s=float(answer.get("measured_s", time.time())),
+            )
+        except _BAD_LOAD:
+            return None
+        finally:
+            await _http.close_client(client)
--- a/src/cassiawalk/routing/table.py
+++ b/src/cassiawalk/routing/table.py
@@ -1,6 +1,7 @@
 """All upstreams that this host knows."""
 
 import collections.abc as cabc
+import math
 
 from cassiawalk.app import Component
 from cassiawalk.clock import Clock
@@ -14,6 +15,8 @@
 from cassiawalk.routing.upstream import UpstreamState
 from cassiawalk.routing.upstream import UpstreamView
 
+EJECTED_SHARE = 0.5
+
 
 class UpstreamTable(Component):
     """Views of the listed upstreams, kept in step with the membership."""
@@ -23,6 +26,7 @@
         self._clock = clock
         self._views: dict[UpstreamId, UpstreamView] = {}
         self._listeners: list[cabc.Callable[[], None]] = []
+        self._leaving_listeners: list[cabc.Callable[[UpstreamView], None]] = []
         membership.add_listener(self.refresh)
         membership.add_leaving_listener(self._note_leaving)
 
@@ -34,6 +38,10 @@
         """Call ``listener`` whenever an upstream or its load changes."""
         self._listeners.append(listener)
 
+    def add_leaving_listener(self, listener: cabc.Callable[[UpstreamView], None]) -> None:
+        """Call ``listener`` once for each upstream that starts to leave."""
+        self._leaving_listeners.append(listener)
+
     def get(self, upstream_id: UpstreamId) -> UpstreamView | None:
         """Return an upstream's view, or None if it is not listed."""
         return self._views.get(upstream_id)
@@ -46,6 +54,10 @@
         """Return the views of a pool."""
         return [view for view in self._views.values() if view.pool == pool]
 
+    def reclaim_s(self, view: UpstreamView) -> float | None:
+        """Return the wall-clock time at which an upstream is taken away, or None if unknown."""
+        return self._membership.reclaim_s(view.entry.host)
+
     def refresh(self) -> None:
         """Take over the present membership."""
         listed: dict[UpstreamId, HostEntry] = {}
@@ -56,23 +68,53 @@
             self._views.pop(upstream_id).fire("note_gone")
         for upstream_id, entry in listed.items():
             self._take_over(upstream_id, entry)
+        self._limit_ejections()
         self.notify()
 
     def notify(self) -> None:
         """Tell listeners that an upstream or its load changed."""
-        for listener in self._listeners:
+        for listener in list(self._listeners):
             listener()
 
     def _take_over(self, upstream_id: UpstreamId, entry: HostEntry) -> None:
         view = self._views.get(upstream_id)
+        if view is not None and view.entry.address != entry.address:
+            # The id came back with a new address, so it names a new host.
+            view.fire("note_gone")
+            view = None
         if view is None:
-            view = UpstreamView(entry=entry, clock=self._clock)
+            view = UpstreamView(
+                entry=entry,
+                clock=self._clock,
+                on_failure=self._after_failure,
+                on_leaving=self._after_leaving,
+            )
             self._views[upstream_id] = view
         view.entry = entry
-        if self._membership.is_leaving(entry.host) and view.state is not UpstreamState.LEAVING:
+        if self._membership.is_leaving(entry.host):
             view.fire("note_leaving")
 
     def _note_leaving(self, host: HostId, source: LeavingSource) -> None:
         view = self._views.get(UpstreamId(host))
         if view is not None:
             view.fire("note_leaving")
+
+    def _after_leaving(self, view: UpstreamView) -> None:
+        """Tell the membership, which tells the peers, and whoever runs work there."""
+        self._membership.mark_leaving(view.entry.host, LeavingSource.UPSTREAM)
+        for listener in list(self._leaving_listeners):
+            listener(view)
+
+    def _after_failure(self, _: UpstreamView) -> None:
+        self._limit_ejections()
+        self.notify()
+
+    def _limit_ejections(self) -> None:
+        """Eject the latest failures, but never more than a share of a pool."""
+        for pool in {view.pool for view in self._views.values()}:
+            present = [v for v in self.in_pool(pool) if v.state is not UpstreamState.LEAVING]
+            suspect = [v for v in present if v.state is UpstreamState.SUSPECT]
+            suspect.sort(key=lambda v: v.failed_at or 0.0, reverse=True)
+            allowed = min(max(1, math.floor(len(present) * EJECTED_SHARE)), len(present) - 1)
+            for index, view in enumerate(suspect):
+                view.ejected = index < allowed
--- a/src/cassiawalk/routing/upstream.py
+++ b/src/cassiawalk/routing/upstream.py
@@ -1,5 +1,6 @@
 """This host's view of one upstream."""
 
+import collections.abc as cabc
 import enum
 
 import transitions
@@ -11,6 +12,7 @@
 from cassiawalk.ids import UpstreamId
 from cassiawalk.platform import HostEntry
 from cassiawalk.platform import LoadReport
+from cassiawalk.routing.cache import CacheView
 
 DEFAULT_SLOTS = 8
 
@@ -25,34 +27,72 @@
     GONE = "gone"
 
 
+_PRESENT = [UpstreamState.STARTING, UpstreamState.SERVING, UpstreamState.SUSPECT]
+
 _TRANSITIONS = [
-    {
-        "trigger": "note_serving",
-        "source": [UpstreamState.STARTING, UpstreamState.SUSPECT, UpstreamState.SERVING],
-        "dest": UpstreamState.SERVING,
-    },
+    {"trigger": "note_serving", "source": _PRESENT, "dest": UpstreamState.SERVING},
     {
         "trigger": "note_failure",
-        "source": [UpstreamState.STARTING, UpstreamState.SERVING, UpstreamState.SUSPECT],
+        "source": _PRESENT,
         "dest": UpstreamState.SUSPECT,
+        "after": "_after_failure",
+    },
+    {
+        "trigger": "note_leaving",
+        "source": _PRESENT,
+        "dest": UpstreamState.LEAVING,
+        "after": "_after_leaving",
+    },
+    {
+        "trigger": "note_gone",
+        "source": [*_PRESENT, UpstreamState.LEAVING],
+        "dest": UpstreamState.GONE,
     },
-    {"trigger": "note_leaving", "source": "*", "dest": UpstreamState.LEAVING},
-    {"trigger": "note_gone", "source": "*", "dest": UpstreamState.GONE},
 ]
 
+Listener = cabc.Callable[["UpstreamView"], None]
+
+
+def _ignore(_: "UpstreamView") -> None:
+    """Listen to nothing."""
+
 
 class UpstreamView:
-    """Identity, state and load of one upstream."""
+    """Identity, state and load of one upstream.
+
+    ``failed_at`` and ``reported_at`` are in monotonic seconds. ``ejected`` is set by the table: a
+    suspect upstream that is not ejected still takes work, as too many others are suspect.
+    ``reserved_for`` names the only request that may be sent here now.
+
+    :param on_failure: called after each failure.
+    :param on_leaving: called once, when the upstream starts to leave.
+    """
 
     state: UpstreamState
 
-    def __init__(self, *, entry: HostEntry, clock: Clock) -> None:
+    def __init__(
+        self,
+        *,
+        entry: HostEntry,
+        clock: Clock,
+        on_failure: Listener = _ignore,
+        on_leaving: Listener = _ignore,
+    ) -> None:
         self.upstream_id = UpstreamId(entry.host)
         self.entry = entry
         self._clock = clock
+        self._on_failure = on_failure
+        self._on_leaving = on_leaving
         self.own_running: set[RequestId] = set()
+        self.sent_since_report = 0
         self.report: LoadReport | None = None
         self.reported_at: float | None = None
+        self.failures = 0
+        self.failed_at: float | None = None
+        self.ejected = False
+        self.reserved_for: RequestId | None = None
+        self.cached_blocks = CacheView()
+        self._measured_at_failure_s = 0.0
         self._machine = transitions.Machine(
             model=self,
             states=UpstreamState,
@@ -72,9 +112,23 @@
         """Return the upstream's failure domain."""
         return self.entry.failure_domain
 
+    @property
+    def price(self) -> float:
+        """Return the host's price in cost units an hour."""
+        return self.entry.price
+
+    @property
+    def reclaimable(self) -> bool:
+        """Return whether the host may be taken back."""
+        return self.entry.reclaimable
+
     @property
     def takes_work(self) -> bool:
         """Return whether new work may be sent to the upstream."""
+        if self.reserved_for is not None:
+            return False
+        if self.state is UpstreamState.SUSPECT:
+            return not self.ejected
         return self.state in (UpstreamState.STARTING, UpstreamState.SERVING)
 
     @property
@@ -82,12 +136,43 @@
         """Return how many requests the upstream runs at once."""
         return self.report.slots if self.report is not None else DEFAULT_SLOTS
 
-    def note_report(self, report: LoadReport) -> None:
-        """Keep a load report and when it came."""
+    def note_sent(self, request_id: RequestId) -> None:
+        """Count a request that was given a slot here."""
+        self.own_running.add(request_id)
+        self.sent_since_report += 1
+
+    def note_report(self, report: LoadReport, *, asked_at: float | None = None) -> None:
+        """Keep a load report and when it came.
+
+        A suspect upstream returns only by a report that it measured after its failure and that
+        came over a connection opened after it.
+
+        :param asked_at: when the connection of the report was opened, in monotonic seconds; None
+            for a connection opened just now.
+        """
         self.report = report
         self.reported_at = self._clock.monotonic()
-        self.fire("note_serving")
+        self.sent_since_report = 0
+        if self._answers_failure(report, asked_at):
+            self.fire("note_serving")
 
     def fire(self, trigger: str) -> None:
         """Run a transition; one that does not apply in the present state is ignored."""
         self.trigger(trigger)  # type: ignore[attr-defined]
+
+    def _answers_failure(self, report: LoadReport, asked_at: float | None) -> bool:
+        if self.state is not UpstreamState.SUSPECT or self.failed_at is None:
+            return True
+        if asked_at is not None and asked_at < self.failed_at:
+            return False
+        return report.measured_s > self._measured_at_failure_s
+
+    def _after_failure(self) -> None:
+        self.failures += 1
+        self.failed_at = self._clock.monotonic()
+        if self.report is not None:
+            self._measured_at_failure_s = self.report.measured_s
+        self._on_failure(self)
+
+    def _after_leaving(self) -> None:
+        self._on_leaving(self)
--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import time
 
 import orjson
 from starlette.applications import Starlette
@@ -75,7 +76,8 @@
 
     async def load(self, req: Request) -> Response:
         """Answer with the present load."""
-        return JSONResponse({"slots": 16, "running": self._running, "waiting": 0})
+        load = {"slots": 16, "running": self._running, "waiting": 0, "measured_s": time.time()}
+        return JSONResponse(load)
 
     async def outcome(self, req: Request) -> Response:
         """Answer with the outcome of an earlier call by its key."""
