Move streams off leaving upstreams and quarantine crashing requests

Change: streams on a leaving upstream finish, are moved with their KV cache, or resume elsewhere, by one pure decision; the old attempt is read until the next place is ready. Requests that ran on an upstream that died without explanation run alone next, and are quarantined on control after a second such death.

--- a/src/cassiawalk/admission/scheduler.py
+++ b/src/cassiawalk/admission/scheduler.py
@@ -79,13 +79,17 @@
             workspace=record.workspace,
             share=record.share,
             cost=float(record.kind.max_tokens),
-            priority=_PRIORITIES[record.kind.mode],
+            priority=_PRIORITIES[record.kind.mode] - (1 if record.attempt else 0),
         )
         self._pump(record.pool)
         try:
             async with asyncio.timeout(max(0.0, record.deadline_s - self._clock.wall())):
                 return await slot
+        except asyncio.CancelledError:
+            self._give_back(slot)
+            raise
         except TimeoutError:
+            self._give_back(slot)
             return Refusal(
                 code=ResultCode.DEADLINE_PASSED_WAITING,
                 detail="no upstream had a free slot before the deadline",
@@ -99,6 +103,11 @@
         lease.upstream.own_running.discard(lease.record.request_id)
         self._pump(lease.record.pool)
 
+    def _give_back(self, slot: asyncio.Future[SlotLease]) -> None:
+        """Release a slot that was granted in the moment in which its waiter gave up."""
+        if slot.done() and not slot.cancelled():
+            self.release(slot.result())
+
     def pump_all(self) -> None:
         """Serve all queues after upstreams or their reports changed."""
         for pool in self._queues:
@@ -119,5 +128,5 @@
             if upstream is None:
                 return
             queue.remove(waiter)
-            upstream.own_running.add(waiter.record.request_id)
+            upstream.note_sent(waiter.record.request_id)
             waiter.slot.set_result(SlotLease(upstream=upstream, record=waiter.record))
--- /dev/null
+++ b/src/cassiawalk/crashes/deaths.py
@@ -0,0 +1,61 @@
+"""Deaths of upstreams and what explains them."""
+
+import collections.abc as cabc
+import dataclasses
+
+from cassiawalk.ids import FailureDomain
+from cassiawalk.ids import Fingerprint
+from cassiawalk.ids import UpstreamId
+
+DOMAIN_WINDOW_S = 5.0
+DEATHS_KEPT = 256
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Death:
+    """An upstream that died with no notice, and what was running on it from this host.
+
+    ``at`` is in monotonic seconds.
+    """
+
+    upstream: UpstreamId
+    failure_domain: FailureDomain
+    at: float
+    running: frozenset[Fingerprint] = frozenset()
+
+
+class DeathLog:
+    """The latest deaths.
+
+    Several deaths in one failure domain within seconds are a failure of the domain, unless one
+    request was running on all of them: then the request may be what they have in common.
+    """
+
+    def __init__(self, *, window_s: float = DOMAIN_WINDOW_S) -> None:
+        self._window_s = window_s
+        self._deaths: list[Death] = []
+
+    def note(self, death: Death) -> None:
+        """Keep a death."""
+        self._deaths = [*self._deaths, death][-DEATHS_KEPT:]
+
+    def of_domain(self, death: Death) -> list[Death]:
+        """Return the deaths that a failure of the domain explains together with ``death``.
+
+        The list is empty if ``death`` is alone.
+        """
+        near = [other for other in self._deaths if self._is_near(death, other)]
+        return [death, *near] if near else []
+
+    def _is_near(self, death: Death, other: Death) -> bool:
+        return (
+            other.upstream != death.upstream
+            and other.failure_domain == death.failure_domain
+            and abs(other.at - death.at) <= self._window_s
+            and not (other.running & death.running)
+        )
+
+
+def upstreams_of(deaths: cabc.Iterable[Death]) -> frozenset[UpstreamId]:
+    """Return the upstreams that died."""
+    return frozenset(death.upstream for death in deaths)
--- /dev/null
+++ b/src/cassiawalk/crashes/guard.py
@@ -0,0 +1,335 @@
+"""Decides which requests are suspect, run alone, or quarantined."""
+
+import abc
+import asyncio
+import collections.abc as cabc
+import contextlib
+import typing as t
+
+import eliot
+
+from cassiawalk.app import Component
+from cassiawalk.clock import Clock
+from cassiawalk.crashes.deaths import Death
+from cassiawalk.crashes.deaths import DeathLog
+from cassiawalk.crashes.deaths import upstreams_of
+from cassiawalk.crashes.fingerprint import fingerprint_of
+from cassiawalk.crashes.turns import TURN_RENEWAL_S
+from cassiawalk.crashes.turns import SoloCall
+from cassiawalk.crashes.turns import SoloTurns
+from cassiawalk.ids import Fingerprint
+from cassiawalk.ids import PoolName
+from cassiawalk.ids import RequestId
+from cassiawalk.ids import UpstreamId
+from cassiawalk.peer import MembershipFeed
+from cassiawalk.peer import Note
+from cassiawalk.peer import NoteBoard
+from cassiawalk.peer import NoteTopic
+from cassiawalk.requests import RequestRecord
+from cassiawalk.results import Execution
+from cassiawalk.results import Refusal
+from cassiawalk.results import ResultCode
+from cassiawalk.routing import UpstreamState
+from cassiawalk.routing import UpstreamTable
+from cassiawalk.routing import UpstreamView
+
+CONFIRM_S = 0.3
+SETTLE_S = 0.2
+JUDGE_S = 1.0
+SUSPICION_S = 600.0
+QUARANTINE_S = 3600.0
+TURN_CHECK_S = 0.25
+
+
+class QuarantinePublisher(abc.ABC):
+    """Puts quarantines into the configuration and reads them from there."""
+
+    @abc.abstractmethod
+    async def publish(self, fingerprint: Fingerprint, *, until_s: float, reason: str) -> None:
+        """Record a quarantine; return once it is recorded or has expired."""
+
+    @abc.abstractmethod
+    def until_s(self, fingerprint: Fingerprint) -> float | None:
+        """Return a quarantine's end in wall-clock seconds, or None if none was ever recorded.
+
+        One that an operator removed has ended: its end is 0.
+        """
+
+    @abc.abstractmethod
+    def is_empty(self) -> bool:
+        """Return whether no quarantine is in the configuration."""
+
+
+class CrashGuard(Component):
+    """Follows what runs where, and whom an upstream's death puts under suspicion.
+
+    A request is suspect after an unexplained death of an upstream that ran it. It is then tried
+    alone: one host at a time, on an upstream to which that host sends nothing else. If that dies
+    as well the request is quarantined; if the request completes it is cleared.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: UpstreamTable,
+        feed: MembershipFeed,
+        board: NoteBoard,
+        turns: SoloTurns,
+        quarantines: QuarantinePublisher,
+        clock: Clock,
+    ) -> None:
+        self._table = table
+        self._feed = feed
+        self._board = board
+        self._turns = turns
+        self._quarantines = quarantines
+        self._clock = clock
+        self._log = DeathLog()
+        self._running: dict[RequestId, tuple[UpstreamView, Fingerprint]] = {}
+        self._solo: dict[Fingerprint, UpstreamId] = {}
+        self._solo_slot = asyncio.Semaphore(1)
+        self._settling: dict[UpstreamView, asyncio.Task[None]] = {}
+        self._changed = asyncio.Event()
+        table.add_leaving_listener(self._note_leaving)
+        board.add_listener(lambda _: self._wake())
+
+    @contextlib.contextmanager
+    def running(self, record: RequestRecord, view: UpstreamView) -> cabc.Iterator[None]:
+        """Count the request as running on an upstream for the body's time."""
+        self._running[record.request_id] = (view, fingerprint_of(record))
+        try:
+            yield
+        finally:
+            self._running.pop(record.request_id, None)
+
+    def refusal(self, record: RequestRecord) -> Refusal | None:
+        """Return the final answer of a quarantined request, or None."""
+        if self._quarantines.is_empty() and not self._board.notes():
+            return None
+        fingerprint = fingerprint_of(record)
+        if not self._is_quarantined(fingerprint):
+            return None
+        crashed = record.attempt > 0
+        return Refusal(
+            code=ResultCode.CRASHED_UPSTREAM if crashed else ResultCode.QUARANTINED,
+            detail=f"two upstreams died of this request; it is quarantined as {fingerprint}",
+            execution=Execution.RAN if crashed else Execution.NOT_RUN,
+        )
+
+    async def screen(self, record: RequestRecord) -> "SoloTicket | Refusal | None":
+        """Return None if the request may run, a ticket if only alone, or why it may not.
+
+        A suspect request waits here for its turn until its deadline.
+        """
+        refusal = self.refusal(record)
+        if refusal is not None or not self._board.notes():
+            return refusal
+        fingerprint = fingerprint_of(record)
+        while self.is_suspect(fingerprint):
+            if self._clock.wall() >= record.deadline_s:
+                return Refusal(
+                    code=ResultCode.DEADLINE_PASSED_WAITING,
+                    detail="the request is suspect and had no turn to run alone",
+                )
+            changed = self._changed
+            call = SoloCall(fingerprint=fingerprint, request_id=record.request_id)
+            if await self._take_turn(call):
+                return SoloTicket(guard=self, record=record, call=call)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(TURN_CHECK_S):
+                    await changed.wait()
+        return self.refusal(record)
+
+    async def _take_turn(self, call: SoloCall) -> bool:
+        """Take this host's only slot for suspects and the request's turn, or neither."""
+        if self._solo_slot.locked():
+            return False
+        await self._solo_slot.acquire()
+        granted = False
+        try:
+            granted = await self._turns.ask(call)
+        finally:
+            if not granted:
+                self._solo_slot.release()
+        return granted
+
+    def is_suspect(self, fingerprint: Fingerprint) -> bool:
+        """Return whether an upstream's death is held against the fingerprint."""
+        return bool(self._deaths_held(fingerprint))
+
+    def solo_run(self, upstream: UpstreamId) -> tuple[str, ...]:
+        """Return the fingerprint that some host announced as running alone on an upstream."""
+        note = self._board.get(NoteTopic.SOLO_RUN, upstream)
+        return () if note is None else note.items
+
+    def note_completed(self, record: RequestRecord) -> None:
+        """Clear a request that ran to its end."""
+        fingerprint = fingerprint_of(record)
+        if self.is_suspect(fingerprint):
+            self.spawn(self._hold(fingerprint, ()), name=f"clear-{fingerprint}")
+
+    def note_death(self, view: UpstreamView) -> None:
+        """Note that an upstream died; what explains it is found out in a task."""
+        if view.state is UpstreamState.LEAVING:
+            return
+        death = Death(
+            upstream=view.upstream_id,
+            failure_domain=view.failure_domain,
+            at=self._clock.monotonic(),
+            running=frozenset(f for v, f in self._running.values() if v is view),
+        )
+        self._log.note(death)
+        task = self.spawn(self._settle(view, death), name=f"death-{view.upstream_id}")
+        self._settling[view] = task
+        task.add_done_callback(lambda _: self._settling.pop(view, None))
+        self._wake()
+
+    async def judge(self, record: RequestRecord, view: UpstreamView) -> None:
+        """Return once it is known whether a lost connection was an upstream's death.
+
+        The caller keeps the request counted as running meanwhile.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CONFIRM_S):
+                while view not in self._settling and view.state is not UpstreamState.LEAVING:
+                    await self._changed.wait()
+        task = self._settling.get(view)
+        if task is not None:
+            await asyncio.wait([task])
+
+    def _is_quarantined(self, fingerprint: Fingerprint) -> bool:
+        until_s = self._quarantines.until_s(fingerprint)
+        if until_s is not None:
+            return until_s > self._clock.wall()
+        return self._board.get(NoteTopic.QUARANTINE, fingerprint) is not None
+
+    def _deaths_held(self, fingerprint: Fingerprint) -> tuple[str, ...]:
+        note = self._board.get(NoteTopic.SUSPECT_REQUEST, fingerprint)
+        return () if note is None else note.items
+
+    async def _settle(self, view: UpstreamView, death: Death) -> None:
+        """Find out who is to blame for a death."""
+        await self._clock.sleep(SETTLE_S)
+        if self._explained(view, death):
+            return
+        solo = self.solo_run(death.upstream)
+        for fingerprint in death.running:
+            if not solo:
+                await self._suspect(fingerprint, death)
+            elif fingerprint in solo and self._solo.get(fingerprint) == death.upstream:
+                await self._convict(fingerprint, view, death)
+
+    def _explained(self, view: UpstreamView, death: Death) -> bool:
+        """Return whether a notice or a domain's failure explains a death; undo what it caused."""
+        if view.state is UpstreamState.LEAVING:
+            return True
+        together = self._log.of_domain(death)
+        for upstream in upstreams_of(together):
+            self._withdraw(upstream)
+        return bool(together)
+
+    async def _suspect(self, fingerprint: Fingerprint, death: Death) -> None:
+        held = self._deaths_held(fingerprint)
+        if death.upstream not in held:
+            await self._hold(fingerprint, (*held, death.upstream))
+
+    async def _convict(self, fingerprint: Fingerprint, view: UpstreamView, death: Death) -> None:
+        """Quarantine a request whose upstream died while it ran alone."""
+        # The rest of a failing domain and late notices need a moment to become known.
+        await self._clock.sleep(JUDGE_S)
+        if self._explained(view, death) or not self.is_suspect(fingerprint):
+            return
+        reason = f"died of it: {', '.join((*self._deaths_held(fingerprint), death.upstream))}"
+        until_s = self._clock.wall() + QUARANTINE_S
+        await self._share(NoteTopic.QUARANTINE, fingerprint, QUARANTINE_S)
+        await self._hold(fingerprint, ())
+        eliot.log_message(message_type="crash:quarantined", fingerprint=fingerprint, reason=reason)
+        publish = self._quarantines.publish(fingerprint, until_s=until_s, reason=reason)
+        self.spawn(publish, name=f"quarantine-{fingerprint}")
+
+    def _note_leaving(self, view: UpstreamView) -> None:
+        self._withdraw(view.upstream_id)
+        self._wake()
+
+    def _withdraw(self, upstream: UpstreamId) -> None:
+        """Drop an upstream's death from all suspicions, as something else explains it."""
+        for (topic, name), note in self._board.notes().items():
+            if topic is NoteTopic.SUSPECT_REQUEST and upstream in note.items:
+                held = tuple(item for item in note.items if item != upstream)
+                self.spawn(self._hold(Fingerprint(name), held), name=f"withdraw-{name}")
+
+    async def _hold(self, fingerprint: Fingerprint, deaths: tuple[str, ...]) -> None:
+        """Replace the deaths that are held against a fingerprint, on all hosts."""
+        eliot.log_message(message_type="crash:suspect", fingerprint=fingerprint, deaths=deaths)
+        await self._share(NoteTopic.SUSPECT_REQUEST, fingerprint, SUSPICION_S, deaths)
+
+    async def _share(
+        self, topic: NoteTopic, name: str, keep_s: float, items: tuple[str, ...] = ()
+    ) -> None:
+        now_s = self._clock.wall()
+        note = Note(topic=topic, name=name, at_s=now_s, until_s=now_s + keep_s, items=items)
+        await self._feed.share(note)
+
+    def _wake(self) -> None:
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+
+class SoloTicket:
+    """The right to run one suspect request alone; an asynchronous context manager."""
+
+    def __init__(self, *, guard: CrashGuard, record: RequestRecord, call: SoloCall) -> None:
+        self._guard = guard
+        self._record = record
+        self._call = call
+        self._view: UpstreamView | None = None
+        self._renewal: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> "SoloTicket":
+        self._renewal = self._guard.spawn(self._renew(), name=f"solo-{self._record.request_id}")
+        return self
+
+    async def __aexit__(self, *args: object) -> None:
+        assert self._renewal is not None
+        self._renewal.cancel()
+        self._guard._solo_slot.release()
+        await self._leave()
+        release = SoloCall(
+            fingerprint=self._call.fingerprint, request_id=self._call.request_id, release=True
+        )
+        await self._guard._turns.ask(release)
+        self._guard._wake()
+
+    def occupied(self, pool: PoolName) -> frozenset[UpstreamId]:
+        """Return the upstreams of a pool that run something already, as far as this host knows."""
+        guard = self._guard
+        return frozenset(
+            view.upstream_id
+            for view in guard._table.in_pool(pool)
+            if view.own_running or guard.solo_run(view.upstream_id)
+        )
+
+    async def reserve(self, view: UpstreamView) -> None:
+        """Keep other requests of this host from an upstream, and announce the run to all hosts."""
+        await self._leave()
+        self._view = view
+        view.reserved_for = self._record.request_id
+        self._guard._solo[self._call.fingerprint] = view.upstream_id
+        left_s = max(0.0, self._record.deadline_s - self._guard._clock.wall())
+        await self._guard._share(
+            NoteTopic.SOLO_RUN, view.upstream_id, left_s, (self._call.fingerprint,)
+        )
+
+    async def _leave(self) -> None:
+        view, self._view = self._view, None
+        if view is None:
+            return
+        view.reserved_for = None
+        self._guard._solo.pop(self._call.fingerprint, None)
+        await self._guard._share(NoteTopic.SOLO_RUN, view.upstream_id, SUSPICION_S)
+        self._guard._table.notify()
+
+    async def _renew(self) -> t.NoReturn:
+        while True:
+            await self._guard._clock.sleep(TURN_RENEWAL_S)
+            await self._guard._turns.ask(self._call)
--- a/src/cassiawalk/dispatch/stream.py
+++ b/src/cassiawalk/dispatch/stream.py
@@ -1,11 +1,18 @@
-"""Runs a request on model engines, and resumes it elsewhere when one fails."""
+"""Runs a request on model engines, and resumes it elsewhere when one fails or leaves."""
 
+import asyncio
 import contextlib
+import dataclasses
 
 from cassiawalk.admission import Scheduler
-from cassiawalk.admission import SlotLease
 from cassiawalk.clock import Clock
+from cassiawalk.control.state import KindMode
+from cassiawalk.crashes import CrashGuard
+from cassiawalk.crashes import SoloTicket
 from cassiawalk.dispatch.connector import Connector
+from cassiawalk.dispatch.mover import Mover
+from cassiawalk.dispatch.mover import estimate_tokens
+from cassiawalk.dispatch.placement import Placement
 from cassiawalk.dispatch.retry import RetryPolicy
 from cassiawalk.dispatch.runner import Runner
 from cassiawalk.ids import UpstreamId
@@ -19,8 +26,15 @@
 from cassiawalk.requests import RequestRecord
 from cassiawalk.requests import RequestState
 from cassiawalk.requests import Text
+from cassiawalk.results import Execution
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
+from cassiawalk.routing import UpstreamState
+from cassiawalk.routing import UpstreamView
+
+RETRY_AFTER_S = 1.0
+_EXPLAINED = (UpstreamState.LEAVING, UpstreamState.GONE)
+_Ending = Finished | Interrupted | Placement | Refusal
 
 
 class StreamRunner(Runner):
@@ -31,59 +45,120 @@
         *,
         scheduler: Scheduler,
         connector: Connector,
+        mover: Mover,
+        guard: CrashGuard,
         retries: RetryPolicy,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
         self._scheduler = scheduler
         self._connector = connector
+        self._mover = mover
+        self._guard = guard
         self._retries = retries
         self._clock = clock
         self._metrics = metrics
 
     async def run(self, record: RequestRecord) -> Refusal | None:
         """Run attempts until the end marker, or until no attempt is left."""
+        attempts_before = record.attempt
+        refusal = await self._run(record)
+        if refusal is not None and record.attempt > attempts_before:
+            # The code's default may say "not run"; an attempt was sent, so that is not so.
+            return dataclasses.replace(refusal, execution=refusal.execution or Execution.RAN)
+        return refusal
+
+    async def _run(self, record: RequestRecord) -> Refusal | None:
         tried: frozenset[UpstreamId] = frozenset()
         while True:
-            lease = await self._scheduler.acquire(record, exclude=tried)
-            if isinstance(lease, Refusal):
-                return lease
-            ending = await self._attempt(record, lease)
+            admitted = await self._guard.screen(record)
+            if isinstance(admitted, Refusal):
+                return admitted
+            async with contextlib.AsyncExitStack() as stack:
+                if isinstance(admitted, SoloTicket):
+                    await stack.enter_async_context(admitted)
+                ending = await self._run_placed(record, tried, admitted)
             if isinstance(ending, Finished):
                 return self._complete(record, ending)
-            tried = tried | {lease.upstream.upstream_id}
-            refusal = await self._after_interruption(record, lease, ending)
+            if isinstance(ending, Refusal):
+                return ending
+            if record.upstream is not None:
+                tried = tried | {record.upstream}
+            refusal = await self._after_interruption(record, ending)
             if refusal is not None:
                 return refusal
 
-    async def _attempt(self, record: RequestRecord, lease: SlotLease) -> Finished | Interrupted:
+    async def _run_placed(
+        self, record: RequestRecord, tried: frozenset[UpstreamId], solo: SoloTicket | None
+    ) -> Finished | Interrupted | Refusal:
+        """Run one attempt and those that follow it by moves."""
+        busy = solo.occupied(record.pool) if solo is not None else frozenset()
+        place = await self._scheduler.acquire(record, exclude=tried | busy)
+        if isinstance(place, Refusal):
+            return place
+        ending: _Ending = Placement(lease=place)
+        while isinstance(ending, Placement):
+            ending = await self._attempt(record, ending, solo)
+        return ending
+
+    async def _attempt(
+        self, record: RequestRecord, place: Placement, solo: SoloTicket | None
+    ) -> _Ending:
+        view = place.lease.upstream
         record.attempt += 1
         record.state = RequestState.RUNNING
-        record.upstream = lease.upstream.upstream_id
+        record.upstream = view.upstream_id
+        resumed = record.tokens
         req = EngineRequest(
             request_id=record.request_id,
             attempt=record.attempt,
             prompt=record.prompt,
             max_tokens=record.kind.max_tokens,
             resume_text=record.text,
-            resume_tokens=record.tokens,
+            resume_tokens=resumed,
+            kv_handle=place.kv_handle,
         )
         try:
-            return await self._read(record, lease, req)
+            if solo is not None:
+                await solo.reserve(view)
+            with self._guard.running(record, view):
+                ending = await self._read(record, view, req)
+                if isinstance(ending, Interrupted):
+                    await self._note_interruption(record, view, ending)
         finally:
-            self._scheduler.release(lease)
+            self._scheduler.release(place.lease)
+        if isinstance(ending, Interrupted) and view.state in _EXPLAINED:
+            ending = dataclasses.replace(ending, reason=_explained(ending.reason))
+        if not isinstance(ending, Finished) and record.tokens > resumed:
+            self._note_unreported(record, resumed, place)
+        return ending
+
+    async def _read(self, record: RequestRecord, view: UpstreamView, req: EngineRequest) -> _Ending:
+        """Return the attempt's end, or the next place if the stream is to move there."""
+        ending = Interrupted(reason=InterruptReason.LEAVING, sent=True)
+        async with self._mover.watch(record, view) as stream:
+            try:
+                async with asyncio.timeout(None) as stream.scope:
+                    last = await self._read_events(record, view, req)
+            except TimeoutError:
+                # The scope has no deadline of its own: the next place is ready.
+                last = ending
+            finally:
+                stream.scope = None
+            if isinstance(last, Finished) or last.reason is InterruptReason.REJECTED:
+                return last
+            return await self._mover.take(stream) or last
 
-    async def _read(
-        self, record: RequestRecord, lease: SlotLease, req: EngineRequest
+    async def _read_events(
+        self, record: RequestRecord, view: UpstreamView, req: EngineRequest
     ) -> Finished | Interrupted:
-        events = self._connector.engine(lease.upstream).generate(req)
+        events = self._connector.engine(view).generate(req)
         async with contextlib.aclosing(events):
             async for event in events:
-                if isinstance(event, Tokens):
-                    self._metrics.note_tokens(record, event.count, self._clock.monotonic())
-                    record.add(Text(count=event.count, text=event.text))
-                    continue
-                return event
+                if not isinstance(event, Tokens):
+                    return event
+                self._metrics.note_tokens(record, event.count, self._clock.monotonic())
+                record.add(Text(count=event.count, text=event.text))
         return Interrupted(reason=InterruptReason.CONNECTION_LOST, sent=True)
 
     def _complete(self, record: RequestRecord, finished: Finished) -> Refusal | None:
@@ -92,26 +167,68 @@
                 code=ResultCode.UPSTREAM_REJECTED,
                 detail=f"{record.tokens} tokens came, {finished.completion_tokens} were announced",
             )
+        self._guard.note_completed(record)
         self._retries.budget(record.service).note_success()
         self._metrics.note_computed(record, finished.computed_tokens, finished.cached_tokens)
         record.add(Ended(tokens=record.tokens))
         return None
 
+    def _note_unreported(self, record: RequestRecord, resumed: int, place: Placement) -> None:
+        """Count about what an attempt computed that ended before its engine's own figures."""
+        stake = estimate_tokens(record.prompt) + resumed
+        saved = stake if place.kv_handle is not None else 0
+        self._metrics.note_computed(record, stake - saved, saved)
+
+    async def _note_interruption(
+        self, record: RequestRecord, view: UpstreamView, ending: Interrupted
+    ) -> None:
+        if ending.reason is InterruptReason.LEAVING:
+            view.fire("note_leaving")
+        elif ending.reason not in (InterruptReason.REFUSED, InterruptReason.REJECTED):
+            view.fire("note_failure")
+        if ending.reason is InterruptReason.CONNECTION_LOST:
+            await self._guard.judge(record, view)
+
     async def _after_interruption(
-        self, record: RequestRecord, lease: SlotLease, ending: Interrupted
+        self, record: RequestRecord, ending: Interrupted
     ) -> Refusal | None:
         """Return None to try again, or the final answer."""
         record.state = RequestState.WAITING
+        quarantined = self._guard.refusal(record)
+        if quarantined is not None:
+            return quarantined
         if ending.reason is InterruptReason.REJECTED:
             return Refusal(code=ResultCode.UPSTREAM_REJECTED, detail=ending.detail)
         if ending.reason is InterruptReason.LEAVING:
-            lease.upstream.fire("note_leaving")
             return None
-        if ending.reason is not InterruptReason.REFUSED:
-            lease.upstream.fire("note_failure")
         record.retries += 1
         if await self._retries.permit(record.service, record.retries, record.deadline_s):
             self._metrics.note_retry(record)
             return None
+        if await self._wait_without_budget(record):
+            self._metrics.note_retry(record)
+            return None
         detail = f"{record.retries} attempts failed, the last: {ending.reason.value}"
-        return Refusal(code=ResultCode.RETRIES_EXHAUSTED, detail=detail, retry_after_s=1.0)
+        return Refusal(
+            code=ResultCode.RETRIES_EXHAUSTED, detail=detail, retry_after_s=RETRY_AFTER_S
+        )
+
+    async def _wait_without_budget(self, record: RequestRecord) -> bool:
+        """Pace the retry of a must-arrive request whose service has no budget left.
+
+        An accepted request of this mode is given up only at its deadline. The backoff has full
+        jitter and each attempt needs a slot on an upstream that takes work, so the retries of an
+        outage stay below the slots that are left.
+        """
+        delay_s = self._retries.delay_s(record.retries)
+        if record.kind.mode is not KindMode.MUST_ARRIVE:
+            return False
+        if self._clock.wall() + delay_s >= record.deadline_s:
+            return False
+        await self._clock.sleep(delay_s)
+        return True
+
+
+def _explained(reason: InterruptReason) -> InterruptReason:
+    """Return the reason on an upstream that was leaving; it uses no retry budget."""
+    return reason if reason is InterruptReason.REJECTED else InterruptReason.LEAVING
--- a/src/cassiawalk/node.py
+++ b/src/cassiawalk/node.py
@@ -16,12 +16,17 @@
 from cassiawalk.control import CommandPublisher
 from cassiawalk.control import ControlFollower
 from cassiawalk.control.state import PoolType
+from cassiawalk.crashes import ControlQuarantines
+from cassiawalk.crashes import CrashGuard
+from cassiawalk.crashes import SoloCall
+from cassiawalk.crashes import SoloTurns
 from cassiawalk.dispatch import Dispatcher
 from cassiawalk.dispatch import HttpConnector
 from cassiawalk.dispatch import OutcomeRecorder
 from cassiawalk.dispatch import RetryPolicy
 from cassiawalk.dispatch import UpstreamWatcher
 from cassiawalk.dispatch.call import CallRunner
+from cassiawalk.dispatch.mover import Mover
 from cassiawalk.dispatch.once import OnceRunner
 from cassiawalk.dispatch.stream import StreamRunner
 from cassiawalk.httpserver import HttpServer
@@ -33,11 +38,15 @@
 from cassiawalk.once import ClaimClient
 from cassiawalk.once import SequencerPool
 from cassiawalk.peer import AttachCall
+from cassiawalk.peer import FeedCall
+from cassiawalk.peer import MembershipFeed
 from cassiawalk.peer import NodeStatusCall
 from cassiawalk.peer import NodeStatusReply
+from cassiawalk.peer import NoteBoard
 from cassiawalk.peer import OnceCall
 from cassiawalk.peer import PeerLinks
 from cassiawalk.peer import PeerServer
+from cassiawalk.peer import ShareCall
 from cassiawalk.platform.hosts_http import HttpCloudApi
 from cassiawalk.platform.hosts_http import HttpHostList
 from cassiawalk.platform.log_http import HttpLogService
@@ -81,6 +90,15 @@
         host_list = HttpHostList(url=cfg.host_list_url)
         self.membership = Membership(host=cfg.host_id, host_list=host_list, clock=clock)
         self.links = PeerLinks(membership=self.membership, secret=self._secret)
+        self.board = NoteBoard(clock=clock)
+        self.feed = MembershipFeed(
+            board=self.board,
+            host=cfg.host_id,
+            membership=self.membership,
+            links=self.links,
+            cloud=self.cloud,
+            clock=clock,
+        )
         self.control = ControlFollower(
             log=self.log, clock=clock, staleness_bound_s=cfg.control_staleness_bound_s
         )
@@ -100,9 +118,18 @@
         self.table = UpstreamTable(membership=self.membership, clock=clock)
         self.router = Router(table=self.table, rng=self._rng)
         self.scheduler = Scheduler(table=self.table, router=self.router, clock=clock)
-        self.gate = AdmissionGate(scheduler=self.scheduler, clock=clock)
+        self.guard = self._crash_guard()
+        self.gate = AdmissionGate(
+            scheduler=self.scheduler, clock=clock, quarantine=self.guard.refusal
+        )
         self.connector = HttpConnector()
-        self.watcher = UpstreamWatcher(table=self.table, connector=self.connector, clock=clock)
+        self.mover = Mover(
+            table=self.table, scheduler=self.scheduler, connector=self.connector, clock=clock
+        )
+        self.watcher = UpstreamWatcher(
+            table=self.table, connector=self.connector, clock=clock, rng=self._rng
+        )
+        self.watcher.add_death_listener(self.guard.note_death)
         self.retries = RetryPolicy(clock=clock, rng=self._rng)
         self.recorder = OutcomeRecorder(claims=self.claims, clock=clock)
         self.dispatcher = Dispatcher(
@@ -114,10 +141,31 @@
             metrics=self.metrics,
         )
 
+    def _crash_guard(self) -> CrashGuard:
+        self.turns = SoloTurns(
+            host=self._cfg.host_id,
+            membership=self.membership,
+            links=self.links,
+            clock=self._clock,
+        )
+        quarantines = ControlQuarantines(
+            publisher=self.publisher, follower=self.control, clock=self._clock, rng=self._rng
+        )
+        return CrashGuard(
+            table=self.table,
+            feed=self.feed,
+            board=self.board,
+            turns=self.turns,
+            quarantines=quarantines,
+            clock=self._clock,
+        )
+
     def _stream_runner(self) -> StreamRunner:
         return StreamRunner(
             scheduler=self.scheduler,
             connector=self.connector,
+            mover=self.mover,
+            guard=self.guard,
             retries=self.retries,
             clock=self._clock,
             metrics=self.metrics,
@@ -180,6 +228,9 @@
 
         self.peer_server.handle(OnceCall, self.claims.handle_call)
         self.peer_server.handle(NodeStatusCall, node_status)
+        self.peer_server.handle(SoloCall, self.turns.handle_call)
+        self.peer_server.handle(ShareCall, self.feed.handle_share)
+        self.peer_server.handle_stream(FeedCall, self.feed.serve)
         self.peer_server.handle_stream(AttachCall, attachments.serve)
 
     def _components(self) -> list[Component]:
@@ -189,9 +240,12 @@
             self.control,
             self.sequencers,
             self.peer_server,
+            self.feed,
             self.connector,
             self.table,
             self.watcher,
+            self.mover,
+            self.guard,
             self.recorder,
             self.scheduler,
             self.dispatcher,
