--- a/src/cassiawalk/platform/service.py
+++ b/src/cassiawalk/platform/service.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from cassiawalk.ids import RequestId
+from cassiawalk.platform.engine import LoadReport
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -55,5 +56,9 @@
         Status 200 carries the call's answer. Status 404 proves nothing: a call may still arrive.
         """
 
+    async def load(self) -> LoadReport | None:
+        """Return the service's load, or None if it can't be had or is not reported."""
+        return None
+
     async def aclose(self) -> None:
         """Release connections."""
--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -4,6 +4,7 @@
 import collections
 import collections.abc as cabc
 import dataclasses
+import time
 
 import orjson
 from starlette.applications import Starlette
@@ -115,9 +116,14 @@
 
     async def load(self, req: Request) -> Response:
         """Answer with the present load."""
-        return JSONResponse(
-            {"slots": 16, "running": self._running, "waiting": 0, "most": self._most_running}
-        )
+        load = {
+            "slots": 16,
+            "running": self._running,
+            "waiting": 0,
+            "most": self._most_running,
+            "measured_s": time.time(),
+        }
+        return JSONResponse(load)
 
     async def outcome(self, req: Request) -> Response:
         """Answer with the outcome of an earlier call by its workspace and key."""
