--- a/src/cassiawalk/app.py
+++ b/src/cassiawalk/app.py
@@ -15,6 +15,9 @@
     async def start(self) -> None:
         """Start the component's tasks and sockets."""
 
+    async def begin_drain(self) -> None:
+        """Refuse new work from now on; called on all components before any is drained."""
+
     async def drain(self) -> None:
         """Finish accepted work; no new work arrives any more."""
 
@@ -67,6 +70,8 @@
 
     async def drain(self) -> None:
         """Drain all components, the last started first."""
+        for component in reversed(self._started):
+            await component.begin_drain()
         for component in reversed(self._started):
             await component.drain()
 
--- a/src/cassiawalk/caller/app.py
+++ b/src/cassiawalk/caller/app.py
@@ -1,6 +1,8 @@
 """Routes of the callers' HTTP interface."""
 
+import asyncio
 import collections.abc as cabc
+import contextlib
 
 from starlette.applications import Starlette
 from starlette.requests import Request
@@ -11,7 +13,6 @@
 
 from cassiawalk.caller.attach import Attachments
 from cassiawalk.caller.attach import Unknown
-from cassiawalk.caller.events import NumberedEvent
 from cassiawalk.caller.events import WholeAnswer
 from cassiawalk.caller.events import sse_frame
 from cassiawalk.caller.parsing import RecordBuilder
@@ -23,14 +24,19 @@
 from cassiawalk.dispatch import Dispatcher
 from cassiawalk.ids import RequestId
 from cassiawalk.ids import WorkspaceName
+from cassiawalk.requests import Cursor
+from cassiawalk.requests import Ended
 from cassiawalk.requests import Failed
 from cassiawalk.requests import HandedOver
+from cassiawalk.requests import NumberedEvent
+from cassiawalk.requests import parse_cursor
 from cassiawalk.requests.answer import failed
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
 
 SSE_TYPE = "text/event-stream"
 ID_HEADER = "x-request-id"
+CALLER_LEFT_STATUS = 499
 _Events = cabc.AsyncGenerator[NumberedEvent | Unknown, None]
 
 
@@ -87,7 +93,7 @@
         refusal = self._dispatcher.submit(record, pool_type)
         if refusal is not None:
             return _refuse(refusal, record.request_id)
-        return await self._answer(req, record.request_id, record.workspace, after=0)
+        return await self._answer(req, record.request_id, record.workspace, after=Cursor())
 
     async def attach(self, req: Request) -> Response:
         """Answer with the events of an accepted request."""
@@ -95,11 +101,12 @@
         if isinstance(identity, Refusal):
             return _refuse(identity)
         last_id = req.headers.get("last-event-id", "0")
-        if not last_id.isdigit():
-            detail = f"Last-Event-ID is {last_id!r}; allowed: a whole number"
+        after = parse_cursor(last_id)
+        if after is None:
+            detail = f"Last-Event-ID is {last_id!r}; allowed: an id of this request's events"
             return _refuse(Refusal(code=ResultCode.BAD_REQUEST, detail=detail))
         request_id = RequestId(req.path_params["request_id"])
-        return await self._answer(req, request_id, identity.name, after=int(last_id))
+        return await self._answer(req, request_id, identity.name, after=after)
 
     async def healthz(self, req: Request) -> Response:
         """Answer that the process runs."""
@@ -118,12 +125,12 @@
         return JSONResponse(body, status_code=200 if ready else 503)
 
     async def _answer(
-        self, req: Request, request_id: RequestId, workspace: WorkspaceName, *, after: int
+        self, req: Request, request_id: RequestId, workspace: WorkspaceName, *, after: Cursor
     ) -> Response:
         events = self._attachments.follow(request_id, workspace, after=after)
         if SSE_TYPE in req.headers.get("accept", ""):
             return await _stream(events, request_id)
-        return await _whole(events, request_id)
+        return await _whole(req, events, request_id)
 
 
 def _refuse(refusal: Refusal, request_id: str | None = None) -> Response:
@@ -135,34 +142,65 @@
     return _refuse(refusal, request_id)
 
 
+def _moved(request_id: str) -> Response:
+    headers = {ID_HEADER: request_id, "location": f"/v1/requests/{request_id}"}
+    return Response(status_code=303, headers=headers)
+
+
 async def _stream(events: _Events, request_id: str) -> Response:
     first = await anext(events)
     if isinstance(first, Unknown):
         return _unknown(first, request_id)
     if isinstance(first.event, Failed):
         return problem_response(first.event, request_id)
+    if isinstance(first.event, HandedOver):
+        return _moved(request_id)
 
     async def frames() -> cabc.AsyncIterator[bytes]:
-        yield sse_frame(first, request_id)
-        async for numbered in events:
-            if isinstance(numbered, NumberedEvent):
-                yield sse_frame(numbered, request_id)
+        async with contextlib.aclosing(events):
+            yield sse_frame(first, request_id)
+            async for numbered in events:
+                if isinstance(numbered, NumberedEvent):
+                    yield sse_frame(numbered, request_id)
 
     headers = {ID_HEADER: request_id, "cache-control": "no-store"}
     return StreamingResponse(frames(), media_type=SSE_TYPE, headers=headers)
 
 
-async def _whole(events: _Events, request_id: str) -> Response:
-    answer = WholeAnswer()
-    async for numbered in events:
-        if isinstance(numbered, Unknown):
-            return _unknown(numbered, request_id)
-        answer.add(numbered.event)
-    headers = {ID_HEADER: request_id}
+async def _whole(req: Request, events: _Events, request_id: str) -> Response:
+    collecting = asyncio.ensure_future(_collect(events))
+    leaving = asyncio.ensure_future(_disconnected(req))
+    try:
+        await asyncio.wait([collecting, leaving], return_when=asyncio.FIRST_COMPLETED)
+        if not collecting.done():
+            return Response(status_code=CALLER_LEFT_STATUS)
+        answer = collecting.result()
+    finally:
+        collecting.cancel()
+        leaving.cancel()
+        await asyncio.gather(collecting, leaving, return_exceptions=True)
+        await events.aclose()
+    if isinstance(answer, Unknown):
+        return _unknown(answer, request_id)
     if isinstance(answer.final, Failed):
         return problem_response(answer.final, request_id)
-    if isinstance(answer.final, HandedOver):
-        headers["location"] = f"/v1/requests/{request_id}"
-        return Response(status_code=303, headers=headers)
+    if not isinstance(answer.final, Ended):
+        return _moved(request_id)
+    headers = {ID_HEADER: request_id}
     status = answer.result.status if answer.result is not None else 200
     return JSONResponse(answer.body(request_id), status_code=status, headers=headers)
+
+
+async def _collect(events: _Events) -> WholeAnswer | Unknown:
+    answer = WholeAnswer()
+    async for numbered in events:
+        if isinstance(numbered, Unknown):
+            return numbered
+        answer.add(numbered.event)
+    return answer
+
+
+async def _disconnected(req: Request) -> None:
+    """Return once the caller has closed its connection."""
+    while (await req.receive())["type"] != "http.disconnect":
+        pass
--- a/src/cassiawalk/caller/attach.py
+++ b/src/cassiawalk/caller/attach.py
@@ -1,21 +1,29 @@
 """Finds the events of a request on this host or at a peer."""
 
 import collections.abc as cabc
+import contextlib
 import dataclasses
 
-from cassiawalk.caller.events import NumberedEvent
 from cassiawalk.caller.events import follow
+from cassiawalk.handover import Locator
 from cassiawalk.ids import HostId
 from cassiawalk.ids import RequestId
 from cassiawalk.ids import WorkspaceName
-from cassiawalk.ids import request_origin
 from cassiawalk.peer import AttachCall
 from cassiawalk.peer import PeerFailure
 from cassiawalk.peer import PeerLinks
 from cassiawalk.peer import StreamPart
 from cassiawalk.requests import AnswerEvent
+from cassiawalk.requests import Cursor
+from cassiawalk.requests import HandedOver
+from cassiawalk.requests import NumberedEvent
+from cassiawalk.requests import RequestRecord
 from cassiawalk.requests import RequestStore
 from cassiawalk.requests import answers
+from cassiawalk.requests import parse_cursor
+from cassiawalk.requests.answer import FINAL_EVENTS
+
+HOPS_LIMIT = 16
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -28,41 +36,89 @@
 class Attachments:
     """Follows requests wherever they run. A workspace never sees another's request."""
 
-    def __init__(self, *, host: HostId, store: RequestStore, links: PeerLinks) -> None:
+    def __init__(
+        self, *, host: HostId, store: RequestStore, links: PeerLinks, locator: Locator
+    ) -> None:
         self._host = host
         self._store = store
         self._links = links
+        self._locator = locator
 
     async def follow(
-        self, request_id: RequestId, workspace: WorkspaceName, *, after: int
+        self, request_id: RequestId, workspace: WorkspaceName, *, after: Cursor
     ) -> cabc.AsyncGenerator[NumberedEvent | Unknown, None]:
-        """Yield a request's events after a sequence number, or ``Unknown`` as the only item."""
-        record = self._store.get(request_id)
-        if record is not None and record.workspace == workspace:
-            async for numbered in follow(record, after=after):
-                yield numbered
-            return
-        origin = request_origin(request_id)
-        if record is not None or origin is None or origin == self._host:
-            yield Unknown(detail=f"no request {request_id!r}")
+        """Yield a request's events after a reader's place, or ``Unknown`` as the last item.
+
+        A request that is handed over while it is read ends with ``HandedOver``; one that had
+        moved before is followed to where it is.
+        """
+        record = self._own(request_id, workspace)
+        if record is not None and record.answer.moved is None:
+            async with contextlib.aclosing(follow(record, after=after)) as events:
+                async for numbered in events:
+                    yield numbered
             return
-        call = AttachCall(request_id=request_id, workspace=workspace, after=after)
-        found = False
-        async for item in self._links.stream(origin, call):
-            if isinstance(item, PeerFailure):
-                break
-            found = True
-            event = answers.from_plain(item["event"])
-            if isinstance(event, AnswerEvent):
-                yield NumberedEvent(seq=item["seq"], event=event)
-        if not found:
-            yield Unknown(detail=f"no live host knows request {request_id!r}")
+        moved = record.answer.moved if record is not None else None
+        hosts = [moved.host] if moved is not None else []
+        remote = self._follow_remote(request_id, workspace, after, hosts)
+        async with contextlib.aclosing(remote) as items:
+            async for item in items:
+                yield item
 
     async def serve(self, call: AttachCall) -> cabc.AsyncIterator[object]:
         """Serve a peer's caller with the events of a request held here."""
-        record = self._store.get(call.request_id)
-        if record is None or record.workspace != call.workspace:
+        record = self._own(call.request_id, call.workspace)
+        cursor = parse_cursor(call.after)
+        if record is None or cursor is None:
             return
-        async for numbered in follow(record, after=call.after):
-            event = answers.to_plain(numbered.event)
-            yield StreamPart(item={"seq": numbered.seq, "event": event})
+        async with contextlib.aclosing(follow(record, after=cursor)) as events:
+            async for numbered in events:
+                event = answers.to_plain(numbered.event)
+                yield StreamPart(item={"cursor": str(numbered.cursor), "event": event})
+
+    def _own(self, request_id: RequestId, workspace: WorkspaceName) -> RequestRecord | None:
+        record = self._store.get(request_id)
+        return record if record is not None and record.workspace == workspace else None
+
+    async def _follow_remote(
+        self,
+        request_id: RequestId,
+        workspace: WorkspaceName,
+        cursor: Cursor,
+        hosts: list[HostId],
+    ) -> cabc.AsyncGenerator[NumberedEvent | Unknown, None]:
+        """Go from host to host until the final event; the reader's place goes along."""
+        asked = False
+        for _ in range(HOPS_LIMIT):
+            if not hosts and asked:
+                break
+            if not hosts:
+                asked = True
+                hosts = await self._locator.find(request_id, workspace)
+                continue
+            host, hosts = hosts[0], hosts[1:]
+            call = AttachCall(request_id=request_id, workspace=workspace, after=str(cursor))
+            async with contextlib.aclosing(self._read(host, call)) as events:
+                async for numbered in events:
+                    if isinstance(numbered.event, HandedOver):
+                        hosts, asked = [numbered.event.host], False
+                        break
+                    cursor = numbered.cursor
+                    asked = False
+                    yield numbered
+                    if isinstance(numbered.event, FINAL_EVENTS):
+                        return
+        yield Unknown(detail=f"no live host knows request {request_id!r}")
+
+    async def _read(
+        self, host: HostId, call: AttachCall
+    ) -> cabc.AsyncGenerator[NumberedEvent, None]:
+        async with contextlib.aclosing(self._links.stream(host, call)) as items:
+            async for item in items:
+                if isinstance(item, PeerFailure):
+                    return
+                cursor = parse_cursor(item["cursor"])
+                event = answers.from_plain(item["event"])
+                if cursor is None or not isinstance(event, AnswerEvent):
+                    return
+                yield NumberedEvent(cursor=cursor, event=event)
--- a/src/cassiawalk/caller/events.py
+++ b/src/cassiawalk/caller/events.py
@@ -9,33 +9,35 @@
 
 from cassiawalk.caller.problem import problem_body
 from cassiawalk.requests import AnswerEvent
+from cassiawalk.requests import Cursor
 from cassiawalk.requests import Ended
 from cassiawalk.requests import Failed
 from cassiawalk.requests import HandedOver
+from cassiawalk.requests import NumberedEvent
 from cassiawalk.requests import RequestRecord
 from cassiawalk.requests import Result
+from cassiawalk.requests import Rewind
 from cassiawalk.requests import Text
 from cassiawalk.requests.answer import FINAL_EVENTS
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class NumberedEvent:
-    """An answer event and its sequence number, which counts from 1."""
-
-    seq: int
-    event: AnswerEvent
-
-
-async def follow(record: RequestRecord, *, after: int) -> cabc.AsyncIterator[NumberedEvent]:
-    """Yield a record's events after a sequence number, up to the final one."""
-    seq = after
-    while True:
-        await record.wait_beyond(seq)
-        while seq < len(record.events):
-            event = record.events[seq]
-            seq += 1
-            yield NumberedEvent(seq=seq, event=event)
-            if isinstance(event, FINAL_EVENTS):
+async def follow(
+    record: RequestRecord, *, after: Cursor
+) -> cabc.AsyncGenerator[NumberedEvent, None]:
+    """Yield a record's events after a reader's place, up to the final one."""
+    position = record.answer.resolve(after)
+    if position < after.position:
+        cursor = Cursor(run=record.answer.runs[-1].run, position=position)
+        yield NumberedEvent(cursor=cursor, event=Rewind(keep=position))
+    with record.reading():
+        while True:
+            await record.wait_beyond(position)
+            for numbered in record.answer.read(position):
+                position = numbered.cursor.position
+                yield numbered
+                if isinstance(numbered.event, FINAL_EVENTS):
+                    return
+            if record.is_final and position >= record.answer.end:
                 return
 
 
@@ -50,7 +52,8 @@
 def sse_frame(numbered: NumberedEvent, request_id: str) -> bytes:
     """Return the server-sent event for an answer event."""
     name, data = _sse_parts(numbered.event, request_id)
-    return b"id: %d\nevent: %s\ndata: %s\n\n" % (numbered.seq, name.encode(), orjson.dumps(data))
+    cursor = str(numbered.cursor).encode()
+    return b"id: %s\nevent: %s\ndata: %s\n\n" % (cursor, name.encode(), orjson.dumps(data))
 
 
 def _sse_parts(event: AnswerEvent, request_id: str) -> tuple[str, dict[str, t.Any]]:
@@ -63,6 +66,8 @@
         return "end", {"request_id": request_id, "tokens": event.tokens, "complete": True}
     if isinstance(event, HandedOver):
         return "handover", {"location": f"/v1/requests/{request_id}", "host": event.host}
+    if isinstance(event, Rewind):
+        return "rewind", {"keep": event.keep}
     return "error", problem_body(event, request_id)
 
 
@@ -82,6 +87,8 @@
             self.tokens += event.count
         elif isinstance(event, Result):
             self.result = event
+        elif isinstance(event, Rewind):
+            self.text = ["".join(self.text)[: event.keep]]
         else:
             self.final = event
 
@@ -91,4 +98,5 @@
         if self.result is not None:
             answer = result_json(self.result)
             return {**head, "answer": answer, "recorded": self.result.recorded}
-        return {**head, "answer": "".join(self.text), "tokens": self.tokens}
+        tokens = self.final.tokens if isinstance(self.final, Ended) else self.tokens
+        return {**head, "answer": "".join(self.text), "tokens": tokens}
--- a/src/cassiawalk/dispatch/dispatcher.py
+++ b/src/cassiawalk/dispatch/dispatcher.py
@@ -1,6 +1,8 @@
 """Accepts requests and runs each in a task of its own."""
 
+import asyncio
 import collections.abc as cabc
+import dataclasses
 
 import eliot
 
@@ -10,15 +12,29 @@
 from cassiawalk.control.state import KindMode
 from cassiawalk.control.state import PoolType
 from cassiawalk.dispatch.runner import Runner
+from cassiawalk.ids import HostId
+from cassiawalk.ids import RequestId
 from cassiawalk.metrics import Metrics
+from cassiawalk.requests import HandedOver
 from cassiawalk.requests import RequestRecord
 from cassiawalk.requests import RequestState
 from cassiawalk.requests import RequestStore
 from cassiawalk.requests.answer import failed
+from cassiawalk.results import Execution
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
 
 DRAIN_CHECK_S = 0.05
+ABANDON_GRACE_S = 2.0
+
+
+@dataclasses.dataclass(kw_only=True, eq=False)
+class _Run:
+    """A record, how it runs, and the task that runs it."""
+
+    record: RequestRecord
+    pool_type: PoolType
+    task: asyncio.Task[None]
 
 
 class Dispatcher(Component):
@@ -40,6 +56,7 @@
         self._store = store
         self._clock = clock
         self._metrics = metrics
+        self._runs: dict[RequestId, _Run] = {}
         self.draining = False
 
     def submit(self, record: RequestRecord, pool_type: PoolType) -> Refusal | None:
@@ -49,11 +66,47 @@
             self._metrics.note_refusal(record, refusal)
             return refusal
         self._store.add(record)
-        once = record.kind.mode is KindMode.AT_MOST_ONCE
-        runner = self._once_runner if once else self._runners[pool_type]
-        self.spawn(self._run(record, runner), name=f"request-{record.request_id}")
+        record.add_leave_listener(self._note_no_readers)
+        self._start(record, pool_type)
         return None
 
+    def adopt(self, record: RequestRecord, pool_type: PoolType) -> None:
+        """Go on with a request that another host accepted."""
+        self._store.replace(record)
+        self._start(record, pool_type)
+
+    async def halt(self, record: RequestRecord) -> PoolType | None:
+        """Stop reading the upstream; return None if the request has ended meanwhile.
+
+        The record stays without a final event, for ``resume`` or ``move``.
+        """
+        run = self._runs.pop(record.request_id, None)
+        if run is None:
+            return None
+        run.task.cancel()
+        await asyncio.gather(run.task, return_exceptions=True)
+        return None if record.is_final else run.pool_type
+
+    def resume(self, record: RequestRecord, pool_type: PoolType) -> None:
+        """Go on with a halted request here."""
+        record.state = RequestState.WAITING
+        self._start(record, pool_type)
+
+    def move(self, record: RequestRecord, host: HostId) -> None:
+        """Note that a halted request goes on at another host."""
+        record.add(HandedOver(host=host))
+        self._metrics.note_handover(record)
+        self._store.finish(record, RequestState.HANDED_OVER)
+
+    async def give_up(self, record: RequestRecord, refusal: Refusal) -> None:
+        """Stop a request and give its caller the final answer at once."""
+        await self.halt(record)
+        self._end(record, refusal)
+
+    async def begin_drain(self) -> None:
+        """Refuse new requests from now on."""
+        self.draining = True
+
     async def drain(self) -> None:
         """Refuse new requests and return once all accepted ones have ended."""
         self.draining = True
@@ -67,6 +120,12 @@
             )
         return self._gate.check(record)
 
+    def _start(self, record: RequestRecord, pool_type: PoolType) -> None:
+        once = record.kind.mode is KindMode.AT_MOST_ONCE
+        runner = self._once_runner if once else self._runners[pool_type]
+        task = self.spawn(self._run(record, runner), name=f"request-{record.request_id}")
+        self._runs[record.request_id] = _Run(record=record, pool_type=pool_type, task=task)
+
     async def _run(self, record: RequestRecord, runner: Runner) -> None:
         with eliot.start_action(
             action_type="request",
@@ -75,14 +134,45 @@
             service=record.service,
             kind=record.kind_name,
         ) as action:
-            refusal = await runner.run(record)
-            state = RequestState.DONE if refusal is None else RequestState.FAILED
-            if refusal is not None:
-                record.add(failed(refusal))
-                self._metrics.note_refusal(record, refusal)
-            else:
-                self._metrics.note_complete(record, self._clock.monotonic())
-            self._store.finish(record, state)
+            refusal = await self._run_guarded(record, runner)
+            self._runs.pop(record.request_id, None)
+            self._end(record, refusal)
             action.add_success_fields(
-                state=state.value, attempts=record.attempt, tokens=record.tokens
+                state=record.state.value, attempts=record.attempt, tokens=record.tokens
+            )
+
+    async def _run_guarded(self, record: RequestRecord, runner: Runner) -> Refusal | None:
+        """Return the runner's refusal; a fault in the runner becomes one."""
+        try:
+            return await runner.run(record)
+        except Exception as exc:
+            eliot.log_message(message_type="request:fault", error=repr(exc))
+            return Refusal(
+                code=ResultCode.INTERNAL,
+                detail=f"a fault of type {type(exc).__name__}",
+                retry_after_s=1.0,
+                execution=Execution.UNKNOWN if record.attempt else Execution.NOT_RUN,
             )
+
+    def _end(self, record: RequestRecord, refusal: Refusal | None) -> None:
+        if refusal is not None:
+            record.add(failed(refusal))
+            self._metrics.note_refusal(record, refusal)
+            self._store.finish(record, RequestState.FAILED)
+            return
+        self._metrics.note_complete(record, self._clock.monotonic())
+        self._store.finish(record, RequestState.DONE)
+
+    def _note_no_readers(self, record: RequestRecord) -> None:
+        """Cancel a quick request that nobody reads, after time to attach again."""
+        if record.kind.mode is KindMode.QUICK and not self.draining:
+            self.spawn(self._abandon(record), name=f"abandon-{record.request_id}")
+
+    async def _abandon(self, record: RequestRecord) -> None:
+        await self._clock.sleep(ABANDON_GRACE_S)
+        if record.readers or record.is_final or self.draining:
+            return
+        ran = Execution.UNKNOWN if record.attempt else Execution.NOT_RUN
+        detail = f"no caller has read it for {ABANDON_GRACE_S:g} s"
+        refusal = Refusal(code=ResultCode.ABANDONED, detail=detail, execution=ran)
+        await self.give_up(record, refusal)
--- /dev/null
+++ b/src/cassiawalk/handover/__init__.py
@@ -0,0 +1,10 @@
+"""Moves accepted requests off a host that leaves, and finds them again."""
+
+from cassiawalk.handover.drain import DrainController as DrainController
+from cassiawalk.handover.locations import Locator as Locator
+from cassiawalk.handover.messages import AnnounceCall as AnnounceCall
+from cassiawalk.handover.messages import HandoverOffer as HandoverOffer
+from cassiawalk.handover.messages import HandoverWithdrawal as HandoverWithdrawal
+from cassiawalk.handover.receiver import HandoverReceiver as HandoverReceiver
+from cassiawalk.handover.sender import HandoverSender as HandoverSender
+from cassiawalk.handover.targets import Targets as Targets
--- /dev/null
+++ b/src/cassiawalk/handover/drain.py
@@ -0,0 +1,170 @@
+"""Empties a host that was told to stop or that is being reclaimed."""
+
+import asyncio
+
+import eliot
+
+from cassiawalk.app import Component
+from cassiawalk.clock import Clock
+from cassiawalk.control.state import KindMode
+from cassiawalk.dispatch import Dispatcher
+from cassiawalk.handover.plan import DrainPlan
+from cassiawalk.handover.plan import DrainWindow
+from cassiawalk.handover.plan import drain_window
+from cassiawalk.handover.receiver import HandoverReceiver
+from cassiawalk.handover.sender import HandoverSender
+from cassiawalk.handover.targets import Targets
+from cassiawalk.ids import HostId
+from cassiawalk.ids import RequestId
+from cassiawalk.membership import LeavingSource
+from cassiawalk.membership import Membership
+from cassiawalk.platform import CloudApi
+from cassiawalk.requests import RequestRecord
+from cassiawalk.requests import RequestStore
+from cassiawalk.results import Execution
+from cassiawalk.results import Refusal
+from cassiawalk.results import ResultCode
+
+CHECK_INTERVAL_S = 0.05
+RETRY_INTERVAL_S = 0.5
+
+
+class DrainController(Component):
+    """Lets requests finish, hands over what does not fit, and says what is lost.
+
+    :param limit_s: the time that a planned stop may take, in seconds.
+    :param notice_s: the time left after a reclaim notice that names none, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: HostId,
+        membership: Membership,
+        cloud: CloudApi,
+        dispatcher: Dispatcher,
+        store: RequestStore,
+        sender: HandoverSender,
+        receiver: HandoverReceiver,
+        targets: Targets,
+        clock: Clock,
+        limit_s: float,
+        notice_s: float,
+    ) -> None:
+        self._host = host
+        self._membership = membership
+        self._cloud = cloud
+        self._dispatcher = dispatcher
+        self._store = store
+        self._sender = sender
+        self._receiver = receiver
+        self._targets = targets
+        self._clock = clock
+        self._limit_s = limit_s
+        self._notice_s = notice_s
+        self._plan = DrainPlan(clock=clock)
+        self._window: DrainWindow | None = None
+        self._emptying: asyncio.Task[None] | None = None
+        self._moving: set[RequestId] = set()
+        self._retry_at: dict[RequestId, float] = {}
+
+    async def start(self) -> None:
+        """React to a reclaim of this host from now on."""
+        self._membership.add_leaving_listener(self._note_leaving)
+        if self._membership.is_leaving(self._host):
+            self._note_leaving(self._host, LeavingSource.HOST_LIST)
+
+    async def begin_drain(self) -> None:
+        """Begin a planned stop."""
+        self.begin(self._limit_s)
+
+    async def drain(self) -> None:
+        """Return once no request is left on this host."""
+        if self._emptying is not None:
+            await self._emptying
+
+    def begin(self, left_s: float) -> None:
+        """Empty the host within a time in seconds; an earlier end that is known stays."""
+        window = drain_window(now=self._clock.monotonic(), left_s=left_s)
+        if self._window is None or window.end_at < self._window.end_at:
+            self._window = window
+        self._dispatcher.draining = True
+        if self._emptying is None or self._emptying.done():
+            self._emptying = self.spawn(self._empty(), name="drain")
+
+    def _note_leaving(self, host: HostId, source: LeavingSource) -> None:
+        if host == self._host:
+            self._dispatcher.draining = True
+            self.spawn(self._begin_reclaim(), name="drain-reclaim")
+
+    async def _begin_reclaim(self) -> None:
+        self.begin(self._notice_s)
+        notices = await self._cloud.notices(after=0, wait_s=0.0)
+        times = [item.reclaim_s for item in notices or () if item.host == self._host]
+        if not times:
+            return
+        left_s = max(0.0, times[-1] - self._clock.wall())
+        self._window = drain_window(now=self._clock.monotonic(), left_s=left_s)
+        eliot.log_message(message_type="drain:reclaim", left_s=left_s)
+
+    async def _empty(self) -> None:
+        await self._targets.refresh()
+        while records := self._store.unfinished():
+            window = self._window
+            assert window is not None
+            if self._clock.monotonic() >= window.end_at:
+                break
+            for record in self._plan.to_move(records, window):
+                self._move(record, window)
+            await self._clock.sleep(CHECK_INTERVAL_S)
+        await self._give_up_rest()
+
+    def _move(self, record: RequestRecord, window: DrainWindow) -> None:
+        request_id = record.request_id
+        waits = self._retry_at.get(request_id, 0.0) > self._clock.monotonic()
+        if request_id in self._moving or waits:
+            return
+        self._moving.add(request_id)
+        self.spawn(self._hand_over(record, window), name=f"handover-{request_id}")
+
+    async def _hand_over(self, record: RequestRecord, window: DrainWindow) -> None:
+        try:
+            host = await self._sender.hand_over(record, by_s=window.end_at)
+            self._retry_at[record.request_id] = self._clock.monotonic() + RETRY_INTERVAL_S
+            if host is not None:
+                await self._receiver.announce_moved(record, host)
+        finally:
+            self._moving.discard(record.request_id)
+
+    async def _give_up_rest(self) -> None:
+        """Give the final answer to requests that could neither end nor be moved in time."""
+        for record in self._store.unfinished():
+            refusal = _lost(record)
+            eliot.log_message(
+                message_type="drain:lost",
+                request_id=record.request_id,
+                workspace=record.workspace,
+                ran=refusal.ran.value,
+                tokens=record.tokens,
+            )
+            await self._dispatcher.give_up(record, refusal)
+
+
+def _lost(record: RequestRecord) -> Refusal:
+    if record.attempt == 0:
+        return Refusal(
+            code=ResultCode.DRAINING,
+            detail="the host left before the request was dispatched",
+            retry_after_s=0.0,
+        )
+    if record.kind.mode is KindMode.AT_MOST_ONCE:
+        return Refusal(
+            code=ResultCode.OUTCOME_UNKNOWN,
+            detail="the host left while the call ran; ask again with the same key",
+            execution=Execution.UNKNOWN,
+        )
+    return Refusal(
+        code=ResultCode.RECLAIMED,
+        detail=f"the host left after {record.tokens} tokens and no host took the request over",
+        retry_after_s=0.0,
+    )
--- /dev/null
+++ b/src/cassiawalk/handover/receiver.py
@@ -0,0 +1,103 @@
+"""Takes requests over from hosts that leave."""
+
+import eliot
+
+from cassiawalk.app import Component
+from cassiawalk.clock import Clock
+from cassiawalk.dispatch import Dispatcher
+from cassiawalk.handover.locations import Locator
+from cassiawalk.handover.messages import AnnounceCall
+from cassiawalk.handover.messages import HandoverOffer
+from cassiawalk.handover.messages import HandoverReply
+from cassiawalk.handover.messages import HandoverWithdrawal
+from cassiawalk.handover.snapshot import restore_record
+from cassiawalk.ids import HostId
+from cassiawalk.ids import RequestId
+from cassiawalk.requests import RequestRecord
+from cassiawalk.requests import RequestStore
+
+ANNOUNCE_INTERVAL_S = 5.0
+
+
+class HandoverReceiver(Component):
+    """Runs handed-over requests and tells their locators, again and again while they are held."""
+
+    def __init__(
+        self,
+        *,
+        host: HostId,
+        dispatcher: Dispatcher,
+        store: RequestStore,
+        locator: Locator,
+        clock: Clock,
+    ) -> None:
+        self._host = host
+        self._dispatcher = dispatcher
+        self._store = store
+        self._locator = locator
+        self._clock = clock
+        self._adopted: dict[RequestId, RequestRecord] = {}
+
+    async def start(self) -> None:
+        """Keep announcing the requests that were handed over to this host."""
+        self.spawn(self._keep_announcing(), name="handover-announce")
+
+    async def handle_offer(self, offer: HandoverOffer) -> HandoverReply:
+        """Accept an offer, unless this host is leaving itself."""
+        request_id = offer.snapshot.request_id
+        held = self._store.get(request_id)
+        if held is not None and held.answer.moved is None and held.fence >= offer.fence:
+            return HandoverReply(accepted=held.fence == offer.fence, reason="held already")
+        if self._dispatcher.draining:
+            return HandoverReply(accepted=False, reason="this host is leaving")
+        if held is not None and held.answer.moved is None:
+            await self._leave(held, self._host)
+        record = restore_record(offer, host=self._host, clock=self._clock)
+        self._dispatcher.adopt(record, offer.snapshot.pool_type)
+        self._adopted[request_id] = record
+        self.spawn(self._announce(record), name=f"announce-{request_id}")
+        eliot.log_message(
+            message_type="handover:taken",
+            request_id=request_id,
+            sender=offer.sender,
+            fence=offer.fence,
+            tokens=record.tokens,
+        )
+        return HandoverReply(accepted=True)
+
+    async def handle_withdrawal(self, call: HandoverWithdrawal) -> HandoverReply:
+        """End a run whose acknowledgement the sender never got."""
+        record = self._store.get(call.request_id)
+        if record is None or record.fence != call.fence or call.host == self._host:
+            return HandoverReply(accepted=False, reason="not held")
+        await self._leave(record, call.host)
+        return HandoverReply(accepted=True)
+
+    async def announce_moved(self, record: RequestRecord, host: HostId) -> None:
+        """Tell the locators where a request went that this host handed over."""
+        await self._locator.announce(_announcement(record, host))
+
+    async def _announce(self, record: RequestRecord) -> None:
+        winner = await self._locator.announce(_announcement(record, self._host))
+        if winner.host != self._host and winner.fence >= record.fence and not record.is_final:
+            await self._leave(record, winner.host)
+
+    async def _leave(self, record: RequestRecord, host: HostId) -> None:
+        """Give up this host's run for the one of ``host``."""
+        if await self._dispatcher.halt(record) is not None:
+            self._dispatcher.move(record, host)
+
+    async def _keep_announcing(self) -> None:
+        while True:
+            await self._clock.sleep(ANNOUNCE_INTERVAL_S)
+            for request_id, record in list(self._adopted.items()):
+                if self._store.get(request_id) is not record or record.answer.moved is not None:
+                    del self._adopted[request_id]
+                    continue
+                await self._announce(record)
+
+
+def _announcement(record: RequestRecord, host: HostId) -> AnnounceCall:
+    return AnnounceCall(
+        request_id=record.request_id, workspace=record.workspace, host=host, fence=record.fence
+    )
--- /dev/null
+++ b/src/cassiawalk/handover/snapshot.py
@@ -0,0 +1,57 @@
+"""Request records as snapshots for another host, and back."""
+
+from cassiawalk.clock import Clock
+from cassiawalk.control.state import PoolType
+from cassiawalk.handover.messages import HandoverOffer
+from cassiawalk.handover.messages import RequestSnapshot
+from cassiawalk.ids import HostId
+from cassiawalk.requests import RequestRecord
+from cassiawalk.requests.answer_log import AnswerLog
+
+
+def take_snapshot(record: RequestRecord, *, pool_type: PoolType, clock: Clock) -> RequestSnapshot:
+    """Return a record that nothing is added to any more as a snapshot."""
+    return RequestSnapshot(
+        request_id=record.request_id,
+        workspace=record.workspace,
+        service=record.service,
+        kind_name=record.kind_name,
+        kind=record.kind,
+        pool=record.pool,
+        pool_type=pool_type,
+        body=record.body,
+        prompt=record.prompt,
+        deadline_s=record.deadline_s,
+        age_s=clock.monotonic() - record.accepted_at,
+        share=record.share,
+        attempt=record.attempt,
+        retries=record.retries,
+        answer=record.answer.export(),
+        key=record.key,
+        upstream=record.upstream,
+    )
+
+
+def restore_record(offer: HandoverOffer, *, host: HostId, clock: Clock) -> RequestRecord:
+    """Return the record of an offered request as a run of this host."""
+    snapshot = offer.snapshot
+    return RequestRecord(
+        request_id=snapshot.request_id,
+        workspace=snapshot.workspace,
+        service=snapshot.service,
+        kind_name=snapshot.kind_name,
+        kind=snapshot.kind,
+        pool=snapshot.pool,
+        body=snapshot.body,
+        prompt=snapshot.prompt,
+        deadline_s=snapshot.deadline_s,
+        accepted_at=clock.monotonic() - snapshot.age_s,
+        share=snapshot.share,
+        key=snapshot.key,
+        attempt=snapshot.attempt,
+        fence=offer.fence,
+        upstream=snapshot.upstream,
+        answer=AnswerLog(taken_over=snapshot.answer, run=f"{offer.fence}.{host}"),
+        first_text_at=clock.monotonic() if snapshot.answer.text else None,
+        retries=snapshot.retries,
+    )
--- a/src/cassiawalk/metrics.py
+++ b/src/cassiawalk/metrics.py
@@ -32,6 +32,7 @@
         self._recomputed = self._counter("cassiawalk_recomputed_tokens", "Tokens computed again.")
         self._saved = self._counter("cassiawalk_saved_tokens", "Tokens found in engine caches.")
         self._tokens = self._counter("cassiawalk_tokens", "Tokens forwarded.")
+        self._handovers = self._counter("cassiawalk_handovers", "Requests moved to another host.")
         self._last_text: dict[str, float] = {}
 
     def note_tokens(self, record: RequestRecord, count: int, now: float) -> None:
@@ -70,6 +71,11 @@
         """Note another attempt."""
         self._retries.inc(_labels(record))
 
+    def note_handover(self, record: RequestRecord) -> None:
+        """Note that a request goes on at another host."""
+        self._handovers.inc(_labels(record))
+        self._last_text.pop(record.request_id, None)
+
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the body and headers of a scrape."""
         return renderer.render(self.registry, ["text/plain"])
--- a/src/cassiawalk/node.py
+++ b/src/cassiawalk/node.py
@@ -24,6 +24,14 @@
 from cassiawalk.dispatch.call import CallRunner
 from cassiawalk.dispatch.once import OnceRunner
 from cassiawalk.dispatch.stream import StreamRunner
+from cassiawalk.handover import AnnounceCall
+from cassiawalk.handover import DrainController
+from cassiawalk.handover import HandoverOffer
+from cassiawalk.handover import HandoverReceiver
+from cassiawalk.handover import HandoverSender
+from cassiawalk.handover import HandoverWithdrawal
+from cassiawalk.handover import Locator
+from cassiawalk.handover import Targets
 from cassiawalk.httpserver import HttpServer
 from cassiawalk.httpserver import bound_address
 from cassiawalk.httpserver import listen
@@ -33,6 +41,7 @@
 from cassiawalk.once import ClaimClient
 from cassiawalk.once import SequencerPool
 from cassiawalk.peer import AttachCall
+from cassiawalk.peer import LocateCall
 from cassiawalk.peer import NodeStatusCall
 from cassiawalk.peer import NodeStatusReply
 from cassiawalk.peer import OnceCall
@@ -65,6 +74,7 @@
         }
         self._build_platform()
         self._build_requests()
+        self._build_handover()
         self._build_servers()
         self.app = Application(components=self._components())
 
@@ -143,9 +153,40 @@
             clock=self._clock,
         )
 
+    def _build_handover(self) -> None:
+        cfg, clock = self._cfg, self._clock
+        host, membership, links = cfg.host_id, self.membership, self.links
+        self.locator = Locator(host=host, membership=membership, links=links, clock=clock)
+        targets = Targets(host=host, membership=membership, links=links)
+        self.receiver = HandoverReceiver(
+            host=host,
+            dispatcher=self.dispatcher,
+            store=self.store,
+            locator=self.locator,
+            clock=clock,
+        )
+        sender = HandoverSender(
+            host=host, dispatcher=self.dispatcher, targets=targets, links=links, clock=clock
+        )
+        self.drain_controller = DrainController(
+            host=host,
+            membership=membership,
+            cloud=self.cloud,
+            dispatcher=self.dispatcher,
+            store=self.store,
+            sender=sender,
+            receiver=self.receiver,
+            targets=targets,
+            clock=clock,
+            limit_s=cfg.drain_limit_s,
+            notice_s=cfg.drain_notice_s,
+        )
+
     def _build_servers(self) -> None:
         cfg = self._cfg
-        attachments = Attachments(host=cfg.host_id, store=self.store, links=self.links)
+        attachments = Attachments(
+            host=cfg.host_id, store=self.store, links=self.links, locator=self.locator
+        )
         queries = Queries(
             host=cfg.host_id,
             control=self.control,
@@ -169,7 +210,9 @@
             metrics=self.metrics,
             clock=self._clock,
         )
-        self.caller_server = HttpServer(asgi=caller.asgi(), sock=self._sockets["caller"])
+        self.caller_server = HttpServer(
+            asgi=caller.asgi(), sock=self._sockets["caller"], close_limit_s=cfg.drain_limit_s
+        )
         self.admin_server = HttpServer(asgi=admin.asgi(), sock=self._sockets["admin"])
         self.peer_server = PeerServer(sock=self._sockets["peer"], secret=self._secret)
         self._handle_peer_calls(attachments, queries)
@@ -181,6 +224,10 @@
         self.peer_server.handle(OnceCall, self.claims.handle_call)
         self.peer_server.handle(NodeStatusCall, node_status)
         self.peer_server.handle_stream(AttachCall, attachments.serve)
+        self.peer_server.handle(AnnounceCall, self.locator.handle_announce)
+        self.peer_server.handle(LocateCall, self.locator.handle_locate)
+        self.peer_server.handle(HandoverOffer, self.receiver.handle_offer)
+        self.peer_server.handle(HandoverWithdrawal, self.receiver.handle_withdrawal)
 
     def _components(self) -> list[Component]:
         return [
@@ -195,6 +242,9 @@
             self.recorder,
             self.scheduler,
             self.dispatcher,
+            self.locator,
+            self.receiver,
+            self.drain_controller,
             self.admin_server,
             self.caller_server,
         ]
--- a/src/cassiawalk/peer/__init__.py
+++ b/src/cassiawalk/peer/__init__.py
@@ -3,6 +3,7 @@
 from cassiawalk.peer.links import PeerFailure as PeerFailure
 from cassiawalk.peer.links import PeerLinks as PeerLinks
 from cassiawalk.peer.messages import AttachCall as AttachCall
+from cassiawalk.peer.messages import CancelCall as CancelCall
 from cassiawalk.peer.messages import LocateCall as LocateCall
 from cassiawalk.peer.messages import LocateReply as LocateReply
 from cassiawalk.peer.messages import NodeStatusCall as NodeStatusCall
--- a/src/cassiawalk/peer/_frames.py
+++ b/src/cassiawalk/peer/_frames.py
@@ -1,13 +1,29 @@
 """Frames: a call number and one message, as CBOR."""
 
+import dataclasses
+
 import cbor2
 
 from cassiawalk.errors import WireError
+from cassiawalk.peer.messages import PeerFault
 from cassiawalk.peer.messages import messages
 from cassiawalk.wire import load
 
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 SECRET_HEADER = "x-cassiawalk-peer"
+PING_INTERVAL_S = 2.0
+PING_TIMEOUT_S = 4.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class BadMessage:
+    """A message that can't be decoded, in a frame whose call number is known."""
+
+    reason: str
+
+    def fault(self) -> PeerFault:
+        """Return the reply to the call."""
+        return PeerFault(reason=f"the message can't be decoded: {self.reason}")
 
 
 def encode_frame(number: int, message: object) -> bytes:
@@ -18,6 +34,8 @@
 def decode_frame(data: bytes | str) -> tuple[int, object | None]:
     """Return a frame's call number and message; None stands for an unknown message.
 
+    A known message with wrong fields is returned as ``BadMessage``, so that it fails its own call.
+
     :raises WireError: if the bytes are not a frame.
     """
     if isinstance(data, str):
@@ -25,4 +43,7 @@
     plain = load(data)
     if not isinstance(plain, list) or len(plain) != 2 or not isinstance(plain[0], int):
         raise WireError("expected a call number and a message")
-    return plain[0], messages.from_plain(plain[1])
+    try:
+        return plain[0], messages.from_plain(plain[1])
+    except (WireError, AttributeError, TypeError, ValueError) as exc:
+        return plain[0], BadMessage(reason=str(exc))
--- a/src/cassiawalk/peer/links.py
+++ b/src/cassiawalk/peer/links.py
@@ -18,10 +18,13 @@
 from cassiawalk.ids import HostId
 from cassiawalk.membership import Membership
 from cassiawalk.peer import _frames
+from cassiawalk.peer.messages import CancelCall
 from cassiawalk.peer.messages import PeerFault
 from cassiawalk.peer.messages import StreamPart
 
 CONNECT_TIMEOUT_S = 2.0
+REPLIES_QUEUED = 64
+OVERRUN_REASON = "the reader was too slow for the stream"
 _R = t.TypeVar("_R")
 
 
@@ -33,28 +36,56 @@
     sent: bool
 
 
+class _Replies:
+    """Replies to one call that its reader has not taken yet, bounded in number."""
+
+    def __init__(self) -> None:
+        self._queue: asyncio.Queue[object] = asyncio.Queue()
+        self.closed = False
+
+    def put(self, reply: object) -> None:
+        """Queue a reply; beyond the limit the call ends with a fault."""
+        if self.closed:
+            return
+        if self._queue.qsize() >= REPLIES_QUEUED:
+            reply = PeerFault(reason=OVERRUN_REASON)
+        self.closed = isinstance(reply, PeerFault)
+        self._queue.put_nowait(reply)
+
+    async def take(self) -> object:
+        """Return the next reply."""
+        return await self._queue.get()
+
+
 class _Link:
     """One open connection and its calls in flight."""
 
     def __init__(self, *, conn: ClientConnection) -> None:
         self.conn = conn
-        self.replies: dict[int, asyncio.Queue[object]] = {}
+        self.replies: dict[int, _Replies] = {}
         self.closed = False
 
     async def receive(self) -> None:
         """Hand incoming replies to their calls until the connection ends."""
         try:
             async for data in self.conn:
-                number, message = _frames.decode_frame(data)
-                queue = self.replies.get(number)
-                if queue is not None:
-                    queue.put_nowait(message or PeerFault(reason="unknown reply"))
+                self._deliver(data)
         except (ConnectionClosed, WireError) as exc:
             eliot.log_message(message_type="peer:link-lost", error=repr(exc))
         finally:
             self.closed = True
-            for queue in self.replies.values():
-                queue.put_nowait(PeerFault(reason="connection lost"))
+            for replies in self.replies.values():
+                replies.put(PeerFault(reason="connection lost"))
+            await self.conn.close()
+
+    def _deliver(self, data: bytes | str) -> None:
+        number, message = _frames.decode_frame(data)
+        replies = self.replies.get(number)
+        if replies is None:
+            return
+        if isinstance(message, _frames.BadMessage):
+            message = message.fault()
+        replies.put(message or PeerFault(reason="unknown reply"))
 
 
 class PeerLinks(Component):
@@ -88,7 +119,8 @@
         self, host: HostId, message: object
     ) -> cabc.AsyncGenerator[dict[str, t.Any] | PeerFailure, None]:
         """Yield the items of a streamed reply; a failure ends the stream as its last item."""
-        async with contextlib.aclosing(self._exchange(host, message)) as replies:
+        exchange = self._exchange(host, message, streamed=True)
+        async with contextlib.aclosing(exchange) as replies:
             async for answer in replies:
                 if not isinstance(answer, StreamPart):
                     reason = getattr(answer, "reason", "unexpected reply")
@@ -105,22 +137,34 @@
             await link.conn.close()
         await super().stop()
 
-    async def _exchange(self, host: HostId, message: object) -> cabc.AsyncGenerator[object, None]:
+    async def _exchange(
+        self, host: HostId, message: object, *, streamed: bool = False
+    ) -> cabc.AsyncGenerator[object, None]:
         link = await self._link(host)
         if isinstance(link, PeerFailure):
             yield link
             return
         number = next(self._numbers)
-        queue: asyncio.Queue[object] = asyncio.Queue()
-        link.replies[number] = queue
+        replies = _Replies()
+        link.replies[number] = replies
+        answer: object = None
         try:
             await link.conn.send(_frames.encode_frame(number, message))
             while True:
-                yield await queue.get()
+                answer = await replies.take()
+                yield answer
         except ConnectionClosed as exc:
             yield PeerFailure(reason=repr(exc), sent=True)
         finally:
             del link.replies[number]
+            ended = isinstance(answer, StreamPart) and answer.last
+            if streamed and not ended and not link.closed:
+                self.spawn(self._cancel(link, number), name=f"peer-cancel-{number}")
+
+    async def _cancel(self, link: _Link, number: int) -> None:
+        """Tell the peer that nobody reads a stream any more."""
+        with contextlib.suppress(ConnectionClosed):
+            await link.conn.send(_frames.encode_frame(number, CancelCall()))
 
     async def _link(self, host: HostId) -> _Link | PeerFailure:
         async with self._locks.setdefault(host, asyncio.Lock()):
@@ -140,6 +184,8 @@
                 open_timeout=CONNECT_TIMEOUT_S,
                 max_size=_frames.MAX_FRAME_BYTES,
                 compression=None,
+                ping_interval=_frames.PING_INTERVAL_S,
+                ping_timeout=_frames.PING_TIMEOUT_S,
             )
         except (OSError, TimeoutError, InvalidHandshake) as exc:
             self._membership.mark_unreachable(host)
--- a/src/cassiawalk/peer/messages.py
+++ b/src/cassiawalk/peer/messages.py
@@ -38,11 +38,11 @@
 @messages.register("attach")
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class AttachCall:
-    """Asks for the events of a request that the peer holds, after a sequence number."""
+    """Asks for the events of a request that the peer holds, after a reader's place."""
 
     request_id: RequestId
     workspace: WorkspaceName
-    after: int
+    after: str
 
 
 @messages.register("part")
@@ -57,9 +57,10 @@
 @messages.register("locate")
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class LocateCall:
-    """Asks which host holds a request."""
+    """Asks which host holds a workspace's request."""
 
     request_id: RequestId
+    workspace: WorkspaceName
 
 
 @messages.register("locate-reply")
@@ -70,6 +71,12 @@
     host: HostId | None = None
 
 
+@messages.register("cancel")
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CancelCall:
+    """Ends the call with this frame's number; there is no reply."""
+
+
 @messages.register("node-status")
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class NodeStatusCall:
--- a/src/cassiawalk/peer/server.py
+++ b/src/cassiawalk/peer/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc as cabc
+import functools
 import hmac
 import http
 import socket
@@ -18,6 +19,7 @@
 from cassiawalk.app import Component
 from cassiawalk.errors import WireError
 from cassiawalk.peer import _frames
+from cassiawalk.peer.messages import CancelCall
 from cassiawalk.peer.messages import PeerFault
 from cassiawalk.peer.messages import StreamPart
 
@@ -59,6 +61,8 @@
             process_request=self._authorize,
             max_size=_frames.MAX_FRAME_BYTES,
             compression=None,
+            ping_interval=_frames.PING_INTERVAL_S,
+            ping_timeout=_frames.PING_TIMEOUT_S,
         )
 
     async def stop(self) -> None:
@@ -75,19 +79,22 @@
         return conn.respond(http.HTTPStatus.FORBIDDEN, "wrong peer secret\n")
 
     async def _serve(self, conn: ServerConnection) -> None:
-        calls: set[asyncio.Task[None]] = set()
+        calls: dict[int, asyncio.Task[None]] = {}
         try:
             async for data in conn:
                 number, message = _frames.decode_frame(data)
+                if isinstance(message, CancelCall):
+                    _cancel(calls, number)
+                    continue
                 task = asyncio.create_task(self._answer(conn, number, message))
-                calls.add(task)
-                task.add_done_callback(calls.discard)
+                calls[number] = task
+                task.add_done_callback(functools.partial(_forget, calls, number))
         except WireError as exc:
             eliot.log_message(message_type="peer:bad-frame", fault=str(exc))
         except ConnectionClosed:
             pass
         finally:
-            for task in calls:
+            for task in calls.values():
                 task.cancel()
 
     async def _answer(self, conn: ServerConnection, number: int, message: object | None) -> None:
@@ -100,11 +107,21 @@
             return
 
     async def _answer_stream(self, conn: ServerConnection, number: int, message: object) -> None:
-        async for part in self._stream_handlers[type(message)](message):
-            await conn.send(_frames.encode_frame(number, part))
-        await conn.send(_frames.encode_frame(number, StreamPart(last=True)))
+        last: object = StreamPart(last=True)
+        try:
+            async for part in self._stream_handlers[type(message)](message):
+                await conn.send(_frames.encode_frame(number, part))
+        except ConnectionClosed:
+            raise
+        except Exception as exc:
+            # The fault belongs to one call; the connection serves others.
+            eliot.log_message(message_type="peer:handler-failed", error=repr(exc))
+            last = PeerFault(reason=repr(exc))
+        await conn.send(_frames.encode_frame(number, last))
 
     async def _reply(self, message: object | None) -> object:
+        if isinstance(message, _frames.BadMessage):
+            return message.fault()
         handler = self._handlers.get(type(message))
         if handler is None:
             return PeerFault(reason=f"no handler for {type(message).__name__}")
@@ -114,3 +131,13 @@
             # The fault belongs to one call; the connection serves others.
             eliot.log_message(message_type="peer:handler-failed", error=repr(exc))
             return PeerFault(reason=repr(exc))
+
+
+def _forget(calls: dict[int, asyncio.Task[None]], number: int, _: asyncio.Task[None]) -> None:
+    calls.pop(number, None)
+
+
+def _cancel(calls: dict[int, asyncio.Task[None]], number: int) -> None:
+    task = calls.get(number)
+    if task is not None:
+        task.cancel()
--- a/src/cassiawalk/requests/answer.py
+++ b/src/cassiawalk/requests/answer.py
@@ -57,7 +57,15 @@
     host: HostId
 
 
-AnswerEvent = Text | Result | Ended | Failed | HandedOver
+@answers.register("rewind")
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Rewind:
+    """A reader has text of a run that was given up; only its first characters stand."""
+
+    keep: int
+
+
+AnswerEvent = Text | Result | Ended | Failed | HandedOver | Rewind
 FINAL_EVENTS = (Ended, Failed, HandedOver)
 
 
--- /dev/null
+++ b/src/cassiawalk/requests/answer_log.py
@@ -0,0 +1,199 @@
+"""The answer of one request so far, addressed by positions that survive joining and handover."""
+
+import array
+import bisect
+import dataclasses
+
+from cassiawalk.requests.answer import AnswerEvent
+from cassiawalk.requests.answer import Ended
+from cassiawalk.requests.answer import Failed
+from cassiawalk.requests.answer import HandedOver
+from cassiawalk.requests.answer import Result
+from cassiawalk.requests.answer import Rewind
+from cassiawalk.requests.answer import Text
+
+BLOCK_CHARS = 4096
+FIRST_RUN = "0"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Cursor:
+    """A reader's place in an answer, as sent in the ``id`` of a server-sent event.
+
+    ``position`` counts the characters of the text, then one for each closing event. ``run`` names
+    the host's run whose answer was read; it is empty when the reader does not know it.
+    """
+
+    run: str = ""
+    position: int = 0
+
+    def __str__(self) -> str:
+        return f"{self.position}:{self.run}" if self.run else str(self.position)
+
+
+def parse_cursor(text: str) -> Cursor | None:
+    """Return the cursor of a ``Last-Event-ID`` header, or None if it is malformed."""
+    position, _, run = text.partition(":")
+    if not position.isascii() or not position.isdigit():
+        return None
+    return Cursor(run=run, position=int(position))
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RunStart:
+    """Where a host's run took the answer over from the run before it."""
+
+    run: str
+    position: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AnswerText:
+    """The text of an answer with its token boundaries, as it goes along in a handover.
+
+    ``ends`` holds the position after each chunk and ``counts`` the tokens up to there.
+    """
+
+    text: str
+    ends: tuple[int, ...]
+    counts: tuple[int, ...]
+    runs: tuple[RunStart, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NumberedEvent:
+    """An answer event and the reader's place after it."""
+
+    cursor: Cursor
+    event: AnswerEvent
+
+
+class AnswerLog:
+    """Text in large blocks, token boundaries in arrays, and the closing events.
+
+    Readers hold only a position, so a slow reader costs no memory.
+    """
+
+    def __init__(self, *, taken_over: AnswerText | None = None, run: str = FIRST_RUN) -> None:
+        self._blocks: list[str] = []
+        self._blocks_end = 0
+        self._tail: list[str] = []
+        self._ends = array.array("L")
+        self._counts = array.array("L")
+        self._closing: list[Result | Ended | Failed] = []
+        self.moved: HandedOver | None = None
+        self.text_end = 0
+        self.tokens = 0
+        self.runs = [RunStart(run=run, position=0)]
+        if taken_over is not None:
+            self._take_over(taken_over, run)
+
+    @property
+    def end(self) -> int:
+        """Return the position after the last event."""
+        return self.text_end + len(self._closing)
+
+    @property
+    def is_final(self) -> bool:
+        """Return whether nothing can follow here."""
+        return self.moved is not None or self.is_whole
+
+    @property
+    def is_whole(self) -> bool:
+        """Return whether the answer's own last event is in place."""
+        return bool(self._closing) and not isinstance(self._closing[-1], Result)
+
+    @property
+    def text(self) -> str:
+        """Return the streamed answer so far."""
+        return self._text_from(0)
+
+    @property
+    def events(self) -> list[AnswerEvent]:
+        """Return the whole answer so far as events, its text joined."""
+        return [numbered.event for numbered in self.read(0)]
+
+    def add(self, event: AnswerEvent) -> None:
+        """Append an event; nothing follows a final one."""
+        if self.is_final:
+            return
+        if isinstance(event, Text):
+            self._add_text(event)
+        elif isinstance(event, HandedOver):
+            self.moved = event
+        elif not isinstance(event, Rewind):
+            self._closing.append(event)
+
+    def read(self, position: int) -> list[NumberedEvent]:
+        """Return what follows a position, the text joined into one event."""
+        run = self.runs[-1].run
+        found: list[NumberedEvent] = []
+
+        def append(event: AnswerEvent) -> None:
+            found.append(NumberedEvent(cursor=Cursor(run=run, position=position), event=event))
+
+        if position < self.text_end:
+            count = self.tokens - self._tokens_before(position)
+            text = Text(count=count, text=self._text_from(position))
+            position = self.text_end
+            append(text)
+        for event in self._closing[position - self.text_end :]:
+            position += 1
+            append(event)
+        if self.moved is not None and not self.is_whole:
+            append(self.moved)
+        return found
+
+    def resolve(self, cursor: Cursor) -> int:
+        """Return the position up to which a reader's text is that of this answer.
+
+        A reader of a run that this answer does not descend from has to start again.
+        """
+        if not cursor.run:
+            return min(cursor.position, self.end)
+        for index, start in enumerate(self.runs):
+            if start.run == cursor.run:
+                following = self.runs[index + 1 : index + 2]
+                limit = following[0].position if following else self.end
+                return min(cursor.position, limit)
+        return 0
+
+    def export(self) -> AnswerText:
+        """Return the text for a handover."""
+        return AnswerText(
+            text=self.text,
+            ends=tuple(self._ends),
+            counts=tuple(self._counts),
+            runs=tuple(self.runs),
+        )
+
+    def _take_over(self, taken: AnswerText, run: str) -> None:
+        self._blocks = [taken.text]
+        self._blocks_end = self.text_end = len(taken.text)
+        self._ends = array.array("L", taken.ends)
+        self._counts = array.array("L", taken.counts)
+        self.tokens = self._counts[-1] if self._counts else 0
+        self.runs = [*taken.runs, RunStart(run=run, position=self.text_end)]
+
+    def _add_text(self, event: Text) -> None:
+        self.text_end += len(event.text)
+        self.tokens += event.count
+        self._tail.append(event.text)
+        self._ends.append(self.text_end)
+        self._counts.append(self.tokens)
+        if self.text_end - self._blocks_end >= BLOCK_CHARS:
+            self._blocks.append("".join(self._tail))
+            self._blocks_end = self.text_end
+            self._tail.clear()
+
+    def _tokens_before(self, position: int) -> int:
+        index = bisect.bisect_right(self._ends, position)
+        return self._counts[index - 1] if index else 0
+
+    def _text_from(self, position: int) -> str:
+        if len(self._tail) > 1:
+            self._tail = ["".join(self._tail)]
+        tail = self._tail[0] if self._tail else ""
+        if position >= self._blocks_end:
+            return tail[position - self._blocks_end :]
+        return ("".join(self._blocks) + tail)[position:]
--- a/src/cassiawalk/requests/store.py
+++ b/src/cassiawalk/requests/store.py
@@ -37,11 +37,25 @@
         return self._records.get(request_id)
 
     def finish(self, record: RequestRecord, state: RequestState) -> None:
-        """Note a record's final state and start its time of retention."""
+        """Note a record's final state and start its time of retention.
+
+        A record that has its final state already keeps it.
+        """
+        if record.state in FINAL_STATES:
+            return
         record.state = state
         record.finished_at = self._clock.monotonic()
         self._finished.append((record.finished_at, record.request_id))
 
+    def replace(self, record: RequestRecord) -> None:
+        """Hold a record in place of a finished one with the same id."""
+        self._finished = collections.deque(
+            (at_s, request_id)
+            for at_s, request_id in self._finished
+            if request_id != record.request_id
+        )
+        self.add(record)
+
     def unfinished(self) -> list[RequestRecord]:
         """Return the records that wait or run."""
         return [record for record in self._records.values() if record.state not in FINAL_STATES]
--- a/src/cassiawalk/results.py
+++ b/src/cassiawalk/results.py
@@ -45,8 +45,11 @@
     UPSTREAM_REJECTED = 4001
     DEADLINE_PASSED_RUNNING = 4002
     CRASHED_UPSTREAM = 4003
+    ABANDONED = 4004
     IN_PROGRESS = 5000
     OUTCOME_UNKNOWN = 5001
+    INTERNAL = 5002
+    RECLAIMED = 5003
     COMMAND_ACCEPTED = 6000
     COMMAND_CONFLICT = 6001
     COMMAND_REJECTED = 6002
@@ -167,6 +170,15 @@
     ResultCode.OUTCOME_UNKNOWN: _info(
         500, _UNKNOWN, False, "Whether the request ran can't be told.", "Check the upstream."
     ),
+    ResultCode.ABANDONED: _info(
+        499, _UNKNOWN, True, "Every caller left, and the request was cancelled.", "None."
+    ),
+    ResultCode.INTERNAL: _info(
+        500, _UNKNOWN, True, "A fault inside cassiawalk ended the request.", "Report the log line."
+    ),
+    ResultCode.RECLAIMED: _info(
+        503, _UNKNOWN, True, "The host left before the request could be moved.", "Run-book on loss."
+    ),
     ResultCode.COMMAND_ACCEPTED: _info(
         200, _RAN, False, "The command is in the configuration.", "None."
     ),
--- a/src/cassiawalk/settings.py
+++ b/src/cassiawalk/settings.py
@@ -168,6 +168,13 @@
         "Lines of operator name, role (read or write) and token.",
     ),
     _spec("drain", "limit_s", _SECONDS, "120", "Longest graceful stop, in seconds."),
+    _spec(
+        "drain",
+        "notice_s",
+        _SECONDS,
+        "20",
+        "Time left after a reclaim notice that names no time, in seconds.",
+    ),
     _spec("once", "window_s", _SECONDS, "3600", "Idempotency window, in seconds."),
     _spec(
         "once",
@@ -202,6 +209,7 @@
     peer_secret: str
     operator_tokens: str
     drain_limit_s: float
+    drain_notice_s: float
     once_window_s: float
     once_partitions: int
     control_staleness_bound_s: float
