--- a/examples/caller.py
+++ b/examples/caller.py
@@ -7,6 +7,7 @@
 
 import orjson
 
+from cassiawalk.cli.client import FIRST_EVENT_ID
 from cassiawalk.cli.client import CallerClient
 from cassiawalk.cli.client import Reply
 from cassiawalk.cli.client import ServerEvent
@@ -46,7 +47,7 @@
     key: str | None
     request_id: str | None = None
     text: str = ""
-    last_id: int = 0
+    last_id: str = FIRST_EVENT_ID
     complete: bool = False
     refused: bool = False
     ran: str = ""
@@ -113,6 +114,8 @@
     answer.request_id = event.data.get("request_id", answer.request_id)
     if event.name == "token":
         answer.text += event.data["text"]
+    elif event.name == "rewind":
+        answer.text = answer.text[: int(event.data["keep"])]
     elif event.name == "handover":
         answer.request_id = str(event.data["location"]).rpartition("/")[2]
     elif event.name == "end":
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -166,7 +166,7 @@
                 continue
             metric, _, value = line.rpartition(" ")
             family = metric.partition("{")[0]
-            if family.endswith(("_tokens", "_retries", "_refusals")):
+            if family.endswith(("_tokens", "_retries", "_refusals", "_handovers")):
                 totals[family] += round(float(value))
     print("\nmetrics of the live hosts: " + ", ".join(f"{k}={v}" for k, v in totals.items()))
 
--- a/src/cassiawalk/cli/client.py
+++ b/src/cassiawalk/cli/client.py
@@ -12,6 +12,7 @@
 
 STATEMENT_TIMEOUT_S = 30.0
 ID_HEADER = "x-request-id"
+FIRST_EVENT_ID = "0"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -26,7 +27,7 @@
 class ServerEvent:
     """One server-sent event of an answer."""
 
-    event_id: int
+    event_id: str
     name: str
     data: dict[str, t.Any]
 
@@ -81,10 +82,10 @@
             yield item
 
     async def attach(
-        self, request_id: str, *, after: int
+        self, request_id: str, *, after: str
     ) -> cabc.AsyncGenerator[ServerEvent | Reply, None]:
         """Yield the events of an accepted request after an event id."""
-        headers = {**self._headers(), "last-event-id": str(after)}
+        headers = {**self._headers(), "last-event-id": after}
         url = f"{self._url}/v1/requests/{request_id}"
         res = await self._send(self._client.get(url, headers=headers))
         async for item in _events(res, after=after):
@@ -109,7 +110,7 @@
 
 
 async def _events(
-    res: aiosonic.HttpResponse, *, after: int = 0
+    res: aiosonic.HttpResponse, *, after: str = FIRST_EVENT_ID
 ) -> cabc.AsyncGenerator[ServerEvent | Reply, None]:
     if res.status_code != 200:
         yield Reply(status=res.status_code, body=orjson.loads(await res.content()))
@@ -130,5 +131,5 @@
 def _server_event(frame: bytes) -> ServerEvent:
     fields = dict(line.split(": ", 1) for line in frame.decode().splitlines())
     return ServerEvent(
-        event_id=int(fields["id"]), name=fields["event"], data=orjson.loads(fields["data"])
+        event_id=fields["id"], name=fields["event"], data=orjson.loads(fields["data"])
     )
--- a/src/cassiawalk/cli/submit.py
+++ b/src/cassiawalk/cli/submit.py
@@ -4,6 +4,7 @@
 import collections.abc as cabc
 import sys
 
+from cassiawalk.cli.client import FIRST_EVENT_ID
 from cassiawalk.cli.client import CallerClient
 from cassiawalk.cli.client import Reply
 from cassiawalk.cli.client import ServerEvent
@@ -22,8 +23,8 @@
         self._client = client
         self._progress = progress
         self._request_id: str | None = None
-        self._last_id = 0
-        self._tokens = 0
+        self._last_id = FIRST_EVENT_ID
+        self._text = ""
 
     async def run(self, path: str, body: bytes, *, key: str | None) -> ExitStatus:
         """Send the request, print its answer and return the exit status."""
@@ -58,9 +59,12 @@
         if event.name == "accepted":
             return None
         if event.name == "token":
-            self._tokens += int(event.data["count"])
+            self._text += event.data["text"]
             print(event.data["text"], end="", flush=True)
             return None
+        if event.name == "rewind":
+            self._rewind(int(event.data["keep"]))
+            return None
         if event.name == "result":
             print(format_json(event.data["answer"]))
             if event.data["recorded"]:
@@ -71,13 +75,20 @@
             self._note(f"handed over to host {event.data['host']}")
             return None
         if event.name == "end":
-            if self._tokens:
+            if self._text:
                 print()
             self._note(f"complete, {event.data['tokens']} tokens, request {self._request_id}")
             return ExitStatus.OK
         print(format_json(event.data), file=sys.stderr)
         return ExitStatus.UNKNOWN if event.data.get("ran") == "unknown" else ExitStatus.REFUSED
 
+    def _rewind(self, keep: int) -> None:
+        """Print the part of the answer that stands again; the rest was of a run given up."""
+        self._text = self._text[:keep]
+        print()
+        self._note("a part of the answer was given up; it goes on from here")
+        print(self._text, end="", flush=True)
+
     def _note(self, text: str) -> None:
         if self._progress:
             print(f"[{text}]", file=sys.stderr, flush=True)
--- a/src/cassiawalk/node.py
+++ b/src/cassiawalk/node.py
@@ -34,6 +34,14 @@
 from cassiawalk.dispatch.mover import Mover
 from cassiawalk.dispatch.once import OnceRunner
 from cassiawalk.dispatch.stream import StreamRunner
+from cassiawalk.handover import AnnounceCall
+from cassiawalk.handover import DrainController
+from cassiawalk.handover import HandoverOffer
+from cassiawalk.handover import HandoverReceiver
+from cassiawalk.handover import HandoverSender
+from cassiawalk.handover import HandoverWithdrawal
+from cassiawalk.handover import Locator
+from cassiawalk.handover import Targets
 from cassiawalk.httpserver import HttpServer
 from cassiawalk.httpserver import bound_address
 from cassiawalk.httpserver import listen
@@ -46,6 +54,7 @@
 from cassiawalk.peer import AttachCall
 from cassiawalk.peer import ClaimStatusCall
 from cassiawalk.peer import FeedCall
+from cassiawalk.peer import LocateCall
 from cassiawalk.peer import MembershipFeed
 from cassiawalk.peer import NoteBoard
 from cassiawalk.peer import OnceCall
@@ -80,6 +89,7 @@
         }
         self._build_platform()
         self._build_requests()
+        self._build_handover()
         self._build_servers()
         self._meter_control()
         self.app = Application(components=self._components())
@@ -212,9 +222,40 @@
             window_s=self._cfg.once_window_s,
         )
 
+    def _build_handover(self) -> None:
+        cfg, clock = self._cfg, self._clock
+        host, membership, links = cfg.host_id, self.membership, self.links
+        self.locator = Locator(host=host, membership=membership, links=links, clock=clock)
+        targets = Targets(host=host, membership=membership, links=links)
+        self.receiver = HandoverReceiver(
+            host=host,
+            dispatcher=self.dispatcher,
+            store=self.store,
+            locator=self.locator,
+            clock=clock,
+        )
+        sender = HandoverSender(
+            host=host, dispatcher=self.dispatcher, targets=targets, links=links, clock=clock
+        )
+        self.drain_controller = DrainController(
+            host=host,
+            membership=membership,
+            cloud=self.cloud,
+            dispatcher=self.dispatcher,
+            store=self.store,
+            sender=sender,
+            receiver=self.receiver,
+            targets=targets,
+            clock=clock,
+            limit_s=cfg.drain_limit_s,
+            notice_s=cfg.drain_notice_s,
+        )
+
     def _build_servers(self) -> None:
         cfg = self._cfg
-        attachments = Attachments(host=cfg.host_id, store=self.store, links=self.links)
+        attachments = Attachments(
+            host=cfg.host_id, store=self.store, links=self.links, locator=self.locator
+        )
         queries = QueryService(
             host=cfg.host_id,
             source=self._row_source(),
@@ -237,7 +278,9 @@
             history=History(log=self.log),
             metrics=self.metrics,
         )
-        self.caller_server = HttpServer(asgi=caller.asgi(), sock=self._sockets["caller"])
+        self.caller_server = HttpServer(
+            asgi=caller.asgi(), sock=self._sockets["caller"], close_limit_s=cfg.drain_limit_s
+        )
         self.admin_server = HttpServer(asgi=admin.asgi(), sock=self._sockets["admin"])
         self.peer_server = PeerServer(sock=self._sockets["peer"], secret=self._secret)
         self._handle_peer_calls(attachments, queries)
@@ -263,6 +306,10 @@
         self.peer_server.handle(ShareCall, self.feed.handle_share)
         self.peer_server.handle_stream(FeedCall, self.feed.serve)
         self.peer_server.handle_stream(AttachCall, attachments.serve)
+        self.peer_server.handle(AnnounceCall, self.locator.handle_announce)
+        self.peer_server.handle(LocateCall, self.locator.handle_locate)
+        self.peer_server.handle(HandoverOffer, self.receiver.handle_offer)
+        self.peer_server.handle(HandoverWithdrawal, self.receiver.handle_withdrawal)
 
     def _meter_control(self) -> None:
         """Count the processor time of the control work apart from the token path."""
@@ -291,6 +338,9 @@
             self.recorder,
             self.scheduler,
             self.dispatcher,
+            self.locator,
+            self.receiver,
+            self.drain_controller,
             self.admin_server,
             self.caller_server,
         ]
--- a/src/cassiawalk/peer/__init__.py
+++ b/src/cassiawalk/peer/__init__.py
@@ -9,6 +9,7 @@
 from cassiawalk.peer.links import PeerFailure as PeerFailure
 from cassiawalk.peer.links import PeerLinks as PeerLinks
 from cassiawalk.peer.messages import AttachCall as AttachCall
+from cassiawalk.peer.messages import CancelCall as CancelCall
 from cassiawalk.peer.messages import ClaimStatusCall as ClaimStatusCall
 from cassiawalk.peer.messages import ClaimStatusReply as ClaimStatusReply
 from cassiawalk.peer.messages import HolderState as HolderState
