Make the fold refuse what could break a host, and bound what it keeps

Cause: a command repeated after its verdict was dropped took effect again; a removal did not conflict with a change that had not seen it, or was kept for ever; a number too large for a float, a list where a map belongs and NaN went through to the hosts or raised inside the follower; references were checked one way only. Ruled out: a time window by the issue time of records (one operator's wrong clock would refuse everybody); dropping verdicts in order of arrival (same). Change: verdicts are dropped by the time in the command id and leave a floor, removals are kept apart, bounded, and leave a floor too. Rules for names, ranges and references in both directions live in rules.py. A Draft copies each table once for a batch and takes back a rejected command. The follower counts its age from before each question. The publisher repeats an append whose answer is lost, with the same id, three times at most.

--- a/src/cassiawalk/control/__init__.py
+++ b/src/cassiawalk/control/__init__.py
@@ -6,6 +6,8 @@
 from cassiawalk.control.commands import Verb as Verb
 from cassiawalk.control.fold import fold as fold
 from cassiawalk.control.follower import ControlFollower as ControlFollower
+from cassiawalk.control.follower import Freshness as Freshness
+from cassiawalk.control.publisher import CommandOutcome as CommandOutcome
 from cassiawalk.control.publisher import CommandPublisher as CommandPublisher
 from cassiawalk.control.state import CommandVerdict as CommandVerdict
 from cassiawalk.control.state import ConfigState as ConfigState
--- a/src/cassiawalk/control/commands.py
+++ b/src/cassiawalk/control/commands.py
@@ -8,6 +8,8 @@
 from cassiawalk.wire import Registry
 
 CONTROL_STREAM = "control"
+FORMAT_VERSION = 1
+SYSTEM_OPERATOR = "system"
 records = Registry()
 
 FieldValue = str | int | float | bool
@@ -57,8 +59,9 @@
 class Command:
     """Operations that are accepted together or not at all.
 
-    ``expected`` is the revision at which the operator read the objects, or None to accept
-    whatever is there. ``issued_s`` is in wall-clock seconds and is kept for the audit only.
+    ``command_id`` is a version 7 UUID. ``expected`` is the revision at which the operator read the
+    objects, or None to accept whatever is there. ``issued_s`` is in wall-clock seconds and is kept
+    for the audit only. A host that does not know ``version`` stops folding at the record.
     """
 
     command_id: CommandId
@@ -67,3 +70,4 @@
     statement: str
     issued_s: float
     expected: Revision | None = None
+    version: int = FORMAT_VERSION
--- a/src/cassiawalk/control/fold.py
+++ b/src/cassiawalk/control/fold.py
@@ -6,180 +6,215 @@
 
 import collections.abc as cabc
 import dataclasses
+import math
 import typing as t
 
 from cassiawalk.control.commands import Command
-from cassiawalk.control.commands import ObjectType
 from cassiawalk.control.commands import Operation
 from cassiawalk.control.commands import Verb
+from cassiawalk.control.draft import Draft
+from cassiawalk.control.rules import TABLES
+from cassiawalk.control.rules import RejectedError
+from cassiawalk.control.rules import check_fields
+from cassiawalk.control.rules import check_name
+from cassiawalk.control.rules import check_references
+from cassiawalk.control.rules import check_unused
 from cassiawalk.control.state import Change
 from cassiawalk.control.state import CommandVerdict
 from cassiawalk.control.state import ConfigState
-from cassiawalk.control.state import Drain
-from cassiawalk.control.state import Kind
-from cassiawalk.control.state import Limit
-from cassiawalk.control.state import Pool
-from cassiawalk.control.state import Quarantine
-from cassiawalk.control.state import Service
-from cassiawalk.control.state import Snapshot
 from cassiawalk.control.state import Verdict
-from cassiawalk.control.state import Workspace
 from cassiawalk.errors import WireError
+from cassiawalk.ids import CommandId
 from cassiawalk.ids import Offset
 from cassiawalk.ids import Revision
+from cassiawalk.ids import uuid7_time_s
 from cassiawalk.wire import from_plain
 from cassiawalk.wire import to_plain
 
 VERDICTS_KEPT = 4096
+REMOVALS_KEPT = 4096
+TRIM_BATCH = 256
+OPERATIONS_LIMIT = 256
+STATEMENT_KEPT_CHARS = 1024
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class _Table:
-    """Where objects of one type live and what their fields are."""
+class DecodedEntry:
+    """The messages of one entry of the stream."""
 
-    attribute: str
-    schema: type
+    offset: Offset
+    messages: cabc.Sequence[object]
 
 
-TABLES: t.Mapping[ObjectType, _Table] = {
-    ObjectType.SERVICE: _Table(attribute="services", schema=Service),
-    ObjectType.WORKSPACE: _Table(attribute="workspaces", schema=Workspace),
-    ObjectType.KIND: _Table(attribute="kinds", schema=Kind),
-    ObjectType.LIMIT: _Table(attribute="limits", schema=Limit),
-    ObjectType.POOL: _Table(attribute="pools", schema=Pool),
-    ObjectType.DRAIN: _Table(attribute="drains", schema=Drain),
-    ObjectType.QUARANTINE: _Table(attribute="quarantines", schema=Quarantine),
-}
-
-
-class _RejectedError(Exception):
-    """An operation does not fit the state."""
-
-
-def fold(state: ConfigState, offset: Offset, messages: cabc.Iterable[object]) -> ConfigState:
+def fold(state: ConfigState, offset: Offset, messages: cabc.Sequence[object]) -> ConfigState:
     """Return the state after the entry at ``offset``; entries already folded change nothing."""
-    if offset <= state.through_offset:
-        return state
-    for message in messages:
-        if isinstance(message, Command):
-            state = _fold_command(state, message)
-    return dataclasses.replace(state, through_offset=offset)
-
-
-def newest_snapshot(messages: cabc.Iterable[object]) -> ConfigState | None:
-    """Return the state of the snapshot that reaches furthest, or None without any."""
-    states = [message.state for message in messages if isinstance(message, Snapshot)]
-    return max(states, key=lambda state: state.through_offset, default=None)
-
-
-def _fold_command(state: ConfigState, command: Command) -> ConfigState:
-    if command.command_id in state.verdicts:
-        return state
-    conflict = _conflict(state, command)
-    if conflict is not None:
-        return _with_verdict(state, command, Verdict.CONFLICT, conflict)
+    return fold_entries(state, [DecodedEntry(offset=offset, messages=messages)])
+
+
+def fold_entries(state: ConfigState, entries: cabc.Iterable[DecodedEntry]) -> ConfigState:
+    """Return the state after entries in offset order; those already folded change nothing."""
+    draft = Draft(state=state)
+    through = state.through_offset
+    for entry in entries:
+        if entry.offset <= through:
+            continue
+        for message in entry.messages:
+            if isinstance(message, Command):
+                _fold_command(draft, message)
+        through = entry.offset
+    return state if through == state.through_offset else draft.finish(through_offset=through)
+
+
+def is_past_window(state: ConfigState, command_id: CommandId) -> bool:
+    """Return whether the verdict on a command id may have been dropped already."""
+    issued_s = uuid7_time_s(command_id)
+    return issued_s is not None and issued_s <= state.verdict_floor_s
+
+
+def _fold_command(draft: Draft, command: Command) -> None:
+    if command.command_id in draft.table("verdicts"):
+        return
+    issued_s = uuid7_time_s(command.command_id)
+    if issued_s is not None and issued_s <= draft.verdict_floor_s:
+        # A repeat of a command whose verdict was dropped looks like this.
+        return
     try:
-        changed = _apply_all(state, command)
-    except _RejectedError as exc:
-        return _with_verdict(state, command, Verdict.REJECTED, str(exc))
-    return _with_verdict(changed, command, Verdict.ACCEPTED, "")
+        conflict = _conflict(draft, command)
+        if conflict is None:
+            _apply_all(draft, command)
+    except RejectedError as exc:
+        draft.rollback()
+        _add_verdict(draft, command, Verdict.REJECTED, str(exc))
+        return
+    if conflict is not None:
+        _add_verdict(draft, command, Verdict.CONFLICT, conflict)
+        return
+    _add_verdict(draft, command, Verdict.ACCEPTED, "")
+
 
+def _conflict(draft: Draft, command: Command) -> str | None:
+    """Return whose change the command did not know of, or None.
 
-def _conflict(state: ConfigState, command: Command) -> str | None:
-    """Return whose change the command did not know of, or None."""
+    :raises RejectedError: if the command can't be decided at all.
+    """
+    if uuid7_time_s(command.command_id) is None:
+        raise RejectedError(f"command id {command.command_id!r} is not a version 7 UUID")
+    if not 1 <= len(command.operations) <= OPERATIONS_LIMIT:
+        raise RejectedError(f"a command has from 1 to {OPERATIONS_LIMIT} operations")
     if command.expected is None:
         return None
+    if command.expected > draft.revision:
+        raise RejectedError(
+            f"revision {command.expected} was expected, but only {draft.revision} is reached"
+        )
     for operation in command.operations:
-        change = state.changes.get(operation.target)
-        if change is not None and change.revision > command.expected:
-            return (
-                f"{operation.target} was changed at revision {change.revision} "
-                f"by {change.operator} (command {change.command_id})"
-            )
+        conflict = _conflict_on(draft, operation.target, command.expected)
+        if conflict is not None:
+            return conflict
     return None
 
 
-def _apply_all(state: ConfigState, command: Command) -> ConfigState:
-    revision = Revision(state.revision + 1)
+def _conflict_on(draft: Draft, target: str, expected: Revision) -> str | None:
+    change = draft.table("changes").get(target) or draft.table("removals").get(target)
+    if change is None and expected < draft.removal_floor:
+        return f"{target} may have been removed after revision {expected}; read it again"
+    if change is None or change.revision <= expected:
+        return None
+    return (
+        f"{target} was changed at revision {change.revision} "
+        f"by {change.operator} (command {change.command_id})"
+    )
+
+
+def _apply_all(draft: Draft, command: Command) -> None:
+    revision = Revision(draft.revision + 1)
     change = Change(revision=revision, command_id=command.command_id, operator=command.operator)
     for operation in command.operations:
-        state = _apply(state, operation)
-        changes = {**state.changes, operation.target: change}
-        state = dataclasses.replace(state, changes=changes)
-    return dataclasses.replace(state, revision=revision)
+        _apply(draft, operation)
+        _note_change(draft, operation, change)
+    draft.commit()
+    draft.revision = revision
+    _trim_removals(draft)
 
 
-def _apply(state: ConfigState, operation: Operation) -> ConfigState:
+def _apply(draft: Draft, operation: Operation) -> None:
     table = TABLES[operation.object_type]
-    objects = dict(getattr(state, table.attribute))
-    present = objects.get(operation.name)
+    present = draft.table(table.attribute).get(operation.name)
     if operation.verb is Verb.CREATE and present is not None:
-        raise _RejectedError(f"{operation.target} exists already")
+        raise RejectedError(f"{operation.target} exists already")
     if operation.verb in (Verb.SET, Verb.REMOVE) and present is None:
-        raise _RejectedError(f"{operation.target} does not exist")
+        raise RejectedError(f"{operation.target} does not exist")
     if operation.verb is Verb.REMOVE:
-        _check_unused(state, operation)
-        del objects[operation.name]
-    else:
-        base = to_plain(present) if operation.verb is Verb.SET else {}
-        objects[operation.name] = _build(operation, table.schema, base)
-        _check_references(state, operation, objects[operation.name])
-    replaced: dict[str, t.Any] = {table.attribute: objects}
-    return dataclasses.replace(state, **replaced)
+        check_unused(draft, operation)
+        draft.remove(table.attribute, operation.name)
+        return
+    check_name(operation)
+    base = to_plain(present) if operation.verb is Verb.SET else {}
+    value = _build(operation, table.schema, base)
+    check_fields(operation, value)
+    check_references(draft, operation, value)
+    draft.put(table.attribute, operation.name, value)
+
+
+def _note_change(draft: Draft, operation: Operation, change: Change) -> None:
+    removed = operation.verb is Verb.REMOVE
+    kept, cleared = ("removals", "changes") if removed else ("changes", "removals")
+    draft.remove(cleared, operation.target)
+    draft.put(kept, operation.target, change)
 
 
 def _build(operation: Operation, schema: type, base: dict[str, t.Any]) -> object:
     allowed = [field.name for field in dataclasses.fields(schema)]
     for name in operation.fields:
         if name not in allowed:
-            raise _RejectedError(
+            raise RejectedError(
                 f"{operation.target} has no field {name!r}; allowed: {', '.join(allowed)}"
             )
     try:
         return t.cast(object, from_plain(schema, {**base, **operation.fields}))
-    except WireError as exc:
-        raise _RejectedError(f"{operation.target}: {exc}") from exc
-
-
-def _check_references(state: ConfigState, operation: Operation, value: object) -> None:
-    if isinstance(value, Service) and value.pool not in state.pools:
-        raise _RejectedError(f"{operation.target}: pool {value.pool!r} does not exist")
-    if isinstance(value, Kind):
-        service, slash, kind = operation.name.partition("/")
-        if not slash or not kind:
-            raise _RejectedError(f"{operation.target}: write the name as service/kind")
-        if service not in state.services:
-            raise _RejectedError(f"{operation.target}: service {service!r} does not exist")
-    if isinstance(value, Limit) and operation.name not in state.workspaces:
-        raise _RejectedError(f"{operation.target}: workspace {operation.name!r} does not exist")
-
-
-def _check_unused(state: ConfigState, operation: Operation) -> None:
-    if operation.object_type is ObjectType.POOL:
-        users: list[str] = [
-            name for name, item in state.services.items() if item.pool == operation.name
-        ]
-    elif operation.object_type is ObjectType.SERVICE:
-        prefix = f"{operation.name}/"
-        users = [name for name in state.kinds if name.startswith(prefix)]
-    else:
-        users = []
-    if users:
-        raise _RejectedError(f"{operation.target} is used by {users[0]}")
-
-
-def _with_verdict(
-    state: ConfigState, command: Command, verdict: Verdict, detail: str
-) -> ConfigState:
-    verdicts = dict(state.verdicts)
-    verdicts[command.command_id] = CommandVerdict(
+    except (WireError, ArithmeticError, AttributeError, TypeError, ValueError) as exc:
+        raise RejectedError(f"{operation.target}: {exc}") from exc
+
+
+def _trim_removals(draft: Draft) -> None:
+    removals = draft.table("removals")
+    if len(removals) < REMOVALS_KEPT + TRIM_BATCH:
+        return
+    oldest = sorted(removals, key=lambda target: (removals[target].revision, target))
+    for target in oldest[: len(removals) - REMOVALS_KEPT]:
+        draft.removal_floor = max(draft.removal_floor, removals[target].revision)
+        draft.remove("removals", target)
+    draft.commit()
+
+
+def _add_verdict(draft: Draft, command: Command, verdict: Verdict, detail: str) -> None:
+    decided = CommandVerdict(
         verdict=verdict,
-        revision=state.revision,
-        detail=detail,
+        revision=draft.revision,
+        detail=detail[:STATEMENT_KEPT_CHARS],
         operator=command.operator,
-        statement=command.statement,
-        issued_s=command.issued_s,
+        statement=command.statement[:STATEMENT_KEPT_CHARS],
+        issued_s=command.issued_s if math.isfinite(command.issued_s) else 0.0,
     )
-    while len(verdicts) > VERDICTS_KEPT:
-        del verdicts[next(iter(verdicts))]
-    return dataclasses.replace(state, verdicts=verdicts)
+    draft.put("verdicts", command.command_id, decided)
+    _trim_verdicts(draft)
+    draft.commit()
+
+
+def _trim_verdicts(draft: Draft) -> None:
+    """Drop the verdicts on the oldest command ids.
+
+    Dropping by the time in the id, and not by arrival, keeps one id from a clock that runs ahead
+    from lifting the floor over everybody else's ids.
+    """
+    verdicts = draft.table("verdicts")
+    if len(verdicts) < VERDICTS_KEPT + TRIM_BATCH:
+        return
+    oldest = sorted(verdicts, key=lambda command_id: (_id_time_s(command_id), command_id))
+    for command_id in oldest[: len(verdicts) - VERDICTS_KEPT]:
+        draft.verdict_floor_s = max(draft.verdict_floor_s, _id_time_s(command_id))
+        draft.remove("verdicts", command_id)
+
+
+def _id_time_s(command_id: str) -> float:
+    return uuid7_time_s(command_id) or 0.0
--- a/src/cassiawalk/control/follower.py
+++ b/src/cassiawalk/control/follower.py
@@ -1,4 +1,4 @@
-"""Follows the ``control`` stream and holds the configuration in force on this host."""
+"""Holds the configuration in force on this host."""
 
 import asyncio
 import collections.abc as cabc
@@ -9,21 +9,24 @@
 from cassiawalk.app import Component
 from cassiawalk.clock import Clock
 from cassiawalk.control.commands import CONTROL_STREAM
-from cassiawalk.control.commands import records
-from cassiawalk.control.fold import fold
-from cassiawalk.control.fold import newest_snapshot
+from cassiawalk.control.decoding import IncompatibleError
+from cassiawalk.control.decoding import decode_entry
+from cassiawalk.control.fold import DecodedEntry
+from cassiawalk.control.fold import fold_entries
+from cassiawalk.control.recent import RecentEntries
+from cassiawalk.control.snapshots import SnapshotStore
 from cassiawalk.control.state import ConfigState
 from cassiawalk.errors import WireError
 from cassiawalk.ids import Offset
 from cassiawalk.platform import LogEntry
 from cassiawalk.platform import LogService
-from cassiawalk.platform import ReadBatch
 from cassiawalk.platform import ReadFailed
 
 READ_LIMIT = 512
 READ_WAIT_S = 2.0
 RETRY_DELAY_S = 0.25
 STALENESS_BOUND_S = 20.0
+OUTAGE_BOUND_S = 3600.0
 
 
 class Freshness(enum.Enum):
@@ -32,45 +35,75 @@
     STARTING = "starting"
     FRESH = "fresh"
     STALE = "stale"
+    INCOMPATIBLE = "incompatible"
 
 
 class ControlFollower(Component):
     """Keeps ``state`` equal to the fold of the stream.
 
-    :param staleness_bound_s: how long the state may be served without proof that it is current,
-        in seconds.
+    Two ages are kept, each counted from before the question that was answered, so that an answer
+    which waited in a socket while the process was stopped proves nothing newer than its question.
+    ``age_s`` is since the state was known to be the newest; ``contact_s`` is since the log service
+    gave any answer, be it that it has an outage.
+
+    :param staleness_bound_s: how long the state may be served without contact, in seconds.
+    :param outage_bound_s: how long it may be served in an outage that the log service itself
+        reports, in seconds.
     """
 
     def __init__(
-        self, *, log: LogService, clock: Clock, staleness_bound_s: float = STALENESS_BOUND_S
+        self,
+        *,
+        log: LogService,
+        clock: Clock,
+        staleness_bound_s: float = STALENESS_BOUND_S,
+        outage_bound_s: float = OUTAGE_BOUND_S,
     ) -> None:
         self._log = log
         self._clock = clock
         self._staleness_bound_s = staleness_bound_s
+        self._outage_bound_s = max(staleness_bound_s, outage_bound_s)
+        self._snapshots = SnapshotStore(log=log)
         self._state = ConfigState()
         self._confirmed_at: float | None = None
+        self._contact_at: float | None = None
+        self._incompatible = False
         self._changed = asyncio.Condition()
         self._listeners: list[cabc.Callable[[ConfigState], None]] = []
+        self.recent = RecentEntries()
 
     @property
     def state(self) -> ConfigState:
         """Return the configuration in force on this host."""
         return self._state
 
+    @property
+    def age_s(self) -> float | None:
+        """Return the seconds since the state was known to be the newest, or None if never."""
+        return None if self._confirmed_at is None else self._clock.monotonic() - self._confirmed_at
+
+    @property
+    def contact_s(self) -> float | None:
+        """Return the seconds since the log service answered, here or up the tree, or None."""
+        return None if self._contact_at is None else self._clock.monotonic() - self._contact_at
+
     @property
     def freshness(self) -> Freshness:
-        """Return whether the state was confirmed as current within the staleness bound."""
-        if self._confirmed_at is None:
+        """Return whether the state may be served."""
+        if self._incompatible:
+            return Freshness.INCOMPATIBLE
+        age_s, contact_s = self.age_s, self.contact_s
+        if age_s is None or contact_s is None:
             return Freshness.STARTING
-        age_s = self._clock.monotonic() - self._confirmed_at
-        return Freshness.FRESH if age_s <= self._staleness_bound_s else Freshness.STALE
+        fresh = contact_s <= self._staleness_bound_s and age_s <= self._outage_bound_s
+        return Freshness.FRESH if fresh else Freshness.STALE
 
     def add_listener(self, listener: cabc.Callable[[ConfigState], None]) -> None:
         """Call ``listener`` with each new state."""
         self._listeners.append(listener)
 
     async def start(self) -> None:
-        """Start following the stream."""
+        """Follow the log directly; on a host with a relay the relay does this instead."""
         self.spawn(self._follow(), name="control-follower")
 
     async def wait_for(self, predicate: cabc.Callable[[ConfigState], bool]) -> ConfigState:
@@ -83,75 +116,103 @@
         """Take over a state from a snapshot or a peer unless it is older than the present one."""
         if state.through_offset <= self._state.through_offset:
             return False
+        self.recent.clear()
         await self._install(state)
         return True
 
-    async def apply(self, entries: cabc.Sequence[LogEntry]) -> None:
-        """Fold entries that follow directly on the present state."""
-        state = self._state
+    async def apply(self, entries: cabc.Sequence[LogEntry], *, after: Offset) -> bool:
+        """Fold entries; return False if entries between them and the present state are missing.
+
+        :param after: the offset directly before the first entry.
+        """
+        through = self._state.through_offset
+        if after > through:
+            return False
+        decoded: list[DecodedEntry] = []
         for entry in entries:
-            state = fold(state, entry.offset, _decode(entry))
-        if state is not self._state:
-            await self._install(state)
+            if entry.offset <= through:
+                continue
+            try:
+                decoded.append(decode_entry(entry))
+            except IncompatibleError as exc:
+                self._note_incompatible(exc)
+                break
+            self.recent.add(entry, after=through)
+            through = entry.offset
+        if decoded:
+            await self._install(fold_entries(self._state, decoded))
+        return True
 
     def confirm(self, *, age_s: float = 0.0) -> None:
         """Note that the state was the newest one ``age_s`` seconds ago."""
         confirmed_at = self._clock.monotonic() - age_s
         if self._confirmed_at is None or confirmed_at > self._confirmed_at:
             self._confirmed_at = confirmed_at
+        self.note_contact(age_s=age_s)
 
-    async def _install(self, state: ConfigState) -> None:
-        async with self._changed:
-            self._state = state
-            self._changed.notify_all()
-        for listener in self._listeners:
-            listener(state)
+    def note_contact(self, *, age_s: float = 0.0) -> None:
+        """Note that the log service gave an answer ``age_s`` seconds ago."""
+        contact_at = self._clock.monotonic() - age_s
+        if self._contact_at is None or contact_at > self._contact_at:
+            self._contact_at = contact_at
 
-    async def _follow(self) -> None:
-        while True:
-            if not await self._read_once():
-                await self._clock.sleep(RETRY_DELAY_S)
+    async def read_log(self, *, wait_s: float = READ_WAIT_S) -> bool:
+        """Read and fold one batch from the log; return False if the log could not be read.
 
-    async def _read_once(self) -> bool:
-        """Read and fold one batch; return False if the log could not be read."""
+        :param wait_s: how long the log may wait for a first entry, in seconds.
+        """
+        asked_at = self._clock.monotonic()
         start = Offset(self._state.through_offset + 1)
-        wait_s = 0.0 if self._confirmed_at is None else READ_WAIT_S
+        wait_s = 0.0 if self._confirmed_at is None else wait_s
         outcome = await self._log.read(
             stream=CONTROL_STREAM, start=start, limit=READ_LIMIT, wait_s=wait_s
         )
         if isinstance(outcome, ReadFailed):
             eliot.log_message(message_type="control:read-failed", reason=outcome.reason)
+            if outcome.service_outage and self._confirmed_at is not None:
+                self.note_contact(age_s=self._clock.monotonic() - asked_at)
+            return False
+        if outcome.end_offset < start:
+            eliot.log_message(message_type="control:log-behind", end=outcome.end_offset)
             return False
         if outcome.first_offset > start:
-            return await self._restart_from_snapshot(outcome)
-        await self.apply(outcome.entries)
+            return await self._restart_from_snapshot(outcome.first_offset)
+        await self.apply(outcome.entries, after=Offset(start - 1))
         if self._state.through_offset + 1 >= outcome.end_offset:
-            self.confirm()
-        return True
+            self.confirm(age_s=self._clock.monotonic() - asked_at)
+        return not self._incompatible
 
-    async def _restart_from_snapshot(self, outcome: ReadBatch) -> bool:
-        """Find the newest snapshot among the retained records and adopt it."""
-        entries = list(outcome.entries)
-        while entries and entries[-1].offset + 1 < outcome.end_offset:
-            batch = await self._log.read(
-                stream=CONTROL_STREAM, start=Offset(entries[-1].offset + 1), limit=READ_LIMIT
-            )
-            if isinstance(batch, ReadFailed) or not batch.entries:
-                return False
-            entries.extend(batch.entries)
-        messages = [message for entry in entries for message in _decode(entry)]
-        snapshot = newest_snapshot(messages)
-        usable = snapshot is not None and snapshot.through_offset + 1 >= outcome.first_offset
-        if snapshot is None or not usable:
-            eliot.log_message(message_type="control:no-snapshot", first=outcome.first_offset)
-            return False
-        return await self.adopt(snapshot)
+    async def _install(self, state: ConfigState) -> None:
+        self._state = state
+        async with self._changed:
+            self._changed.notify_all()
+        for listener in self._listeners:
+            self._tell(listener, state)
 
+    def _tell(self, listener: cabc.Callable[[ConfigState], None], state: ConfigState) -> None:
+        try:
+            listener(state)
+        except Exception as exc:
+            # A listener's fault must not keep later configuration from this host.
+            eliot.log_message(message_type="control:listener-failed", error=repr(exc))
+
+    async def _follow(self) -> None:
+        while True:
+            if not await self.read_log():
+                await self._clock.sleep(RETRY_DELAY_S)
+
+    async def _restart_from_snapshot(self, first_offset: Offset) -> bool:
+        """Adopt a snapshot that reaches the retained records."""
+        found = await self._snapshots.find(usable_from=first_offset)
+        if found is None:
+            eliot.log_message(message_type="control:no-snapshot", first=first_offset)
+            return False
+        try:
+            return await self.adopt(found.state())
+        except (WireError, IncompatibleError) as exc:
+            eliot.log_message(message_type="control:bad-snapshot", fault=exc.format_message())
+            return False
 
-def _decode(entry: LogEntry) -> list[object]:
-    """Return the entry's messages; an entry that can't be decoded is skipped by every host."""
-    try:
-        return records.decode(entry.payload)
-    except WireError as exc:
-        eliot.log_message(message_type="control:bad-entry", offset=entry.offset, fault=str(exc))
-        return []
+    def _note_incompatible(self, exc: IncompatibleError) -> None:
+        self._incompatible = True
+        eliot.log_message(message_type="control:incompatible", fault=exc.format_message())
--- a/src/cassiawalk/control/publisher.py
+++ b/src/cassiawalk/control/publisher.py
@@ -1,4 +1,4 @@
-"""Appends operators' commands and reports how the fold decided them."""
+"""Appends commands and reports how the fold decided them."""
 
 import asyncio
 import collections.abc as cabc
@@ -6,19 +6,30 @@
 
 from cassiawalk.clock import Clock
 from cassiawalk.control.commands import CONTROL_STREAM
+from cassiawalk.control.commands import SYSTEM_OPERATOR
 from cassiawalk.control.commands import Command
+from cassiawalk.control.commands import Operation
 from cassiawalk.control.commands import records
+from cassiawalk.control.fold import STATEMENT_KEPT_CHARS
+from cassiawalk.control.fold import is_past_window
 from cassiawalk.control.follower import ControlFollower
 from cassiawalk.control.state import CommandVerdict
+from cassiawalk.control.state import ConfigState
 from cassiawalk.control.state import Verdict
 from cassiawalk.ids import CommandId
 from cassiawalk.ids import Revision
+from cassiawalk.ids import new_uuid7
+from cassiawalk.ids import uuid7_time_s
+from cassiawalk.platform import Appended
 from cassiawalk.platform import AppendRefused
 from cassiawalk.platform import LogService
 from cassiawalk.results import Execution
 from cassiawalk.results import ResultCode
 
 VERDICT_WAIT_S = 5.0
+REAPPEND_WAIT_S = 1.5
+APPEND_TRIES = 3
+ID_AHEAD_LIMIT_S = 3600.0
 
 _CODES: cabc.Mapping[Verdict, ResultCode] = {
     Verdict.ACCEPTED: ResultCode.COMMAND_ACCEPTED,
@@ -47,32 +58,82 @@
         self._clock = clock
 
     async def publish(self, command: Command) -> CommandOutcome:
-        """Append the command and return its verdict once this host has folded it."""
-        appended = await self._log.append(stream=CONTROL_STREAM, payload=records.encode([command]))
-        if isinstance(appended, AppendRefused):
-            return CommandOutcome(
-                code=ResultCode.LOG_UNAVAILABLE,
-                command_id=command.command_id,
-                detail=appended.reason,
-                ran=Execution.NOT_RUN,
+        """Append the command and return its verdict once this host has folded it.
+
+        An append whose answer is lost is repeated with the same command id while the command does
+        not show in the stream; the fold takes the id once.
+        """
+        refused = self._refuse_id(command)
+        if refused is not None:
+            return refused
+        known = self._follower.state.verdicts.get(command.command_id)
+        if known is not None:
+            return _decided(command, known)
+        payload = records.encode([command])
+        for attempt in range(APPEND_TRIES):
+            appended = await self._log.append(stream=CONTROL_STREAM, payload=payload)
+            if isinstance(appended, AppendRefused) and attempt == 0:
+                return _not_appended(command, appended)
+            certain = isinstance(appended, Appended)
+            verdict = await self._verdict(command, VERDICT_WAIT_S if certain else REAPPEND_WAIT_S)
+            if verdict is not None:
+                return _decided(command, verdict)
+            if certain:
+                break
+        return _unknown(command)
+
+    async def publish_system(self, operation: Operation, *, reason: str) -> CommandOutcome:
+        """Publish one operation of the system's own and return its verdict.
+
+        :param reason: kept as the command's statement.
+        """
+        return await self.publish_operations((operation,), reason=reason)
+
+    async def publish_operations(
+        self,
+        operations: tuple[Operation, ...],
+        *,
+        reason: str,
+        expected: Revision | None = None,
+    ) -> CommandOutcome:
+        """Publish operations of the system's own as one command and return its verdict."""
+        now_s = self._clock.wall()
+        command = Command(
+            command_id=CommandId(new_uuid7(wall_s=now_s)),
+            operator=SYSTEM_OPERATOR,
+            operations=operations,
+            statement=reason,
+            issued_s=now_s,
+            expected=expected,
+        )
+        return await self.publish(command)
+
+    def _refuse_id(self, command: Command) -> CommandOutcome | None:
+        issued_s = uuid7_time_s(command.command_id)
+        if issued_s is None:
+            return _rejected(command, "the command id must be a version 7 UUID")
+        if issued_s > self._clock.wall() + ID_AHEAD_LIMIT_S:
+            return _rejected(
+                command, f"the command id is over {ID_AHEAD_LIMIT_S:g} s ahead of this host's clock"
             )
-        verdict = await self._verdict(command.command_id)
-        if verdict is None:
-            return CommandOutcome(
-                code=ResultCode.COMMAND_UNKNOWN,
-                command_id=command.command_id,
-                detail=f"ask again with: show command {command.command_id}",
-                ran=Execution.UNKNOWN,
+        if is_past_window(self._follower.state, command.command_id):
+            return _rejected(
+                command, "the command id is older than the verdicts that are kept; use a new one"
             )
-        return outcome_of(command.command_id, verdict)
+        return None
+
+    async def _verdict(self, command: Command, wait_s: float) -> CommandVerdict | None:
+        command_id = command.command_id
+
+        def is_decided(state: ConfigState) -> bool:
+            return command_id in state.verdicts or is_past_window(state, command_id)
 
-    async def _verdict(self, command_id: CommandId) -> CommandVerdict | None:
         try:
-            async with asyncio.timeout(VERDICT_WAIT_S):
-                state = await self._follower.wait_for(lambda s: command_id in s.verdicts)
+            async with asyncio.timeout(wait_s):
+                state = await self._follower.wait_for(is_decided)
         except TimeoutError:
             return None
-        return state.verdicts[command_id]
+        return state.verdicts.get(command_id)
 
 
 def outcome_of(command_id: CommandId, verdict: CommandVerdict) -> CommandOutcome:
@@ -85,3 +146,38 @@
         revision=verdict.revision,
         ran=Execution.RAN if accepted else Execution.NOT_RUN,
     )
+
+
+def _decided(command: Command, verdict: CommandVerdict) -> CommandOutcome:
+    if verdict.statement != command.statement[:STATEMENT_KEPT_CHARS]:
+        return _rejected(
+            command, f"the command id was used before, for: {verdict.statement or 'no statement'}"
+        )
+    return outcome_of(command.command_id, verdict)
+
+
+def _rejected(command: Command, detail: str) -> CommandOutcome:
+    return CommandOutcome(
+        code=ResultCode.COMMAND_REJECTED,
+        command_id=command.command_id,
+        detail=detail,
+        ran=Execution.NOT_RUN,
+    )
+
+
+def _not_appended(command: Command, refused: AppendRefused) -> CommandOutcome:
+    return CommandOutcome(
+        code=ResultCode.LOG_UNAVAILABLE,
+        command_id=command.command_id,
+        detail=f"{refused.reason}; come back in {refused.retry_after_s:g} s",
+        ran=Execution.NOT_RUN,
+    )
+
+
+def _unknown(command: Command) -> CommandOutcome:
+    return CommandOutcome(
+        code=ResultCode.COMMAND_UNKNOWN,
+        command_id=command.command_id,
+        detail=f"ask again with: show command {command.command_id}",
+        ran=Execution.UNKNOWN,
+    )
--- a/src/cassiawalk/control/state.py
+++ b/src/cassiawalk/control/state.py
@@ -3,7 +3,6 @@
 import dataclasses
 import enum
 
-from cassiawalk.control.commands import records
 from cassiawalk.ids import CommandId
 from cassiawalk.ids import Offset
 from cassiawalk.ids import PoolName
@@ -133,7 +132,12 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ConfigState:
-    """The whole configuration after the record at ``through_offset``."""
+    """The whole configuration after the record at ``through_offset``.
+
+    ``verdicts`` and ``removals`` are bounded. ``verdict_floor_s`` is the newest time in a command
+    id whose verdict was dropped, in wall-clock seconds; ``removal_floor`` is the newest revision of
+    a removal that was dropped.
+    """
 
     revision: Revision = Revision(0)
     through_offset: Offset = Offset(-1)
@@ -145,16 +149,16 @@
     drains: dict[str, Drain] = dataclasses.field(default_factory=dict)
     quarantines: dict[str, Quarantine] = dataclasses.field(default_factory=dict)
     changes: dict[str, Change] = dataclasses.field(default_factory=dict)
+    removals: dict[str, Change] = dataclasses.field(default_factory=dict)
+    removal_floor: Revision = Revision(0)
     verdicts: dict[CommandId, CommandVerdict] = dataclasses.field(default_factory=dict)
+    verdict_floor_s: float = 0.0
 
     def kind(self, service: str, kind: str) -> Kind | None:
         """Return a request kind of a service, or None."""
         return self.kinds.get(f"{service}/{kind}")
 
-
-@records.register("snapshot")
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Snapshot:
-    """The folded state, appended again so that the stream's start may expire."""
-
-    state: ConfigState
+    def quarantine(self, fingerprint: str, *, now_s: float) -> Quarantine | None:
+        """Return the quarantine of a fingerprint unless it has expired by ``now_s``."""
+        found = self.quarantines.get(fingerprint)
+        return found if found is not None and found.until_s > now_s else None
--- a/src/cassiawalk/platform/log.py
+++ b/src/cassiawalk/platform/log.py
@@ -54,9 +54,13 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ReadFailed:
-    """The stream can't be read now."""
+    """The stream can't be read now.
+
+    ``service_outage`` is true only if the service itself answered that it is unavailable.
+    """
 
     reason: str
+    service_outage: bool = False
 
 
 ReadOutcome = ReadBatch | ReadFailed
--- a/src/cassiawalk/platform/log_http.py
+++ b/src/cassiawalk/platform/log_http.py
@@ -58,7 +58,8 @@
                 res = await self._client.get(url, params=params)
                 body = await res.content()
             if res.status_code != 200:
-                return ReadFailed(reason=f"status {res.status_code}")
+                outage = res.status_code == 503
+                return ReadFailed(reason=f"status {res.status_code}", service_outage=outage)
             return _read_batch(body)
         except _http.LOST_ANSWER as exc:
             return ReadFailed(reason=repr(exc))
