--- /dev/null
+++ b/benchmarks/bed.py
@@ -0,0 +1,294 @@
+"""Several hosts' own components in one loop on virtual time, before fake upstreams."""
+
+import asyncio
+import collections.abc as cabc
+import dataclasses
+import random
+
+from benchmarks.fakes import EngineSpec
+from benchmarks.fakes import FakeConnector
+from benchmarks.fakes import FakeEngine
+from benchmarks.fakes import FakeHosts
+from benchmarks.fakes import FakePlain
+from benchmarks.policies import Policy
+from benchmarks.workloads import ENGINE_POOL
+from benchmarks.workloads import PLAIN_POOL
+from benchmarks.workloads import Arrival
+from benchmarks.workloads import Deployment
+from cassiawalk.clock import LoopClock
+from cassiawalk.control.state import PoolType
+from cassiawalk.dispatch import Dispatcher
+from cassiawalk.dispatch import RetryPolicy
+from cassiawalk.dispatch import UpstreamWatcher
+from cassiawalk.dispatch.call import CallRunner
+from cassiawalk.dispatch.stream import StreamRunner
+from cassiawalk.ids import FailureDomain
+from cassiawalk.ids import HostId
+from cassiawalk.ids import KindName
+from cassiawalk.ids import PoolName
+from cassiawalk.ids import RequestId
+from cassiawalk.ids import ServiceName
+from cassiawalk.ids import WorkspaceName
+from cassiawalk.membership import Membership
+from cassiawalk.metrics import Metrics
+from cassiawalk.platform import HostEntry
+from cassiawalk.platform import HostRole
+from cassiawalk.platform import HostState
+from cassiawalk.requests import Ended
+from cassiawalk.requests import RequestRecord
+from cassiawalk.requests import RequestStore
+from cassiawalk.requests.answer import FINAL_EVENTS
+from cassiawalk.requests.answer import Failed
+from cassiawalk.requests.answer import failed
+from cassiawalk.results import Execution
+from cassiawalk.routing import UpstreamTable
+
+ASKS = 3
+NOTICE_S = 5.0
+PLAIN_ANSWER_S = 0.05
+
+
+@dataclasses.dataclass(kw_only=True)
+class Ask:
+    """One caller's request and what became of it; times in seconds of the loop."""
+
+    arrival: Arrival
+    first_text_s: float | None = None
+    ended_s: float | None = None
+    tries: int = 0
+    retries: int = 0
+    complete: bool = False
+    last_failure: Failed | None = None
+    refused: int = 0
+    given_up: int = 0
+
+    @property
+    def first_s(self) -> float | None:
+        """Return the time to the first text, or to the whole answer of a call, in seconds."""
+        end = self.ended_s if self.arrival.spec.plain else self.first_text_s
+        return None if end is None or not self.complete else end - self.arrival.at_s
+
+    @property
+    def in_target(self) -> bool:
+        """Return whether the whole answer came, its first text within the target."""
+        kind = self.arrival.spec.kind
+        if self.first_s is None or self.ended_s is None:
+            return False
+        whole_in_time = self.ended_s - self.arrival.at_s <= kind.deadline_s
+        return self.first_s <= kind.target_ms / 1000 and whole_in_time
+
+
+class Gateway:
+    """The product's components of one host, wired as in ``node.py`` but for HTTP and the log."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        hosts: FakeHosts,
+        connector: FakeConnector,
+        policy: Policy,
+        deployment: Deployment,
+        rng: random.Random,
+    ) -> None:
+        clock = LoopClock()
+        self.clock = clock
+        self.membership = Membership(host=HostId(name), host_list=hosts, clock=clock)
+        self.table = UpstreamTable(membership=self.membership, clock=clock)
+        self.decisions = policy.build(table=self.table, clock=clock, rng=rng, deployment=deployment)
+        self.retries = RetryPolicy(clock=clock, rng=rng)
+        self.watcher = UpstreamWatcher(table=self.table, connector=connector, clock=clock)
+        metrics = Metrics()
+        parts = {
+            "scheduler": self.decisions.scheduler,
+            "connector": connector,
+            "retries": self.retries,
+            "clock": clock,
+            "metrics": metrics,
+        }
+        stream, call = StreamRunner(**parts), CallRunner(**parts)  # type: ignore[arg-type]
+        self.dispatcher = Dispatcher(
+            gate=self.decisions.gate,
+            runners={PoolType.ENGINE: stream, PoolType.PLAIN: call},
+            once_runner=call,
+            store=RequestStore(clock=clock),
+            clock=clock,
+            metrics=metrics,
+        )
+
+    async def start(self) -> None:
+        """Start the components that have tasks."""
+        for part in (self.membership, self.table, self.watcher, self.decisions.scheduler):
+            await part.start()
+
+    async def stop(self) -> None:
+        """Cancel all tasks."""
+        for part in (self.dispatcher, self.watcher, self.decisions.scheduler, self.membership):
+            await part.stop()
+
+
+class Bed:
+    """Hosts, upstreams and callers of one run."""
+
+    def __init__(
+        self, *, deployment: Deployment, spec: EngineSpec, policy: Policy, seed: int
+    ) -> None:
+        self.deployment = deployment
+        self.spec = spec
+        self.clock = LoopClock()
+        self.hosts = FakeHosts()
+        self.connector = FakeConnector()
+        self.asks: list[Ask] = []
+        self.retired: list[FakeEngine] = []
+        self.price_s = 0.0
+        self._rng = random.Random(f"bed-{seed}")
+        self._number = 0
+        for index in range(deployment.engines):
+            self.add_engine(deployment.domains[index % 4], on_demand=index % 5 == 4)
+        for index in range(deployment.plains):
+            self._add_plain(f"plain-{index}", deployment.domains[index % 4])
+        self.gateways = [
+            Gateway(
+                name=f"host-{index}",
+                hosts=self.hosts,
+                connector=self.connector,
+                policy=policy,
+                deployment=deployment,
+                rng=random.Random(f"host-{index}-{seed}"),
+            )
+            for index in range(deployment.gateways)
+        ]
+
+    def add_engine(self, domain: str, *, on_demand: bool = False) -> str:
+        """Start an engine with empty caches; an on-demand one costs more."""
+        name = f"engine-{self._number}"
+        self._number += 1
+        self.connector.engines[name] = FakeEngine(host=name, spec=self.spec, clock=self.clock)
+        self.hosts.entries[name] = HostEntry(
+            host=HostId(name),
+            role=HostRole.ENGINE,
+            failure_domain=FailureDomain(domain),
+            address=name,
+            pool=PoolName(ENGINE_POOL),
+            reclaimable=not on_demand,
+            price=2.5 if on_demand else 1.0,
+        )
+        return name
+
+    def _add_plain(self, name: str, domain: str) -> None:
+        self.connector.plains[name] = FakePlain(answer_s=PLAIN_ANSWER_S)
+        self.hosts.entries[name] = HostEntry(
+            host=HostId(name),
+            role=HostRole.PLAIN,
+            failure_domain=FailureDomain(domain),
+            address=name,
+            pool=PoolName(PLAIN_POOL),
+        )
+
+    def engines_of(self, domain: str) -> list[str]:
+        """Return the live reclaimable engines of a failure domain."""
+        return [
+            name
+            for name, entry in self.hosts.entries.items()
+            if entry.role is HostRole.ENGINE
+            and entry.failure_domain == domain
+            and entry.reclaimable
+        ]
+
+    def announce(self, names: cabc.Iterable[str]) -> None:
+        """Give reclaim notices: the list says so and the engines take no new work."""
+        for name in names:
+            entry = self.hosts.entries[name]
+            self.hosts.entries[name] = dataclasses.replace(entry, state=HostState.LEAVING)
+            self.connector.engines[name].leaving = True
+
+    def kill(self, names: cabc.Iterable[str]) -> None:
+        """End engines at once."""
+        for name in names:
+            self.connector.engines[name].die()
+            self.hosts.entries.pop(name, None)
+
+    async def run(
+        self,
+        arrivals: list[Arrival],
+        script: cabc.Callable[["Bed"], cabc.Coroutine[None, None, None]],
+    ) -> None:
+        """Start everything, play the arrivals and the script, and wait for all callers."""
+        for gateway in self.gateways:
+            await gateway.start()
+        await asyncio.sleep(2 * self.spec.report_lag_s + 1.0)
+        fault = asyncio.create_task(script(self))
+        meter = asyncio.create_task(self._meter())
+        begin = self.clock.monotonic()
+        callers = []
+        for arrival in arrivals:
+            await asyncio.sleep(begin + arrival.at_s - self.clock.monotonic())
+            moved = dataclasses.replace(arrival, at_s=self.clock.monotonic())
+            ask = Ask(arrival=moved)
+            self.asks.append(ask)
+            callers.append(asyncio.create_task(self._ask(ask)))
+        await asyncio.gather(*callers)
+        fault.cancel()
+        meter.cancel()
+        for gateway in self.gateways:
+            await gateway.stop()
+
+    async def _meter(self) -> None:
+        while True:
+            await asyncio.sleep(1.0)
+            self.price_s += sum(entry.price for entry in self.hosts.entries.values())
+
+    async def _ask(self, ask: Ask) -> None:
+        """Ask up to three times: after a refusal when told to, else at once."""
+        kind = ask.arrival.spec.kind
+        patience_s = ask.arrival.at_s + kind.deadline_s
+        while ask.tries < ASKS and self.clock.monotonic() < patience_s:
+            ask.tries += 1
+            failure = await self._try(ask)
+            if failure is None:
+                return
+            ask.last_failure = failure
+            if failure.ran is Execution.NOT_RUN:
+                ask.refused += 1
+            else:
+                ask.given_up += 1
+            if failure.retry_after_s is None:
+                return
+            await asyncio.sleep(failure.retry_after_s * self._rng.uniform(1.0, 1.5))
+
+    async def _try(self, ask: Ask) -> Failed | None:
+        gateway = self._rng.choice(self.gateways)
+        record = self._record(ask, gateway)
+        pool_type = PoolType.PLAIN if ask.arrival.spec.plain else PoolType.ENGINE
+        refusal = gateway.dispatcher.submit(record, pool_type)
+        if refusal is not None:
+            return failed(refusal)
+        while not record.is_final:
+            await record.wait_beyond(len(record.events))
+            ask.first_text_s = ask.first_text_s or record.first_text_at
+        ask.retries += record.retries
+        final = record.events[-1]
+        assert isinstance(final, FINAL_EVENTS)
+        if isinstance(final, Failed):
+            ask.first_text_s = None
+            return final
+        ask.complete = isinstance(final, Ended)
+        ask.ended_s = self.clock.monotonic()
+        return None
+
+    def _record(self, ask: Ask, gateway: Gateway) -> RequestRecord:
+        spec = ask.arrival.spec
+        self._number += 1
+        return RequestRecord(
+            request_id=RequestId(f"{self._number:08d}"),
+            workspace=WorkspaceName(ask.arrival.workspace),
+            service=ServiceName("bench"),
+            kind_name=KindName(spec.name),
+            kind=spec.kind,
+            pool=PoolName(PLAIN_POOL if spec.plain else ENGINE_POOL),
+            body=b"{}",
+            prompt="" if spec.plain else ask.arrival.prompt,
+            deadline_s=gateway.clock.wall() + spec.kind.deadline_s,
+            accepted_at=gateway.clock.monotonic(),
+            share=ask.arrival.share,
+        )
