Score upstreams by queue, uncached prompt, price and risk

Cause: random two choices by own requests knew neither other hosts' load nor caches. Change: UpstreamLoad (aged report with own requests at its time taken out), CacheView (events, own sends, doubt after a gap), Scorer, and the kind's priority passed on to the engine's queue (dispatch/stream.py, one line).

--- a/benchmarks/bed.py
+++ b/benchmarks/bed.py
@@ -227,9 +227,9 @@
             ask = Ask(arrival=moved)
             self.asks.append(ask)
             callers.append(asyncio.create_task(self._ask(ask)))
+        meter.cancel()
         await asyncio.gather(*callers)
         fault.cancel()
-        meter.cancel()
         for gateway in self.gateways:
             await gateway.stop()
 
--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -13,6 +13,9 @@
 from cassiawalk.routing import Router
 from cassiawalk.routing import UpstreamTable
 from cassiawalk.routing import UpstreamView
+from cassiawalk.routing.router import CHOICES
+from cassiawalk.routing.router import LEAD_SHARE
+from cassiawalk.routing.score import ScoreWeights
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -98,11 +101,54 @@
         return Decisions(scheduler=scheduler, gate=AdmissionGate(scheduler=scheduler, clock=clock))
 
 
+class ProductPolicy(Policy):
+    """The product's own routing, with one part changed where parameters say so."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        weights: ScoreWeights | None = None,
+        choices: int = CHOICES,
+        lead_share: float = LEAD_SHARE,
+    ) -> None:
+        self.name = name
+        self._weights = weights or ScoreWeights()
+        self._choices = choices
+        self._lead_share = lead_share
+
+    def build(
+        self, *, table: UpstreamTable, clock: Clock, rng: random.Random, deployment: Deployment
+    ) -> Decisions:
+        weights = dataclasses.replace(
+            self._weights,
+            price=self._weights.price * deployment.cost_weight,
+            recompute=self._weights.recompute * deployment.recompute_weight,
+        )
+        router = Router(
+            table=table,
+            rng=rng,
+            weights=weights,
+            choices=self._choices,
+            lead_share=self._lead_share,
+        )
+        scheduler = Scheduler(table=table, router=router, clock=clock)
+        return Decisions(scheduler=scheduler, gate=AdmissionGate(scheduler=scheduler, clock=clock))
+
+
 POLICIES: dict[str, Policy] = {
     policy.name: policy
     for policy in (
         RouterPolicy(name="round-robin", router=RoundRobin),
         RouterPolicy(name="least-reported", router=LeastReported),
         RouterPolicy(name="random-two", router=RandomTwo),
+        ProductPolicy(name="product"),
+        ProductPolicy(name="lead-0.25", lead_share=0.25),
+        ProductPolicy(name="lead-1", lead_share=1.0),
+        ProductPolicy(name="choices-2", choices=2),
+        ProductPolicy(name="choices-all", choices=99),
+        ProductPolicy(name="no-affinity", weights=ScoreWeights(prefill=0.0)),
+        ProductPolicy(name="trust-reports", weights=ScoreWeights(trust_s=1000.0)),
+        ProductPolicy(name="trust-none", weights=ScoreWeights(trust_s=0.01)),
     )
 }
--- a/src/cassiawalk/admission/scheduler.py
+++ b/src/cassiawalk/admission/scheduler.py
@@ -28,6 +28,7 @@
 
     upstream: UpstreamView
     record: RequestRecord
+    granted_at: float
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -96,7 +97,8 @@
 
     def release(self, lease: SlotLease) -> None:
         """Give a slot back and serve the queue."""
-        lease.upstream.own_running.discard(lease.record.request_id)
+        hold_s = self._clock.monotonic() - lease.granted_at
+        self._router.note_ended(lease.upstream, lease.record, hold_s)
         self._pump(lease.record.pool)
 
     def pump_all(self) -> None:
@@ -119,5 +121,8 @@
             if upstream is None:
                 return
             queue.remove(waiter)
-            upstream.own_running.add(waiter.record.request_id)
-            waiter.slot.set_result(SlotLease(upstream=upstream, record=waiter.record))
+            self._router.note_sent(upstream, waiter.record)
+            lease = SlotLease(
+                upstream=upstream, record=waiter.record, granted_at=self._clock.monotonic()
+            )
+            waiter.slot.set_result(lease)
--- a/src/cassiawalk/dispatch/stream.py
+++ b/src/cassiawalk/dispatch/stream.py
@@ -21,6 +21,7 @@
 from cassiawalk.requests import Text
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
+from cassiawalk.routing.score import engine_priority
 
 
 class StreamRunner(Runner):
@@ -65,6 +66,7 @@
             attempt=record.attempt,
             prompt=record.prompt,
             max_tokens=record.kind.max_tokens,
+            priority=engine_priority(record),
             resume_text=record.text,
             resume_tokens=record.tokens,
         )
--- a/src/cassiawalk/dispatch/watcher.py
+++ b/src/cassiawalk/dispatch/watcher.py
@@ -9,6 +9,7 @@
 from cassiawalk.ids import UpstreamId
 from cassiawalk.platform import HostRole
 from cassiawalk.platform import LoadReport
+from cassiawalk.platform.engine import CacheStored
 from cassiawalk.routing import UpstreamTable
 from cassiawalk.routing import UpstreamView
 
@@ -50,4 +51,8 @@
                     if isinstance(notice, LoadReport):
                         view.note_report(notice)
                         self._table.notify()
+                    elif isinstance(notice, CacheStored):
+                        view.cache.note_stored(notice.seq, notice.blocks)
+                    else:
+                        view.cache.note_removed(notice.seq, notice.blocks)
             await self._clock.sleep(RECONNECT_DELAY_S)
--- a/src/cassiawalk/routing/upstream.py
+++ b/src/cassiawalk/routing/upstream.py
@@ -11,6 +11,8 @@
 from cassiawalk.ids import UpstreamId
 from cassiawalk.platform import HostEntry
 from cassiawalk.platform import LoadReport
+from cassiawalk.routing.load import UpstreamLoad
+from cassiawalk.routing.prefix import CacheView
 
 DEFAULT_SLOTS = 8
 
@@ -53,6 +55,8 @@
         self.own_running: set[RequestId] = set()
         self.report: LoadReport | None = None
         self.reported_at: float | None = None
+        self.load = UpstreamLoad(clock=clock)
+        self.cache = CacheView()
         self._machine = transitions.Machine(
             model=self,
             states=UpstreamState,
@@ -86,6 +90,7 @@
         """Keep a load report and when it came."""
         self.report = report
         self.reported_at = self._clock.monotonic()
+        self.load.note_report(report)
         self.fire("note_serving")
 
     def fire(self, trigger: str) -> None:
