--- a/src/cassiawalk/admin/history.py
+++ b/src/cassiawalk/admin/history.py
@@ -3,8 +3,10 @@
 from cassiawalk.control import ConfigState
 from cassiawalk.control import fold
 from cassiawalk.control.commands import CONTROL_STREAM
-from cassiawalk.control.commands import records
-from cassiawalk.control.state import Snapshot
+from cassiawalk.control.decoding import IncompatibleError
+from cassiawalk.control.decoding import decode_entry
+from cassiawalk.control.snapshots import SnapshotStore
+from cassiawalk.errors import WireError
 from cassiawalk.ids import Offset
 from cassiawalk.ids import Revision
 from cassiawalk.platform import LogEntry
@@ -19,24 +21,32 @@
 
     def __init__(self, *, log: LogService) -> None:
         self._log = log
+        self._snapshots = SnapshotStore(log=log)
 
     async def at(self, revision: Revision) -> ConfigState | None:
-        """Return the configuration at a revision, or None if it is retained no more.
-
-        The present revision may have later commands that were not accepted.
-        """
+        """Return the configuration at a revision, or None if it is retained no more."""
         entries = await self._entries()
         if entries is None:
             return None
-        state = _earliest(entries)
-        if state is None:
+        state = await self._base(entries)
+        if state is None or state.revision > revision:
             return None
         for entry in entries:
             if state.revision >= revision:
                 break
-            state = fold(state, entry.offset, records.decode(entry.payload))
+            state = fold(state, entry.offset, decode_entry(entry).messages)
         return state if state.revision == revision else None
 
+    async def _base(self, entries: list[LogEntry]) -> ConfigState | None:
+        """Return the state from which the entries can be folded."""
+        if not entries or entries[0].offset == 0:
+            return ConfigState()
+        found = await self._snapshots.find(usable_from=entries[0].offset)
+        try:
+            return None if found is None else found.state()
+        except (IncompatibleError, WireError):
+            return None
+
     async def _entries(self) -> list[LogEntry] | None:
         entries: list[LogEntry] = []
         start = Offset(0)
@@ -48,14 +58,3 @@
             if not batch.entries or batch.entries[-1].offset + 1 >= batch.end_offset:
                 return entries
             start = Offset(batch.entries[-1].offset + 1)
-
-
-def _earliest(entries: list[LogEntry]) -> ConfigState | None:
-    """Return the state from which the entries can be folded."""
-    if not entries or entries[0].offset == 0:
-        return ConfigState()
-    for entry in entries:
-        for message in records.decode(entry.payload):
-            if isinstance(message, Snapshot):
-                return message.state
-    return None
--- a/src/cassiawalk/dispatch/stream.py
+++ b/src/cassiawalk/dispatch/stream.py
@@ -31,6 +31,7 @@
 from cassiawalk.results import ResultCode
 from cassiawalk.routing import UpstreamState
 from cassiawalk.routing import UpstreamView
+from cassiawalk.routing.score import engine_priority
 
 RETRY_AFTER_S = 1.0
 _EXPLAINED = (UpstreamState.LEAVING, UpstreamState.GONE)
@@ -114,6 +115,7 @@
             attempt=record.attempt,
             prompt=record.prompt,
             max_tokens=record.kind.max_tokens,
+            priority=engine_priority(record),
             resume_text=record.text,
             resume_tokens=resumed,
             kv_handle=place.kv_handle,
--- a/src/cassiawalk/dispatch/watcher.py
+++ b/src/cassiawalk/dispatch/watcher.py
@@ -94,7 +94,7 @@
         failures = view.failures
         heard = False
         notices = self._connector.engine(view).notices()
-        view.cached_blocks.note_reconnected()
+        view.cache.note_reconnected()
         async with contextlib.aclosing(notices):
             while True:
                 try:
@@ -112,7 +112,7 @@
             view.note_report(notice, asked_at=opened_at)
             self._table.notify()
         elif isinstance(notice, CacheStored | CacheRemoved):
-            view.cached_blocks.note(notice)
+            view.cache.note(notice)
 
     def _note_lost(self, view: UpstreamView) -> None:
         view.fire("note_failure")
--- a/src/cassiawalk/routing/upstream.py
+++ b/src/cassiawalk/routing/upstream.py
@@ -13,6 +13,7 @@
 from cassiawalk.platform import HostEntry
 from cassiawalk.platform import LoadReport
 from cassiawalk.routing.cache import CacheView
+from cassiawalk.routing.load import UpstreamLoad
 
 DEFAULT_SLOTS = 8
 
@@ -84,15 +85,15 @@
         self._on_failure = on_failure
         self._on_leaving = on_leaving
         self.own_running: set[RequestId] = set()
-        self.sent_since_report = 0
         self.report: LoadReport | None = None
         self.reported_at: float | None = None
         self.failures = 0
         self.failed_at: float | None = None
         self.ejected = False
         self.reserved_for: RequestId | None = None
-        self.cached_blocks = CacheView()
         self._measured_at_failure_s = 0.0
+        self.load = UpstreamLoad(clock=clock)
+        self.cache = CacheView()
         self._machine = transitions.Machine(
             model=self,
             states=UpstreamState,
@@ -136,11 +137,6 @@
         """Return how many requests the upstream runs at once."""
         return self.report.slots if self.report is not None else DEFAULT_SLOTS
 
-    def note_sent(self, request_id: RequestId) -> None:
-        """Count a request that was given a slot here."""
-        self.own_running.add(request_id)
-        self.sent_since_report += 1
-
     def note_report(self, report: LoadReport, *, asked_at: float | None = None) -> None:
         """Keep a load report and when it came.
 
@@ -152,7 +148,7 @@
         """
         self.report = report
         self.reported_at = self._clock.monotonic()
-        self.sent_since_report = 0
+        self.load.note_report(report)
         if self._answers_failure(report, asked_at):
             self.fire("note_serving")
 
