Let the fleet's HTTP client hold many streams at once

Cause: benchmarks.host_costs took 13 s for 6 s streams: the library's default pool runs 30 at a time. Ruled out: the scheduler (streams that got a connection had their first token in 0.25 s). Change: a pool of 1,000 connections for the fleet's own client.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -10,10 +10,12 @@
 import typing as t
 
 import aiosonic
+import aiosonic.pools
 import orjson
 
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 20.0
+POOL_CONNECTIONS = 1000
 PEER_SECRET = "fleet-peer-secret"
 OPERATOR_TOKEN = "fleet-operator-token"
 READER_TOKEN = "fleet-reader-token"
@@ -137,7 +139,8 @@
 
     def __init__(self, *, directory: pathlib.Path) -> None:
         self._directory = directory
-        self.http = aiosonic.HTTPClient()
+        pools = {":default": aiosonic.pools.PoolConfig(size=POOL_CONNECTIONS)}
+        self.http = aiosonic.HTTPClient(aiosonic.TCPConnector(pool_configs=pools))
         self.standins: dict[str, StandIn] = {}
         self.hosts: dict[str, Host] = {}
 
