Put operators' drains into force; answer peers' status calls again

Ruled out: marking drained upstreams as leaving (leaving is final and moves their streams). Change: a switch that closes and opens what operators name; running requests finish there.

--- a/src/cassiawalk/caller/app.py
+++ b/src/cassiawalk/caller/app.py
@@ -115,11 +115,12 @@
     async def readyz(self, req: Request) -> Response:
         """Answer whether new requests should be sent here."""
         freshness = self._control.freshness
-        ready = freshness is Freshness.FRESH and not self._dispatcher.draining
+        open_ = not self._dispatcher.draining and not self._dispatcher.closed
+        ready = freshness is Freshness.FRESH and open_
         body = {
             "ready": ready,
             "configuration": freshness.value,
-            "draining": self._dispatcher.draining,
+            "draining": not open_,
             "revision": self._control.state.revision,
         }
         return JSONResponse(body, status_code=200 if ready else 503)
--- a/src/cassiawalk/dispatch/dispatcher.py
+++ b/src/cassiawalk/dispatch/dispatcher.py
@@ -58,6 +58,7 @@
         self._metrics = metrics
         self._runs: dict[RequestId, _Run] = {}
         self.draining = False
+        self.closed = False
 
     def submit(self, record: RequestRecord, pool_type: PoolType) -> Refusal | None:
         """Accept the request and start it, or return why it is refused."""
@@ -114,7 +115,7 @@
             await self._clock.sleep(DRAIN_CHECK_S)
 
     def _refusal(self, record: RequestRecord) -> Refusal | None:
-        if self.draining:
+        if self.draining or self.closed:
             return Refusal(
                 code=ResultCode.DRAINING, detail="this host is stopping", retry_after_s=0.0
             )
--- a/src/cassiawalk/handover/receiver.py
+++ b/src/cassiawalk/handover/receiver.py
@@ -48,7 +48,7 @@
         held = self._store.get(request_id)
         if held is not None and held.answer.moved is None and held.fence >= offer.fence:
             return HandoverReply(accepted=held.fence == offer.fence, reason="held already")
-        if self._dispatcher.draining:
+        if self._dispatcher.draining or self._dispatcher.closed:
             return HandoverReply(accepted=False, reason="this host is leaving")
         if held is not None and held.answer.moved is None:
             await self._leave(held, self._host)
--- a/src/cassiawalk/node.py
+++ b/src/cassiawalk/node.py
@@ -34,6 +34,7 @@
 from cassiawalk.dispatch.mover import Mover
 from cassiawalk.dispatch.once import OnceRunner
 from cassiawalk.dispatch.stream import StreamRunner
+from cassiawalk.drains import DrainSwitch
 from cassiawalk.handover import AnnounceCall
 from cassiawalk.handover import DrainController
 from cassiawalk.handover import HandoverOffer
@@ -56,6 +57,7 @@
 from cassiawalk.peer import FeedCall
 from cassiawalk.peer import LocateCall
 from cassiawalk.peer import MembershipFeed
+from cassiawalk.peer import NodeStatusCall
 from cassiawalk.peer import NoteBoard
 from cassiawalk.peer import OnceCall
 from cassiawalk.peer import PeerLinks
@@ -70,6 +72,7 @@
 from cassiawalk.routing import UpstreamTable
 from cassiawalk.settings import Settings
 from cassiawalk.settings import read_secret
+from cassiawalk.status import StatusReporter
 
 
 class Node:
@@ -285,6 +288,14 @@
         self.peer_server = PeerServer(sock=self._sockets["peer"], secret=self._secret)
         self._handle_peer_calls(attachments, queries)
 
+    def _status_reporter(self) -> StatusReporter:
+        return StatusReporter(
+            host=self._cfg.host_id,
+            control=self.control,
+            dispatcher=self.dispatcher,
+            store=self.store,
+        )
+
     def _row_source(self) -> RowSource:
         return RowSource(
             host=self._cfg.host_id,
@@ -301,6 +312,7 @@
     def _handle_peer_calls(self, attachments: Attachments, queries: QueryService) -> None:
         self.peer_server.handle(OnceCall, self.claims.handle_call)
         self.peer_server.handle(QueryCall, queries.handle)
+        self.peer_server.handle(NodeStatusCall, self._status_reporter().handle)
         self.peer_server.handle(ClaimStatusCall, self.holder.status)
         self.peer_server.handle(SoloCall, self.turns.handle_call)
         self.peer_server.handle(ShareCall, self.feed.handle_share)
@@ -322,6 +334,14 @@
         ):
             component.meter = self.metrics.control
 
+    def _drain_switch(self) -> DrainSwitch:
+        return DrainSwitch(
+            host=self._cfg.host_id,
+            control=self.control,
+            table=self.table,
+            dispatcher=self.dispatcher,
+        )
+
     def _components(self) -> list[Component]:
         return [
             self.membership,
@@ -338,6 +358,7 @@
             self.recorder,
             self.scheduler,
             self.dispatcher,
+            self._drain_switch(),
             self.locator,
             self.receiver,
             self.drain_controller,
--- a/src/cassiawalk/routing/table.py
+++ b/src/cassiawalk/routing/table.py
@@ -27,6 +27,7 @@
         self._views: dict[UpstreamId, UpstreamView] = {}
         self._listeners: list[cabc.Callable[[], None]] = []
         self._leaving_listeners: list[cabc.Callable[[UpstreamView], None]] = []
+        self._drained: frozenset[str] = frozenset()
         membership.add_listener(self.refresh)
         membership.add_leaving_listener(self._note_leaving)
 
@@ -71,6 +72,13 @@
         self._limit_ejections()
         self.notify()
 
+    def set_drained(self, names: frozenset[str]) -> None:
+        """Close the upstreams that operators have drained, and open the others."""
+        self._drained = names
+        for view in self._views.values():
+            view.drained = view.upstream_id in names
+        self.notify()
+
     def notify(self) -> None:
         """Tell listeners that an upstream or its load changed."""
         for listener in list(self._listeners):
@@ -90,6 +98,7 @@
                 on_leaving=self._after_leaving,
             )
             self._views[upstream_id] = view
+            view.drained = upstream_id in self._drained
         view.entry = entry
         if self._membership.is_leaving(entry.host):
             view.fire("note_leaving")
--- a/src/cassiawalk/routing/upstream.py
+++ b/src/cassiawalk/routing/upstream.py
@@ -63,6 +63,7 @@
 
     ``failed_at`` and ``reported_at`` are in monotonic seconds. ``ejected`` is set by the table: a
     suspect upstream that is not ejected still takes work, as too many others are suspect.
+    ``drained`` is set while operators keep new work away.
     ``reserved_for`` names the only request that may be sent here now.
 
     :param on_failure: called after each failure.
@@ -90,6 +91,7 @@
         self.failures = 0
         self.failed_at: float | None = None
         self.ejected = False
+        self.drained = False
         self.reserved_for: RequestId | None = None
         self._measured_at_failure_s = 0.0
         self.load = UpstreamLoad(clock=clock)
@@ -126,7 +128,7 @@
     @property
     def takes_work(self) -> bool:
         """Return whether new work may be sent to the upstream."""
-        if self.reserved_for is not None:
+        if self.drained or self.reserved_for is not None:
             return False
         if self.state is UpstreamState.SUSPECT:
             return not self.ejected
