Count the control work's payload bytes

Cause: the budget of 8 KB/s a node could not be read off. Ruled out: counters of the operating system (they hold the token path too). Change: peers, log, host list, cloud and engine notices count payload bytes on the control meter; frames of followed answers are in it as well, so the figure is an upper bound.

--- a/src/cassiawalk/dispatch/connector.py
+++ b/src/cassiawalk/dispatch/connector.py
@@ -4,6 +4,7 @@
 
 from cassiawalk.app import Component
 from cassiawalk.ids import UpstreamId
+from cassiawalk.metering import Meter
 from cassiawalk.platform import Engine
 from cassiawalk.platform import PlainService
 from cassiawalk.platform.engine_http import HttpEngine
@@ -26,14 +27,15 @@
 class HttpConnector(Connector, Component):
     """Keeps one HTTP client for each upstream address."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, traffic: Meter | None = None) -> None:
+        self._traffic = traffic or Meter()
         self._engines: dict[tuple[UpstreamId, str], HttpEngine] = {}
 
     def engine(self, upstream: UpstreamView) -> Engine:
         """Return the pooled client of a model engine."""
         key = (upstream.upstream_id, upstream.entry.address)
         if key not in self._engines:
-            self._engines[key] = HttpEngine(address=upstream.entry.address)
+            self._engines[key] = HttpEngine(address=upstream.entry.address, traffic=self._traffic)
         return self._engines[key]
 
     def plain(self, upstream: UpstreamView) -> PlainService:
--- a/src/cassiawalk/metering.py
+++ b/src/cassiawalk/metering.py
@@ -15,6 +15,14 @@
         self.bytes_sent = 0
         self.bytes_received = 0
 
+    def note_sent(self, count: int) -> None:
+        """Add bytes that were sent."""
+        self.bytes_sent += count
+
+    def note_received(self, count: int) -> None:
+        """Add bytes that were received."""
+        self.bytes_received += count
+
     @property
     def cpu_s(self) -> float:
         """Return the processor time so far, in seconds."""
--- a/src/cassiawalk/metrics.py
+++ b/src/cassiawalk/metrics.py
@@ -65,10 +65,11 @@
             "cassiawalk_control_cpu_seconds", "Processor time of the control work."
         )
         self._control_sent = self._gauge(
-            "cassiawalk_control_sent_bytes", "Bytes sent to peers and the log."
+            "cassiawalk_control_sent_bytes", "Payload bytes sent to peers and the platform."
         )
         self._control_received = self._gauge(
-            "cassiawalk_control_received_bytes", "Bytes received from peers and the log."
+            "cassiawalk_control_received_bytes",
+            "Payload bytes received from peers and the platform.",
         )
         self._process_cpu = self._gauge(
             "cassiawalk_process_cpu_seconds", "Processor time of the process."
--- a/src/cassiawalk/node.py
+++ b/src/cassiawalk/node.py
@@ -105,11 +105,12 @@
     def _build_platform(self) -> None:
         cfg, clock = self._cfg, self._clock
         self.metrics = Metrics(clock=clock)
-        self.log = HttpLogService(url=cfg.log_url)
-        self.cloud = HttpCloudApi(url=cfg.cloud_url)
-        host_list = HttpHostList(url=cfg.host_list_url)
+        traffic = self.metrics.control
+        self.log = HttpLogService(url=cfg.log_url, traffic=traffic)
+        self.cloud = HttpCloudApi(url=cfg.cloud_url, traffic=traffic)
+        host_list = HttpHostList(url=cfg.host_list_url, traffic=traffic)
         self.membership = Membership(host=cfg.host_id, host_list=host_list, clock=clock)
-        self.links = PeerLinks(membership=self.membership, secret=self._secret)
+        self.links = PeerLinks(membership=self.membership, secret=self._secret, traffic=traffic)
         self.board = NoteBoard(clock=clock)
         self.feed = MembershipFeed(
             board=self.board,
@@ -143,7 +144,7 @@
         self.gate = AdmissionGate(
             scheduler=self.scheduler, clock=clock, quarantine=self.guard.refusal
         )
-        self.connector = HttpConnector()
+        self.connector = HttpConnector(traffic=self.metrics.control)
         self.mover = Mover(
             table=self.table, scheduler=self.scheduler, connector=self.connector, clock=clock
         )
@@ -285,7 +286,9 @@
             asgi=caller.asgi(), sock=self._sockets["caller"], close_limit_s=cfg.drain_limit_s
         )
         self.admin_server = HttpServer(asgi=admin.asgi(), sock=self._sockets["admin"])
-        self.peer_server = PeerServer(sock=self._sockets["peer"], secret=self._secret)
+        self.peer_server = PeerServer(
+            sock=self._sockets["peer"], secret=self._secret, traffic=self.metrics.control
+        )
         self._handle_peer_calls(attachments, queries)
 
     def _status_reporter(self) -> StatusReporter:
--- a/src/cassiawalk/peer/links.py
+++ b/src/cassiawalk/peer/links.py
@@ -17,6 +17,7 @@
 from cassiawalk.errors import WireError
 from cassiawalk.ids import HostId
 from cassiawalk.membership import Membership
+from cassiawalk.metering import Meter
 from cassiawalk.peer import _frames
 from cassiawalk.peer.messages import CancelCall
 from cassiawalk.peer.messages import PeerFault
@@ -60,8 +61,9 @@
 class _Link:
     """One open connection and its calls in flight."""
 
-    def __init__(self, *, conn: ClientConnection) -> None:
+    def __init__(self, *, conn: ClientConnection, traffic: Meter) -> None:
         self.conn = conn
+        self._traffic = traffic
         self.replies: dict[int, _Replies] = {}
         self.closed = False
 
@@ -78,7 +80,17 @@
                 replies.put(PeerFault(reason="connection lost"))
             await self.conn.close()
 
+    async def send(self, number: int, message: object) -> None:
+        """Send one frame.
+
+        :raises ConnectionClosed: if the connection has ended.
+        """
+        frame = _frames.encode_frame(number, message)
+        self._traffic.note_sent(len(frame))
+        await self.conn.send(frame)
+
     def _deliver(self, data: bytes | str) -> None:
+        self._traffic.note_received(len(data))
         number, message = _frames.decode_frame(data)
         replies = self.replies.get(number)
         if replies is None:
@@ -91,7 +103,10 @@
 class PeerLinks(Component):
     """Calls peers by host id; each peer has at most one connection."""
 
-    def __init__(self, *, membership: Membership, secret: str) -> None:
+    def __init__(
+        self, *, membership: Membership, secret: str, traffic: Meter | None = None
+    ) -> None:
+        self._traffic = traffic or Meter()
         self._membership = membership
         self._secret = secret
         self._links: dict[HostId, _Link] = {}
@@ -149,7 +164,7 @@
         link.replies[number] = replies
         answer: object = None
         try:
-            await link.conn.send(_frames.encode_frame(number, message))
+            await link.send(number, message)
             while True:
                 answer = await replies.take()
                 yield answer
@@ -164,7 +179,7 @@
     async def _cancel(self, link: _Link, number: int) -> None:
         """Tell the peer that nobody reads a stream any more."""
         with contextlib.suppress(ConnectionClosed):
-            await link.conn.send(_frames.encode_frame(number, CancelCall()))
+            await link.send(number, CancelCall())
 
     async def _link(self, host: HostId) -> _Link | PeerFailure:
         async with self._locks.setdefault(host, asyncio.Lock()):
@@ -190,7 +205,7 @@
         except (OSError, TimeoutError, InvalidHandshake) as exc:
             self._membership.mark_unreachable(host)
             return PeerFailure(reason=repr(exc), sent=False)
-        link = _Link(conn=conn)
+        link = _Link(conn=conn, traffic=self._traffic)
         self._links[host] = link
         self.spawn(link.receive(), name=f"peer-link-{host}")
         return link
--- a/src/cassiawalk/peer/server.py
+++ b/src/cassiawalk/peer/server.py
@@ -18,6 +18,7 @@
 
 from cassiawalk.app import Component
 from cassiawalk.errors import WireError
+from cassiawalk.metering import Meter
 from cassiawalk.peer import _frames
 from cassiawalk.peer.messages import CancelCall
 from cassiawalk.peer.messages import PeerFault
@@ -32,9 +33,11 @@
     """Serves calls by message type, one task for each connection and call.
 
     :param secret: the secret that all hosts share; peers without it are refused.
+    :param traffic: where the bytes of all frames are counted.
     """
 
-    def __init__(self, *, sock: socket.socket, secret: str) -> None:
+    def __init__(self, *, sock: socket.socket, secret: str, traffic: Meter | None = None) -> None:
+        self._traffic = traffic or Meter()
         self._sock = sock
         self._secret = secret
         self._handlers: dict[type, Handler] = {}
@@ -82,6 +85,7 @@
         calls: dict[int, asyncio.Task[None]] = {}
         try:
             async for data in conn:
+                self._traffic.note_received(len(data))
                 number, message = _frames.decode_frame(data)
                 if isinstance(message, CancelCall):
                     _cancel(calls, number)
@@ -102,7 +106,7 @@
             if type(message) in self._stream_handlers:
                 await self._answer_stream(conn, number, message)
             else:
-                await conn.send(_frames.encode_frame(number, await self._reply(message)))
+                await self._send(conn, number, await self._reply(message))
         except ConnectionClosed:
             return
 
@@ -110,14 +114,19 @@
         last: object = StreamPart(last=True)
         try:
             async for part in self._stream_handlers[type(message)](message):
-                await conn.send(_frames.encode_frame(number, part))
+                await self._send(conn, number, part)
         except ConnectionClosed:
             raise
         except Exception as exc:
             # The fault belongs to one call; the connection serves others.
             eliot.log_message(message_type="peer:handler-failed", error=repr(exc))
             last = PeerFault(reason=repr(exc))
-        await conn.send(_frames.encode_frame(number, last))
+        await self._send(conn, number, last)
+
+    async def _send(self, conn: ServerConnection, number: int, message: object) -> None:
+        frame = _frames.encode_frame(number, message)
+        self._traffic.note_sent(len(frame))
+        await conn.send(frame)
 
     async def _reply(self, message: object | None) -> object:
         if isinstance(message, _frames.BadMessage):
--- a/src/cassiawalk/platform/engine_http.py
+++ b/src/cassiawalk/platform/engine_http.py
@@ -9,6 +9,7 @@
 import orjson
 
 from cassiawalk.ids import RequestId
+from cassiawalk.metering import Meter
 from cassiawalk.platform import _http
 from cassiawalk.platform.engine import CacheRemoved
 from cassiawalk.platform.engine import CacheStored
@@ -33,7 +34,14 @@
 class HttpEngine(Engine):
     """Client of one engine."""
 
-    def __init__(self, *, address: str, silence_limit_s: float = SILENCE_LIMIT_S) -> None:
+    def __init__(
+        self,
+        *,
+        address: str,
+        silence_limit_s: float = SILENCE_LIMIT_S,
+        traffic: Meter | None = None,
+    ) -> None:
+        self._traffic = traffic or Meter()
         self._url = f"http://{address}"
         self._client = _http.new_client(answer_timeout_s=None)
         self._silence_limit_s = silence_limit_s
@@ -76,6 +84,7 @@
             res = await self._client.get(f"{self._url}/events")
             async for payloads in _http.sse_data(res.read_chunks()):
                 for payload in payloads:
+                    self._traffic.note_received(len(payload))
                     yield _notice(orjson.loads(payload))
         except _http.LOST_ANSWER:
             return
--- a/src/cassiawalk/platform/hosts_http.py
+++ b/src/cassiawalk/platform/hosts_http.py
@@ -8,6 +8,7 @@
 
 from cassiawalk.errors import WireError
 from cassiawalk.ids import HostId
+from cassiawalk.metering import Meter
 from cassiawalk.platform import _http
 from cassiawalk.platform.cloud import CloudApi
 from cassiawalk.platform.cloud import HostStarted
@@ -22,12 +23,15 @@
 _TIMEOUT_S = 3.0
 
 
-async def _get(client: aiosonic.HTTPClient, url: str, *, timeout_s: float) -> t.Any | None:
+async def _get(
+    client: aiosonic.HTTPClient, url: str, *, timeout_s: float, traffic: Meter
+) -> t.Any | None:
     """Return the JSON answer to a GET, or None if there is no whole answer."""
     try:
         async with asyncio.timeout(timeout_s):
             res = await client.get(url)
             body = await res.content()
+        traffic.note_received(len(body))
         return orjson.loads(body) if res.status_code == 200 else None
     except _http.LOST_ANSWER:
         return None
@@ -36,13 +40,15 @@
 class HttpHostList(HostList):
     """Client of the host list."""
 
-    def __init__(self, *, url: str) -> None:
+    def __init__(self, *, url: str, traffic: Meter | None = None) -> None:
+        self._traffic = traffic or Meter()
         self._url = url.rstrip("/")
         self._client = _http.new_client()
 
     async def hosts(self) -> tuple[HostEntry, ...] | None:
         """Return the list of one GET."""
-        answer = await _get(self._client, f"{self._url}/hosts", timeout_s=_TIMEOUT_S)
+        url = f"{self._url}/hosts"
+        answer = await _get(self._client, url, timeout_s=_TIMEOUT_S, traffic=self._traffic)
         if not isinstance(answer, dict):
             return None
         try:
@@ -58,21 +64,24 @@
 class HttpCloudApi(CloudApi):
     """Client of the cloud API."""
 
-    def __init__(self, *, url: str) -> None:
+    def __init__(self, *, url: str, traffic: Meter | None = None) -> None:
+        self._traffic = traffic or Meter()
         self._url = url.rstrip("/")
         self._client = _http.new_client(answer_timeout_s=None)
 
     async def notices(self, *, after: int, wait_s: float) -> tuple[ReclaimNotice, ...] | None:
         """Return notices by one long-polling GET."""
         url = f"{self._url}/notices?after={after}&wait={wait_s}"
-        answer = await _get(self._client, url, timeout_s=wait_s + _TIMEOUT_S)
+        timeout_s = wait_s + _TIMEOUT_S
+        answer = await _get(self._client, url, timeout_s=timeout_s, traffic=self._traffic)
         if answer is None:
             return None
         return tuple(from_plain(ReclaimNotice, item) for item in answer["notices"])
 
     async def offers(self) -> tuple[MachineOffer, ...] | None:
         """Return the prices of one GET."""
-        answer = await _get(self._client, f"{self._url}/offers", timeout_s=_TIMEOUT_S)
+        url = f"{self._url}/offers"
+        answer = await _get(self._client, url, timeout_s=_TIMEOUT_S, traffic=self._traffic)
         if answer is None:
             return None
         return tuple(from_plain(MachineOffer, item) for item in answer["offers"])
--- a/src/cassiawalk/platform/log_http.py
+++ b/src/cassiawalk/platform/log_http.py
@@ -6,6 +6,7 @@
 import orjson
 
 from cassiawalk.ids import Offset
+from cassiawalk.metering import Meter
 from cassiawalk.platform import _http
 from cassiawalk.platform.log import Appended
 from cassiawalk.platform.log import AppendOutcome
@@ -25,13 +26,15 @@
 class HttpLogService(LogService):
     """Client of a log service with JSON answers and base64 payloads."""
 
-    def __init__(self, *, url: str) -> None:
+    def __init__(self, *, url: str, traffic: Meter | None = None) -> None:
+        self._traffic = traffic or Meter()
         self._url = url.rstrip("/")
         self._client = _http.new_client(answer_timeout_s=None)
 
     async def append(self, *, stream: str, payload: bytes) -> AppendOutcome:
         """Append with one POST; the client library never repeats a POST by itself."""
         url = f"{self._url}/streams/{stream}/records"
+        self._traffic.note_sent(len(payload))
         try:
             async with asyncio.timeout(_APPEND_TIMEOUT_S):
                 res = await self._client.post(url, data=payload)
@@ -57,6 +60,7 @@
             async with asyncio.timeout(wait_s + _READ_MARGIN_S):
                 res = await self._client.get(url, params=params)
                 body = await res.content()
+            self._traffic.note_received(len(body))
             if res.status_code != 200:
                 outage = res.status_code == 503
                 return ReadFailed(reason=f"status {res.status_code}", service_outage=outage)
