Share one state machine among all upstreams

Cause: python -m benchmarks.membership_costs showed 15.3 KB of memory for each listed host: at 6,600 hosts 101 MB, against a control budget of 32 MB. Each upstream had a machine of its own. Ruled out: one machine with many models (trial: 4.4 KB each, as it binds methods to every model). Change: one life cycle computes the next state; the view keeps the state.

--- a/src/cassiawalk/routing/upstream.py
+++ b/src/cassiawalk/routing/upstream.py
@@ -28,29 +28,53 @@
     GONE = "gone"
 
 
+class Trigger(enum.Enum):
+    """What this host may learn about an upstream."""
+
+    SERVING = "note_serving"
+    FAILURE = "note_failure"
+    LEAVING = "note_leaving"
+    GONE = "note_gone"
+
+
 _PRESENT = [UpstreamState.STARTING, UpstreamState.SERVING, UpstreamState.SUSPECT]
 
 _TRANSITIONS = [
-    {"trigger": "note_serving", "source": _PRESENT, "dest": UpstreamState.SERVING},
-    {
-        "trigger": "note_failure",
-        "source": _PRESENT,
-        "dest": UpstreamState.SUSPECT,
-        "after": "_after_failure",
-    },
+    {"trigger": Trigger.SERVING.value, "source": _PRESENT, "dest": UpstreamState.SERVING},
+    {"trigger": Trigger.FAILURE.value, "source": _PRESENT, "dest": UpstreamState.SUSPECT},
+    {"trigger": Trigger.LEAVING.value, "source": _PRESENT, "dest": UpstreamState.LEAVING},
     {
-        "trigger": "note_leaving",
-        "source": _PRESENT,
-        "dest": UpstreamState.LEAVING,
-        "after": "_after_leaving",
-    },
-    {
-        "trigger": "note_gone",
+        "trigger": Trigger.GONE.value,
         "source": [*_PRESENT, UpstreamState.LEAVING],
         "dest": UpstreamState.GONE,
     },
 ]
 
+
+class _LifeCycle:
+    """One machine for all upstreams; a machine for each would take 15 KB of memory apiece."""
+
+    state: UpstreamState
+
+    def __init__(self) -> None:
+        self._machine = transitions.Machine(
+            model=self,
+            states=UpstreamState,
+            transitions=_TRANSITIONS,
+            initial=UpstreamState.STARTING,
+            auto_transitions=False,
+            ignore_invalid_triggers=True,
+        )
+
+    def next_state(self, state: UpstreamState, trigger: Trigger) -> UpstreamState | None:
+        """Return the state after a trigger, or None if it does not apply in ``state``."""
+        self.state = state
+        applied = self.trigger(trigger.value)  # type: ignore[attr-defined]
+        return self.state if applied else None
+
+
+_LIFE_CYCLE = _LifeCycle()
+
 Listener = cabc.Callable[["UpstreamView"], None]
 
 
@@ -70,8 +94,6 @@
     :param on_leaving: called once, when the upstream starts to leave.
     """
 
-    state: UpstreamState
-
     def __init__(
         self,
         *,
@@ -96,14 +118,7 @@
         self._measured_at_failure_s = 0.0
         self.load = UpstreamLoad(clock=clock)
         self.cache = CacheView()
-        self._machine = transitions.Machine(
-            model=self,
-            states=UpstreamState,
-            transitions=_TRANSITIONS,
-            initial=UpstreamState.STARTING,
-            auto_transitions=False,
-            ignore_invalid_triggers=True,
-        )
+        self.state = UpstreamState.STARTING
 
     @property
     def pool(self) -> PoolName:
@@ -156,7 +171,14 @@
 
     def fire(self, trigger: str) -> None:
         """Run a transition; one that does not apply in the present state is ignored."""
-        self.trigger(trigger)  # type: ignore[attr-defined]
+        state = _LIFE_CYCLE.next_state(self.state, Trigger(trigger))
+        if state is None:
+            return
+        self.state = state
+        if trigger == Trigger.FAILURE.value:
+            self._after_failure()
+        elif trigger == Trigger.LEAVING.value:
+            self._on_leaving(self)
 
     def _answers_failure(self, report: LoadReport, asked_at: float | None) -> bool:
         if self.state is not UpstreamState.SUSPECT or self.failed_at is None:
@@ -171,6 +193,3 @@
         if self.report is not None:
             self._measured_at_failure_s = self.report.measured_s
         self._on_failure(self)
-
-    def _after_leaving(self) -> None:
-        self._on_leaving(self)
