--- a/src/cassiawalk/dispatch/stream.py
+++ b/src/cassiawalk/dispatch/stream.py
@@ -37,6 +37,21 @@
 _Ending = Finished | Interrupted | Placement | Refusal
 
 
+@dataclasses.dataclass(kw_only=True)
+class _Progress:
+    """The upstreams that a request was tried on, and whether one of them got it."""
+
+    sent: bool
+    tried: frozenset[UpstreamId] = frozenset()
+
+    def note(self, record: RequestRecord, ending: _Ending) -> None:
+        """Take an attempt into account."""
+        if record.upstream is not None:
+            self.tried = self.tried | {record.upstream}
+        if not isinstance(ending, Interrupted) or ending.sent:
+            self.sent = True
+
+
 class StreamRunner(Runner):
     """Streams tokens; a cut stream continues on another engine from the tokens so far."""
 
@@ -61,15 +76,16 @@
 
     async def run(self, record: RequestRecord) -> Refusal | None:
         """Run attempts until the end marker, or until no attempt is left."""
-        attempts_before = record.attempt
-        refusal = await self._run(record)
-        if refusal is not None and record.attempt > attempts_before:
+        progress = _Progress(sent=record.attempt > 0)
+        refusal = await self._run(record, progress)
+        if refusal is not None and progress.sent:
             # The code's default may say "not run"; an attempt was sent, so that is not so.
             return dataclasses.replace(refusal, execution=refusal.execution or Execution.RAN)
+        if refusal is not None and record.attempt:
+            return dataclasses.replace(refusal, execution=Execution.NOT_RUN)
         return refusal
 
-    async def _run(self, record: RequestRecord) -> Refusal | None:
-        tried: frozenset[UpstreamId] = frozenset()
+    async def _run(self, record: RequestRecord, progress: _Progress) -> Refusal | None:
         while True:
             admitted = await self._guard.screen(record)
             if isinstance(admitted, Refusal):
@@ -77,28 +93,27 @@
             async with contextlib.AsyncExitStack() as stack:
                 if isinstance(admitted, SoloTicket):
                     await stack.enter_async_context(admitted)
-                ending = await self._run_placed(record, tried, admitted)
+                ending = await self._run_placed(record, progress, admitted)
             if isinstance(ending, Finished):
                 return self._complete(record, ending)
             if isinstance(ending, Refusal):
                 return ending
-            if record.upstream is not None:
-                tried = tried | {record.upstream}
             refusal = await self._after_interruption(record, ending)
             if refusal is not None:
                 return refusal
 
     async def _run_placed(
-        self, record: RequestRecord, tried: frozenset[UpstreamId], solo: SoloTicket | None
+        self, record: RequestRecord, progress: _Progress, solo: SoloTicket | None
     ) -> Finished | Interrupted | Refusal:
         """Run one attempt and those that follow it by moves."""
         busy = solo.occupied(record.pool) if solo is not None else frozenset()
-        place = await self._scheduler.acquire(record, exclude=tried | busy)
+        place = await self._scheduler.acquire(record, exclude=progress.tried | busy)
         if isinstance(place, Refusal):
             return place
         ending: _Ending = Placement(lease=place)
         while isinstance(ending, Placement):
             ending = await self._attempt(record, ending, solo)
+            progress.note(record, ending)
         return ending
 
     async def _attempt(
--- a/src/cassiawalk/membership/hosts.py
+++ b/src/cassiawalk/membership/hosts.py
@@ -108,7 +108,10 @@
     @property
     def polls(self) -> bool:
         """Return whether this host reads the host list and the cloud's notices itself."""
-        if self._host in self.pollers() or self._feed_heard_at is None:
+        pollers = self.pollers()
+        if self._feed_heard_at is None or self._host in pollers or not pollers:
+            return True
+        if self._host not in self._entries:
             return True
         return self._clock.monotonic() - self._feed_heard_at > FEED_SILENCE_S
 
@@ -166,9 +169,9 @@
         self._unreachable_until[host] = self._clock.monotonic() + UNREACHABLE_HOLD_S
 
     async def refresh(self) -> None:
-        """Read the host list once; in an outage the last view stays."""
+        """Read the host list once; in an outage, or if it is empty, the last view stays."""
         hosts = await self._host_list.hosts()
-        if hosts is not None:
+        if hosts:
             self.replace_entries({entry.host: entry for entry in hosts})
 
     def replace_entries(self, entries: cabc.Mapping[HostId, HostEntry]) -> None:
--- a/src/cassiawalk/peer/feed.py
+++ b/src/cassiawalk/peer/feed.py
@@ -30,6 +30,7 @@
 HEARTBEAT_S = 1.0
 OUTAGE_DELAY_S = 0.5
 CALL_TIMEOUT_S = 2.0
+_OWN_SOURCES = frozenset(LeavingSource) - {LeavingSource.PEER}
 
 
 @messages.register("share")
@@ -87,13 +88,15 @@
         self._clock = clock
         self._after = 0
         self._changed = asyncio.Event()
+        self._told: dict[HostId, set[LeavingMark | Note]] = {}
+        self._own_notes: dict[NoteKey, Note] = {}
 
     async def start(self) -> None:
         """Start polling or following."""
         self._membership.add_listener(self._wake)
-        self._membership.add_leaving_listener(self._pass_on)
         self._board.add_listener(self._note_changed)
         self.spawn(self._poll_notices(), name="cloud-notices")
+        self.spawn(self._pass_on(), name="leaving-marks")
         self.spawn(self._follow(), name="membership-feed")
 
     async def handle_share(self, call: ShareCall) -> ShareReply:
@@ -106,8 +109,9 @@
 
     async def share(self, note: Note) -> None:
         """Put a note on the board and return once the reachable pollers have it."""
+        self._own_notes[note.key] = note
         self._board.take_over(note)
-        await self._tell_pollers(ShareCall(notes=(note,)))
+        await self._tell_pollers()
 
     async def serve(self, _: FeedCall) -> cabc.AsyncIterator[StreamPart]:
         """Yield updates for a follower, and a heartbeat when nothing changes."""
@@ -138,23 +142,40 @@
     def _take_over(self, mark: LeavingMark) -> None:
         self._membership.take_over_mark(dataclasses.replace(mark, source=LeavingSource.PEER))
 
-    def _pass_on(self, host: HostId, source: LeavingSource) -> None:
-        if source is LeavingSource.PEER:
+    async def _pass_on(self) -> None:
+        """Tell each poller of this host's own marks and notes, again until it has them."""
+        while True:
+            changed = self._changed
+            await self._tell_pollers()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(ROLE_CHECK_S):
+                    await changed.wait()
+
+    async def _tell_pollers(self) -> None:
+        now_s = self._clock.wall()
+        self._own_notes = {k: n for k, n in self._own_notes.items() if n.until_s > now_s}
+        marks = [m for m in self._membership.leaving_marks() if m.source in _OWN_SOURCES]
+        own: set[LeavingMark | Note] = {*marks, *self._own_notes.values()}
+        pollers = [host for host in self._membership.pollers() if host != self._host]
+        self._told = {host: self._told.get(host, set()) & own for host in pollers}
+        await asyncio.gather(*(self._tell(poller, own) for poller in pollers))
+
+    async def _tell(self, poller: HostId, own: set[LeavingMark | Note]) -> None:
+        told = self._told[poller]
+        new = own - told
+        if not new:
             return
-        marks = tuple(m for m in self._membership.leaving_marks() if m.host == host)
-        self.spawn(self._tell_pollers(ShareCall(marks=marks)), name=f"leaving-{host}")
+        call = ShareCall(
+            marks=tuple(item for item in new if isinstance(item, LeavingMark)),
+            notes=tuple(item for item in new if isinstance(item, Note)),
+        )
+        reply = await self._links.call(poller, call, ShareReply, timeout_s=CALL_TIMEOUT_S)
+        if isinstance(reply, ShareReply):
+            told.update(new)
 
     def _note_changed(self, _: Note) -> None:
         self._wake()
 
-    async def _tell_pollers(self, call: ShareCall) -> None:
-        pollers = [host for host in self._membership.pollers() if host != self._host]
-        calls = [
-            self._links.call(poller, call, ShareReply, timeout_s=CALL_TIMEOUT_S)
-            for poller in pollers
-        ]
-        await asyncio.gather(*calls)
-
     async def _poll_notices(self) -> None:
         while True:
             if not self._membership.polls:
@@ -188,16 +209,18 @@
                         item = await anext(items)
                     if isinstance(item, PeerFailure):
                         break
-                    self._apply(entries, from_plain(FeedUpdate, item))
+                    self._apply(poller, entries, from_plain(FeedUpdate, item))
                 return
         self._membership.mark_unreachable(poller)
 
-    def _apply(self, entries: dict[HostId, HostEntry], update: FeedUpdate) -> None:
+    def _apply(self, poller: HostId, entries: dict[HostId, HostEntry], update: FeedUpdate) -> None:
         self._membership.note_feed()
         for host in update.removed:
             entries.pop(host, None)
         entries.update({entry.host: entry for entry in update.entries})
-        if update.entries or update.removed:
+        # A list from before the poller or this host joined is older than what led here.
+        recent = poller in entries and self._host in entries
+        if recent and (update.entries or update.removed):
             self._membership.replace_entries(entries)
         for mark in update.marks:
             self._take_over(mark)
--- a/src/cassiawalk/routing/upstream.py
+++ b/src/cassiawalk/routing/upstream.py
@@ -99,7 +99,6 @@
             transitions=_TRANSITIONS,
             initial=UpstreamState.STARTING,
             auto_transitions=False,
-            ignore_invalid_triggers=True,
         )
 
     @property
@@ -158,7 +157,8 @@
 
     def fire(self, trigger: str) -> None:
         """Run a transition; one that does not apply in the present state is ignored."""
-        self.trigger(trigger)  # type: ignore[attr-defined]
+        if trigger in self._machine.get_triggers(self.state):
+            self.trigger(trigger)  # type: ignore[attr-defined]
 
     def _answers_failure(self, report: LoadReport, asked_at: float | None) -> bool:
         if self.state is not UpstreamState.SUSPECT or self.failed_at is None:
--- a/standins/cloud.py
+++ b/standins/cloud.py
@@ -18,9 +18,14 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Faults:
-    """What goes wrong. ``list_lag_s`` delays the host list behind the truth, in seconds."""
+    """What goes wrong.
+
+    ``list_lag_s`` delays the host list behind the truth, in seconds; ``list_frozen`` keeps it as
+    it was when the fault was set.
+    """
 
     list_lag_s: float = 0.0
+    list_frozen: bool = False
     list_outage: bool = False
     lose_notices: bool = False
     refuse_starts: bool = False
@@ -46,6 +51,7 @@
         self._noticed = asyncio.Event()
         self._offers: list[dict[str, t.Any]] = []
         self._faults = Faults()
+        self._frozen: _Version | None = None
         self._started = 0
 
     def asgi(self) -> Starlette:
@@ -67,6 +73,8 @@
         """Answer with the host list, as old as the fault says."""
         if self._faults.list_outage:
             return Response(status_code=503)
+        if self._frozen is not None:
+            return JSONResponse({"hosts": list(self._frozen.hosts)})
         limit = time.monotonic() - self._faults.list_lag_s
         known = [version for version in self._versions if version.at_s <= limit]
         return JSONResponse({"hosts": list((known or self._versions)[-1].hosts)})
@@ -131,6 +139,7 @@
     async def set_faults(self, req: Request) -> Response:
         """Set the faults in force."""
         self._faults = Faults(**orjson.loads(await req.body()))
+        self._frozen = self._versions[-1] if self._faults.list_frozen else None
         return JSONResponse(dataclasses.asdict(self._faults))
 
     def _hosts(self) -> tuple[dict[str, t.Any], ...]:
--- /dev/null
+++ b/tests/test_crash_guard.py
@@ -0,0 +1,219 @@
+import asyncio
+import random
+
+import pytest
+
+from cassiawalk.crashes import Death
+from cassiawalk.crashes import DeathLog
+from cassiawalk.crashes import SoloCall
+from cassiawalk.crashes import fingerprint_of
+from cassiawalk.ids import FailureDomain
+from cassiawalk.ids import Fingerprint
+from cassiawalk.ids import KindName
+from cassiawalk.ids import RequestId
+from cassiawalk.ids import UpstreamId
+from cassiawalk.requests import RequestRecord
+from cassiawalk.results import Execution
+from cassiawalk.results import Refusal
+from cassiawalk.results import ResultCode
+from tests.upstream_fakes import Harness
+
+pytestmark = pytest.mark.looptime
+
+Run = asyncio.Task[Refusal | None]
+
+
+def _start(harness: Harness, record: RequestRecord) -> Run:
+    return asyncio.create_task(harness.runner.run(record))
+
+
+async def _where(harness: Harness, record: RequestRecord, attempt: int) -> str:
+    """Return the engine of a request's attempt, once it has begun."""
+    while True:
+        for name, engine in harness.engines.items():
+            for req in engine.requests:
+                if (req.request_id, req.attempt) == (record.request_id, attempt):
+                    return name
+        await asyncio.sleep(0.01)
+
+
+def _death(upstream: str, domain: str, at: float, *running: str) -> Death:
+    return Death(
+        upstream=UpstreamId(upstream),
+        failure_domain=FailureDomain(domain),
+        at=at,
+        running=frozenset(Fingerprint(name) for name in running),
+    )
+
+
+@pytest.mark.parametrize(
+    ("other", "together"),
+    [
+        pytest.param(_death("b", "north", 14.0, "y"), 2, id="domain-within-seconds"),
+        pytest.param(_death("b", "north", 16.0, "y"), 0, id="domain-long-after"),
+        pytest.param(_death("b", "south", 10.0, "y"), 0, id="other-domain"),
+        pytest.param(_death("a", "north", 11.0, "y"), 0, id="same-upstream-again"),
+        pytest.param(_death("b", "north", 11.0, "x"), 0, id="one-request-on-both"),
+        pytest.param(_death("b", "north", 11.0), 2, id="nothing-running"),
+    ],
+)
+def test_deaths_that_a_failure_of_the_domain_explains(other: Death, together: int) -> None:
+    log = DeathLog()
+    log.note(_death("a", "north", 10.0, "x"))
+    log.note(other)
+    assert len(log.of_domain(other)) == together
+
+
+async def test_fingerprint_names_service_kind_and_body_only() -> None:
+    harness = Harness(upstreams=("a",), rng=random.Random(1))
+    first, again = harness.record(prompt="x"), harness.record(prompt="x")
+    again.key = "key"
+    other_body, other_kind = harness.record(prompt="y"), harness.record(prompt="x")
+    other_kind.kind_name = KindName("quick")
+    assert fingerprint_of(first) == fingerprint_of(again)
+    assert len({fingerprint_of(r) for r in (first, other_body, other_kind)}) == 3
+
+
+async def test_request_that_kills_two_upstreams_is_given_up_and_quarantined() -> None:
+    harness = Harness(upstreams=("a", "b", "c"), rng=random.Random(1), domains="nsn")
+    record = harness.record(max_tokens=1000)
+    run = _start(harness, record)
+    first = await _where(harness, record, 1)
+    harness.kill(first)
+    second = await _where(harness, record, 2)
+    assert second != first
+    assert harness.view(second).reserved_for == record.request_id
+    harness.kill(second)
+    refusal = await run
+    assert refusal is not None
+    assert (refusal.code, refusal.ran) == (ResultCode.CRASHED_UPSTREAM, Execution.RAN)
+    again = harness.record(max_tokens=1000)
+    refused = harness.guard.refusal(again)
+    assert refused is not None
+    assert (refused.code, refused.ran) == (ResultCode.QUARANTINED, Execution.NOT_RUN)
+    await asyncio.sleep(0)
+    assert fingerprint_of(record) in harness.quarantines.ends_s
+
+
+async def test_quarantine_ends_and_an_operator_may_end_it() -> None:
+    harness = Harness(upstreams=("a",), rng=random.Random(1))
+    record = harness.record()
+    fingerprint = fingerprint_of(record)
+    now_s = harness.clock.wall()
+    for until_s, refused in ((now_s + 60.0, True), (now_s - 1.0, False), (0.0, False)):
+        harness.quarantines.ends_s[fingerprint] = until_s
+        assert (harness.guard.refusal(record) is not None) is refused
+
+
+async def test_innocent_request_that_shared_the_upstream_is_cleared() -> None:
+    harness = Harness(upstreams=("a", "b", "c"), rng=random.Random(1), domains="nsn")
+    harness.only("a")
+    records = [harness.record(prompt=f"prompt {i}", max_tokens=100) for i in range(3)]
+    tasks = [_start(harness, record) for record in records]
+    await asyncio.sleep(0.5)
+    harness.open_all()
+    harness.kill("a")
+    await asyncio.sleep(0.25)
+    assert all(harness.guard.is_suspect(fingerprint_of(record)) for record in records)
+    assert await asyncio.gather(*tasks) == [None, None, None]
+    assert [record.text for record in records] == [harness.answer(100)] * 3
+    await asyncio.sleep(0.1)
+    assert not any(harness.guard.is_suspect(fingerprint_of(record)) for record in records)
+    assert not harness.quarantines.ends_s
+    assert all(view.reserved_for is None for view in harness.table.all())
+
+
+async def test_suspect_runs_alone_and_one_at_a_time() -> None:
+    harness = Harness(upstreams=("a", "b", "c"), rng=random.Random(1), domains="nsn")
+    harness.only("a")
+    suspects = [harness.record(prompt=f"prompt {i}", max_tokens=100) for i in range(2)]
+    tasks = [_start(harness, record) for record in suspects]
+    await asyncio.sleep(0.5)
+    harness.open_all()
+    harness.kill("a")
+    await asyncio.sleep(0.5)
+    reserved = [view for view in harness.table.all() if view.reserved_for is not None]
+    assert len(reserved) == 1
+    others = [harness.record(prompt=f"other {i}") for i in range(4)]
+    tasks += [_start(harness, record) for record in others]
+    await asyncio.sleep(0.1)
+    assert reserved[0].own_running == {reserved[0].reserved_for}
+    assert await asyncio.gather(*tasks) == [None] * 6
+
+
+@pytest.mark.parametrize("when", ["before the death", "after the death"])
+async def test_leaving_upstream_blames_nobody(when: str) -> None:
+    harness = Harness(upstreams=("a", "b"), rng=random.Random(1), domains="ns")
+    harness.only("a")
+    record = harness.record(max_tokens=200)
+    run = _start(harness, record)
+    await asyncio.sleep(0.5)
+    harness.open_all()
+    if when == "before the death":
+        harness.leave("a", notice_s=0.0)
+        harness.kill("a")
+    else:
+        harness.kill("a")
+        await asyncio.sleep(0.3)
+        harness.leave("a", notice_s=0.0)
+    await asyncio.sleep(0.3)
+    assert not harness.guard.is_suspect(fingerprint_of(record))
+    assert await run is None
+    assert record.text == harness.answer(200)
+
+
+async def test_failing_domain_blames_nobody_even_if_it_fails_slowly() -> None:
+    harness = Harness(upstreams=("a", "b", "c", "d"), rng=random.Random(1), domains="nnss")
+    records = [harness.record(prompt=f"prompt {i}", max_tokens=300) for i in range(8)]
+    tasks = [_start(harness, record) for record in records]
+    await asyncio.sleep(0.5)
+    harness.kill("a")
+    await asyncio.sleep(1.0)
+    assert any(harness.guard.is_suspect(fingerprint_of(record)) for record in records)
+    harness.kill("b")
+    await asyncio.sleep(0.5)
+    assert not any(harness.guard.is_suspect(fingerprint_of(record)) for record in records)
+    assert await asyncio.gather(*tasks) == [None] * 8
+    assert not harness.quarantines.ends_s
+
+
+async def test_reclaim_during_the_solo_run_does_not_convict() -> None:
+    harness = Harness(upstreams=("a", "b", "c"), rng=random.Random(1), domains="nsn")
+    record = harness.record(max_tokens=200)
+    run = _start(harness, record)
+    harness.kill(await _where(harness, record, 1))
+    second = await _where(harness, record, 2)
+    harness.leave(second, notice_s=0.0)
+    harness.kill(second)
+    assert await run is None
+    assert record.text == harness.answer(200)
+    assert not harness.quarantines.ends_s
+
+
+async def test_cut_stream_of_a_living_upstream_blames_nobody() -> None:
+    harness = Harness(upstreams=("a", "b"), rng=random.Random(1))
+    record = harness.record(max_tokens=100)
+    run = _start(harness, record)
+    name = await _where(harness, record, 1)
+    harness.engines[name].die()
+    assert await run is None
+    assert not harness.board.notes()
+
+
+async def test_turn_is_held_by_one_request_at_a_time() -> None:
+    harness = Harness(upstreams=("a",), rng=random.Random(1))
+    turns = harness.guard._turns
+    fingerprint = Fingerprint("f")
+    first = SoloCall(fingerprint=fingerprint, request_id=RequestId("1"))
+    second = SoloCall(fingerprint=fingerprint, request_id=RequestId("2"))
+    assert await turns.ask(first)
+    assert not await turns.ask(second)
+    assert await turns.ask(first)
+    await asyncio.sleep(9.0)
+    assert not await turns.ask(second)
+    await turns.ask(SoloCall(fingerprint=fingerprint, request_id=RequestId("2"), release=True))
+    assert not await turns.ask(second)
+    await turns.ask(SoloCall(fingerprint=fingerprint, request_id=RequestId("1"), release=True))
+    assert await turns.ask(second)
+    await asyncio.sleep(11.0)
+    assert await turns.ask(first)
--- /dev/null
+++ b/tests/test_moves.py
@@ -0,0 +1,174 @@
+import asyncio
+import collections.abc as cabc
+import random
+
+import pytest
+
+from cassiawalk.dispatch.moves import MoveAction
+from cassiawalk.dispatch.moves import StreamState
+from cassiawalk.dispatch.moves import TransferRates
+from cassiawalk.dispatch.moves import finishes_in_place
+from cassiawalk.dispatch.moves import plan_moves
+from cassiawalk.ids import RequestId
+from tests.upstream_fakes import FakeEngine
+from tests.upstream_fakes import Harness
+
+pytestmark = pytest.mark.looptime
+
+FINISH = MoveAction.FINISH
+TRANSFER = MoveAction.TRANSFER
+RECOMPUTE = MoveAction.RECOMPUTE
+# A transfer of 1,000 tokens takes 0.02 s and 2 x 1 s.
+RATES = TransferRates(bytes_per_token=1000.0, bytes_per_s=1e6)
+
+
+def _stream(name: str, stake: int, remaining: int, weight: float = 1.0) -> StreamState:
+    return StreamState(
+        request_id=RequestId(name), stake_tokens=stake, remaining_tokens=remaining, weight=weight
+    )
+
+
+@pytest.mark.parametrize(
+    ("remaining", "interval_s", "notice_s", "expected"),
+    [
+        (0, 0.036, 0.5, True),
+        (0, 0.036, 0.4, False),
+        (100, 0.036, 5.0, True),
+        (100, 0.036, 4.9, False),
+        (100, 0.036, -1.0, False),
+    ],
+)
+def test_finishing_needs_the_remaining_tokens_and_a_margin(
+    remaining: int, interval_s: float, notice_s: float, expected: bool
+) -> None:
+    assert finishes_in_place(remaining, interval_s, notice_s) is expected
+
+
+@pytest.mark.parametrize(
+    ("streams", "notice_s", "expected"),
+    [
+        pytest.param([], 10.0, [], id="nothing"),
+        pytest.param([_stream("a", 500, 10)], 10.0, [("a", FINISH)], id="short-finishes"),
+        pytest.param([_stream("a", 500, 900)], 10.0, [("a", TRANSFER)], id="long-moves"),
+        pytest.param([_stream("a", 500, 900)], 1.0, [("a", RECOMPUTE)], id="notice-too-short"),
+        pytest.param([_stream("a", 500, 900)], -3.0, [("a", RECOMPUTE)], id="notice-over"),
+        pytest.param([_stream("a", 10, 900)], 10.0, [("a", RECOMPUTE)], id="too-little-at-stake"),
+        pytest.param(
+            [_stream("small", 400, 900), _stream("large", 1500, 900)],
+            4.0,
+            [("large", TRANSFER), ("small", RECOMPUTE)],
+            id="largest-stake-first-while-the-notice-lasts",
+        ),
+        pytest.param(
+            [_stream("large", 4000, 900), _stream("small", 400, 900)],
+            4.0,
+            [("large", RECOMPUTE), ("small", TRANSFER)],
+            id="one-that-does-not-fit-makes-room",
+        ),
+        pytest.param(
+            [_stream("cheap", 1500, 900), _stream("dear", 1500, 900, weight=3.0)],
+            4.0,
+            [("dear", TRANSFER), ("cheap", RECOMPUTE)],
+            id="weight-decides-between-equals",
+        ),
+        pytest.param(
+            [_stream("dossier", 1500, 900), _stream("quick", 60, 20)],
+            4.0,
+            [("quick", FINISH), ("dossier", TRANSFER)],
+            id="dossier-and-quick-reply-together",
+        ),
+    ],
+)
+def test_plan(
+    streams: list[StreamState], notice_s: float, expected: list[tuple[str, MoveAction]]
+) -> None:
+    moves = plan_moves(streams, notice_s=notice_s, token_interval_s=0.036, rates=RATES)
+    assert [(move.request_id, move.action) for move in moves] == expected
+
+
+EngineSetup = cabc.Callable[[dict[str, FakeEngine]], None]
+
+
+def _refuses_export(engines: dict[str, FakeEngine]) -> None:
+    engines["a"].kv = None
+
+
+def _refuses_import(engines: dict[str, FakeEngine]) -> None:
+    engines["b"].takes_kv = False
+
+
+def _never_exports(engines: dict[str, FakeEngine]) -> None:
+    engines["a"].export_s = 1000.0
+
+
+def _works(engines: dict[str, FakeEngine]) -> None:
+    """Leave the engines as they are."""
+
+
+@pytest.mark.parametrize(
+    ("setup", "with_kv"),
+    [
+        pytest.param(_works, True, id="transfer"),
+        pytest.param(_refuses_export, False, id="export-refused"),
+        pytest.param(_refuses_import, False, id="import-refused"),
+        pytest.param(_never_exports, False, id="export-too-slow"),
+    ],
+)
+async def test_moved_stream_goes_on_where_it_was(setup: EngineSetup, with_kv: bool) -> None:
+    harness = Harness(upstreams=("a", "b"), rng=random.Random(1))
+    setup(harness.engines)
+    record = harness.record(prompt="word " * 200, max_tokens=400)
+    harness.only("a")
+    run = asyncio.create_task(harness.runner.run(record))
+    await record.wait_beyond(20)
+    harness.leave("a", notice_s=5.0)
+    assert await run is None
+    assert record.text == harness.answer(400)
+    assert record.tokens == 400
+    assert record.retries == 0
+    first, second = harness.engines["a"].requests[0], harness.engines["b"].requests[0]
+    assert second.attempt == first.attempt + 1
+    assert second.resume_tokens >= 20
+    assert (second.kv_handle is not None) is with_kv
+    assert harness.engines["a"].closed == 1
+
+
+async def test_old_attempt_goes_on_while_no_other_upstream_has_room() -> None:
+    harness = Harness(upstreams=("a",), rng=random.Random(1))
+    record = harness.record(prompt="beds?", max_tokens=100)
+    run = asyncio.create_task(harness.runner.run(record))
+    await record.wait_beyond(5)
+    harness.leave("a", notice_s=0.1)
+    assert await run is None
+    assert record.text == harness.answer(100)
+    assert record.attempt == 1
+
+
+async def test_accepted_request_waits_for_an_upstream_when_all_have_gone() -> None:
+    harness = Harness(upstreams=("a",), rng=random.Random(1))
+    record = harness.record(prompt="beds?", max_tokens=100)
+    run = asyncio.create_task(harness.runner.run(record))
+    await record.wait_beyond(5)
+    harness.leave("a", notice_s=0.1)
+    harness.engines["a"].die()
+    await record.wait_beyond(5)
+    await harness.clock.sleep(3.0)
+    assert not run.done()
+    harness.join("b")
+    assert await run is None
+    assert record.text == harness.answer(100)
+    assert record.retries == 0
+
+
+async def test_slots_are_given_back_when_a_moving_request_is_cancelled() -> None:
+    harness = Harness(upstreams=("a", "b"), rng=random.Random(1))
+    harness.engines["b"].import_s = 1000.0
+    harness.only("a")
+    record = harness.record(prompt="word " * 200, max_tokens=4000)
+    run = asyncio.create_task(harness.runner.run(record))
+    await record.wait_beyond(20)
+    harness.leave("a", notice_s=60.0)
+    await harness.engines["b"].importing.wait()
+    run.cancel()
+    await asyncio.gather(run, return_exceptions=True)
+    assert [view.own_running for view in harness.table.all()] == [set(), set()]
--- /dev/null
+++ b/tests/test_upstream_deaths.py
@@ -0,0 +1,151 @@
+import asyncio
+import random
+
+import pytest
+
+from cassiawalk.control.state import KindMode
+from cassiawalk.dispatch.retry import RetryBudget
+from cassiawalk.platform import Interrupted
+from cassiawalk.platform import LoadReport
+from cassiawalk.platform.engine import InterruptReason
+from cassiawalk.results import Execution
+from cassiawalk.results import Refusal
+from cassiawalk.results import ResultCode
+from cassiawalk.routing import UpstreamState
+from tests.upstream_fakes import Harness
+from tests.upstream_fakes import entry
+
+pytestmark = pytest.mark.looptime
+
+LOST = Interrupted(reason=InterruptReason.CONNECTION_LOST, sent=True)
+SILENT = Interrupted(reason=InterruptReason.SILENT, sent=True)
+REFUSED = Interrupted(reason=InterruptReason.REFUSED, sent=False)
+LEAVING = Interrupted(reason=InterruptReason.LEAVING, sent=False)
+REJECTED = Interrupted(reason=InterruptReason.REJECTED, sent=True, detail="status 400")
+
+
+def _report(measured_s: float) -> LoadReport:
+    return LoadReport(slots=8, running=0, waiting=0, measured_s=measured_s)
+
+
+@pytest.mark.parametrize(
+    ("ending", "cut_after", "state", "retries"),
+    [
+        pytest.param(LOST, 7, UpstreamState.SUSPECT, 1, id="cut"),
+        pytest.param(LOST, 0, UpstreamState.SUSPECT, 1, id="cut-before-the-first-token"),
+        pytest.param(SILENT, 7, UpstreamState.SUSPECT, 1, id="silent"),
+        pytest.param(REFUSED, 0, UpstreamState.SERVING, 1, id="refused"),
+        pytest.param(LEAVING, 0, UpstreamState.LEAVING, 0, id="leaving"),
+    ],
+)
+async def test_interrupted_stream_goes_on_elsewhere(
+    ending: Interrupted, cut_after: int, state: UpstreamState, retries: int
+) -> None:
+    harness = Harness(upstreams=("a", "b"), rng=random.Random(1))
+    harness.engines["a"].ending = ending
+    harness.engines["a"].cut_after = cut_after
+    harness.only("a")
+    record = harness.record(max_tokens=20)
+    run = asyncio.create_task(harness.runner.run(record))
+    await asyncio.sleep(0)
+    harness.open_all()
+    assert await run is None
+    assert record.text == harness.answer(20)
+    assert harness.engines["b"].requests[0].resume_tokens == cut_after
+    assert harness.view("a").state is state
+    assert record.retries == retries
+
+
+async def test_rejected_request_is_not_tried_elsewhere() -> None:
+    harness = Harness(upstreams=("a", "b"), rng=random.Random(1))
+    for engine in harness.engines.values():
+        engine.ending, engine.cut_after = REJECTED, 0
+    refusal = await harness.runner.run(harness.record())
+    assert isinstance(refusal, Refusal)
+    assert refusal.code is ResultCode.UPSTREAM_REJECTED
+    assert sum(len(engine.requests) for engine in harness.engines.values()) == 1
+
+
+@pytest.mark.parametrize(("mode", "whole"), [(KindMode.MUST_ARRIVE, True), (KindMode.QUICK, False)])
+async def test_request_without_retry_budget(mode: KindMode, whole: bool) -> None:
+    harness = Harness(upstreams=("a", "b"), rng=random.Random(1))
+    harness.retries._budgets["enquiries"] = RetryBudget(share=0.0, reserve=0.0)  # type: ignore[index]
+    engine = harness.engines["a"]
+    engine.ending, engine.cut_after = LOST, 3
+    harness.only("a")
+    record = harness.record(mode=mode)
+    run = asyncio.create_task(harness.runner.run(record))
+    await asyncio.sleep(0)
+    harness.open_all()
+    refusal = await run
+    assert (refusal is None) is whole
+    if refusal is not None:
+        assert refusal.code is ResultCode.RETRIES_EXHAUSTED
+        assert refusal.ran is Execution.RAN
+
+
+@pytest.mark.parametrize(("ending", "ran"), [(LOST, Execution.RAN), (LEAVING, Execution.NOT_RUN)])
+async def test_refusal_at_the_deadline_says_whether_an_attempt_ran(
+    ending: Interrupted, ran: Execution
+) -> None:
+    harness = Harness(upstreams=("a",), rng=random.Random(1))
+    engine = harness.engines["a"]
+    engine.ending, engine.cut_after = ending, 0
+    refusal = await harness.runner.run(harness.record(deadline_s=5.0))
+    assert refusal is not None
+    assert refusal.ran is ran
+
+
+@pytest.mark.parametrize(
+    ("measured_s", "asked_after_s", "expected"),
+    [
+        pytest.param(11.0, 1.0, UpstreamState.SERVING, id="newer"),
+        pytest.param(10.0, 1.0, UpstreamState.SUSPECT, id="measured-before"),
+        pytest.param(11.0, -1.0, UpstreamState.SUSPECT, id="connection-opened-before"),
+    ],
+)
+async def test_suspect_returns_only_by_a_report_newer_than_its_failure(
+    measured_s: float, asked_after_s: float, expected: UpstreamState
+) -> None:
+    harness = Harness(upstreams=("a", "b"), rng=random.Random(1))
+    view = harness.view("a")
+    view.note_report(_report(10.0))
+    await harness.clock.sleep(5.0)
+    view.fire("note_failure")
+    failed_at = harness.clock.monotonic()
+    await harness.clock.sleep(2.0)
+    view.note_report(_report(measured_s), asked_at=failed_at + asked_after_s)
+    assert view.state is expected
+    assert view.takes_work is (expected is UpstreamState.SERVING)
+
+
+@pytest.mark.parametrize(
+    ("count", "failed", "usable"),
+    [(1, 1, 1), (2, 1, 1), (2, 2, 1), (4, 2, 2), (4, 4, 2), (5, 5, 3), (10, 3, 7), (10, 10, 5)],
+)
+async def test_ejections_cover_at_most_half_of_a_pool(count: int, failed: int, usable: int) -> None:
+    harness = Harness(upstreams=[f"e{index}" for index in range(count)], rng=random.Random(1))
+    for view in harness.table.all()[:failed]:
+        view.fire("note_failure")
+    assert sum(view.takes_work for view in harness.table.all()) == usable
+
+
+async def test_id_that_comes_back_with_a_new_address_is_a_new_upstream() -> None:
+    harness = Harness(upstreams=("a",), rng=random.Random(1))
+    old = harness.view("a")
+    harness.leave("a", notice_s=5.0)
+    assert old.state is UpstreamState.LEAVING
+    harness.membership.replace_entries({entry("a").host: entry("a", address="a:2")})
+    new = harness.view("a")
+    assert (old.state, new.state) == (UpstreamState.GONE, UpstreamState.STARTING)
+    assert new.takes_work
+
+
+async def test_report_resets_the_count_of_requests_sent_since() -> None:
+    harness = Harness(upstreams=("a",), rng=random.Random(1))
+    runs = [asyncio.create_task(harness.runner.run(harness.record())) for _ in range(3)]
+    await asyncio.sleep(0.01)
+    assert harness.view("a").sent_since_report == 3
+    harness.view("a").note_report(_report(1.0))
+    assert harness.view("a").sent_since_report == 0
+    assert await asyncio.gather(*runs) == [None, None, None]
--- /dev/null
+++ b/tests/upstream_fakes.py
@@ -0,0 +1,315 @@
+"""Fakes at the interfaces around the routing and dispatch of streams."""
+
+import asyncio
+import collections.abc as cabc
+import random
+import typing as t
+
+from cassiawalk.admission import Scheduler
+from cassiawalk.clock import LoopClock
+from cassiawalk.control.state import Kind
+from cassiawalk.control.state import KindMode
+from cassiawalk.crashes import CrashGuard
+from cassiawalk.crashes import QuarantinePublisher
+from cassiawalk.crashes import SoloTurns
+from cassiawalk.dispatch import RetryPolicy
+from cassiawalk.dispatch.connector import Connector
+from cassiawalk.dispatch.mover import Mover
+from cassiawalk.dispatch.stream import StreamRunner
+from cassiawalk.ids import FailureDomain
+from cassiawalk.ids import Fingerprint
+from cassiawalk.ids import HostId
+from cassiawalk.ids import KindName
+from cassiawalk.ids import PoolName
+from cassiawalk.ids import RequestId
+from cassiawalk.ids import ServiceName
+from cassiawalk.ids import UpstreamId
+from cassiawalk.ids import WorkspaceName
+from cassiawalk.membership import LeavingSource
+from cassiawalk.membership import Membership
+from cassiawalk.metrics import Metrics
+from cassiawalk.peer import MembershipFeed
+from cassiawalk.peer import NoteBoard
+from cassiawalk.peer import PeerLinks
+from cassiawalk.platform import CloudApi
+from cassiawalk.platform import Engine
+from cassiawalk.platform import EngineEvent
+from cassiawalk.platform import EngineRequest
+from cassiawalk.platform import Finished
+from cassiawalk.platform import HostEntry
+from cassiawalk.platform import HostList
+from cassiawalk.platform import HostRole
+from cassiawalk.platform import Interrupted
+from cassiawalk.platform import PlainService
+from cassiawalk.platform import ReclaimNotice
+from cassiawalk.platform import Tokens
+from cassiawalk.platform.cloud import HostStarted
+from cassiawalk.platform.cloud import MachineOffer
+from cassiawalk.platform.cloud import StartRefused
+from cassiawalk.platform.engine import EngineNotice
+from cassiawalk.platform.engine import EngineOrder
+from cassiawalk.platform.engine import InterruptReason
+from cassiawalk.platform.engine import OrderOutcome
+from cassiawalk.requests import RequestRecord
+from cassiawalk.routing import Router
+from cassiawalk.routing import UpstreamTable
+from cassiawalk.routing import UpstreamView
+
+POOL = PoolName("models")
+TOKEN_S = 0.02
+
+
+def entry(name: str, *, domain: str = "north", address: str = "") -> HostEntry:
+    """Return the list's entry of an engine."""
+    return HostEntry(
+        host=HostId(name),
+        role=HostRole.ENGINE,
+        failure_domain=FailureDomain(domain),
+        address=address or f"{name}:1",
+        pool=POOL,
+    )
+
+
+class FakeHostList(HostList):
+    """A list that tests change; None stands for an outage."""
+
+    def __init__(self) -> None:
+        self.listed: tuple[HostEntry, ...] | None = ()
+
+    async def hosts(self) -> tuple[HostEntry, ...] | None:
+        return self.listed
+
+
+class FakeCloud(CloudApi):
+    """A cloud that gives no notices."""
+
+    async def notices(self, *, after: int, wait_s: float) -> tuple[ReclaimNotice, ...] | None:
+        return ()
+
+    async def offers(self) -> tuple[MachineOffer, ...] | None:
+        return ()
+
+    async def start_host(self, offer: MachineOffer) -> HostStarted | StartRefused | None:
+        return StartRefused(reason="fake")
+
+
+class FakeEngine(Engine):
+    """Generates numbered tokens; an attempt that resumes goes on from the resumed count.
+
+    ``ending`` replaces the end marker after ``cut_after`` tokens of an attempt.
+    """
+
+    def __init__(self) -> None:
+        self.requests: list[EngineRequest] = []
+        self.closed = 0
+        self.kv: bytes | None = b"kv"
+        self.takes_kv = True
+        self.export_s = 0.01
+        self.import_s = 0.01
+        self.importing = asyncio.Event()
+        self.ending: Interrupted | None = None
+        self.cut_after: int | None = None
+        self._dead = asyncio.Event()
+
+    def die(self) -> None:
+        """Lose all connections, and refuse new ones."""
+        self._dead.set()
+
+    async def generate(self, req: EngineRequest) -> cabc.AsyncGenerator[EngineEvent, None]:
+        self.requests.append(req)
+        if self._dead.is_set():
+            yield Interrupted(reason=InterruptReason.CONNECT_FAILED, sent=False)
+            return
+        try:
+            for index in range(req.resume_tokens, req.max_tokens):
+                if self.cut_after is not None and index - req.resume_tokens >= self.cut_after:
+                    assert self.ending is not None
+                    yield self.ending
+                    return
+                await asyncio.sleep(TOKEN_S)
+                if self._dead.is_set():
+                    yield Interrupted(reason=InterruptReason.CONNECTION_LOST, sent=True)
+                    return
+                yield Tokens(count=1, text=f" {index}")
+            yield Finished(completion_tokens=req.max_tokens, computed_tokens=0, cached_tokens=0)
+        finally:
+            self.closed += 1
+
+    async def notices(self) -> cabc.AsyncGenerator[EngineNotice, None]:
+        await self._dead.wait()
+        return
+        yield
+
+    async def export_kv(self, request_id: RequestId) -> bytes | None:
+        await asyncio.sleep(self.export_s)
+        return self.kv
+
+    async def import_kv(self, blob: bytes) -> str | None:
+        self.importing.set()
+        await asyncio.sleep(self.import_s)
+        return "handle" if self.takes_kv else None
+
+    async def order(self, order: EngineOrder) -> OrderOutcome:
+        return OrderOutcome.DONE
+
+
+class FakeConnector(Connector):
+    """Returns the engines of a dictionary."""
+
+    def __init__(self, engines: dict[str, FakeEngine]) -> None:
+        self._engines = engines
+
+    def engine(self, upstream: UpstreamView) -> Engine:
+        return self._engines[upstream.upstream_id]
+
+    def plain(self, upstream: UpstreamView) -> PlainService:
+        raise NotImplementedError
+
+
+class FakeQuarantines(QuarantinePublisher):
+    """Quarantines in memory."""
+
+    def __init__(self) -> None:
+        self.ends_s: dict[Fingerprint, float] = {}
+
+    async def publish(self, fingerprint: Fingerprint, *, until_s: float, reason: str) -> None:
+        self.ends_s[fingerprint] = until_s
+
+    def until_s(self, fingerprint: Fingerprint) -> float | None:
+        return self.ends_s.get(fingerprint)
+
+    def is_empty(self) -> bool:
+        return not self.ends_s
+
+
+class Harness:
+    """The product's own routing and dispatch of one host, before fake engines."""
+
+    def __init__(
+        self, *, upstreams: cabc.Sequence[str], rng: random.Random, domains: str = ""
+    ) -> None:
+        """Make the host; ``domains`` holds one letter for each upstream's failure domain."""
+        host = HostId("host-0")
+        self.clock = LoopClock()
+        self.host_list = FakeHostList()
+        self.membership = Membership(host=host, host_list=self.host_list, clock=self.clock)
+        self.table = UpstreamTable(membership=self.membership, clock=self.clock)
+        self.engines: dict[str, FakeEngine] = {}
+        self.scheduler = Scheduler(
+            table=self.table, router=Router(table=self.table, rng=rng), clock=self.clock
+        )
+        self.connector = FakeConnector(self.engines)
+        self.mover = Mover(
+            table=self.table,
+            scheduler=self.scheduler,
+            connector=self.connector,
+            clock=self.clock,
+        )
+        self.quarantines = FakeQuarantines()
+        self.guard = self._guard(host)
+        self.metrics = Metrics()
+        self.retries = RetryPolicy(clock=self.clock, rng=rng)
+        self.runner = StreamRunner(
+            scheduler=self.scheduler,
+            connector=self.connector,
+            mover=self.mover,
+            guard=self.guard,
+            retries=self.retries,
+            clock=self.clock,
+            metrics=self.metrics,
+        )
+        self._requests = 0
+        for index, name in enumerate(upstreams):
+            self.join(name, domain=domains[index : index + 1] or "north")
+
+    def _guard(self, host: HostId) -> CrashGuard:
+        links = PeerLinks(membership=self.membership, secret="secret")
+        self.board = NoteBoard(clock=self.clock)
+        feed = MembershipFeed(
+            host=host,
+            membership=self.membership,
+            links=links,
+            board=self.board,
+            cloud=FakeCloud(),
+            clock=self.clock,
+        )
+        turns = SoloTurns(host=host, membership=self.membership, links=links, clock=self.clock)
+        return CrashGuard(
+            table=self.table,
+            feed=feed,
+            board=self.board,
+            turns=turns,
+            quarantines=self.quarantines,
+            clock=self.clock,
+        )
+
+    def join(self, name: str, *, domain: str = "north") -> None:
+        """Add an engine to the list."""
+        self.engines[name] = FakeEngine()
+        entries = self.membership.all_entries()
+        entries[HostId(name)] = entry(name, domain=domain)
+        self.membership.replace_entries(entries)
+        self.view(name).fire("note_serving")
+
+    def view(self, name: str) -> UpstreamView:
+        """Return an upstream's view."""
+        view = self.table.get(UpstreamId(name))
+        assert view is not None
+        return view
+
+    def only(self, name: str) -> None:
+        """Let only one upstream take work until the next request has begun."""
+        for view in self.table.all():
+            if view.upstream_id != name:
+                view.reserved_for = RequestId("other")
+
+    def open_all(self) -> None:
+        """Let all upstreams take work."""
+        for view in self.table.all():
+            view.reserved_for = None
+        self.table.notify()
+
+    def leave(self, name: str, *, notice_s: float) -> None:
+        """Give notice for an upstream; all others take work."""
+        self.open_all()
+        self.membership.mark_leaving(
+            HostId(name), LeavingSource.CLOUD_NOTICE, reclaim_s=self.clock.wall() + notice_s
+        )
+
+    def kill(self, name: str) -> None:
+        """End an engine's process, as its connections and the watcher show it."""
+        self.engines[name].die()
+        view = self.view(name)
+        view.fire("note_failure")
+        self.guard.note_death(view)
+
+    def record(
+        self,
+        *,
+        prompt: str = "beds?",
+        max_tokens: int = 20,
+        mode: KindMode = KindMode.MUST_ARRIVE,
+        deadline_s: float = 600.0,
+    ) -> RequestRecord:
+        """Return an accepted request."""
+        self._requests += 1
+        return RequestRecord(
+            request_id=RequestId(f"request-{self._requests}"),
+            workspace=WorkspaceName("family"),
+            service=ServiceName("enquiries"),
+            kind_name=KindName("dossier"),
+            kind=Kind(mode=mode, max_tokens=max_tokens),
+            pool=POOL,
+            body=prompt.encode(),
+            prompt=prompt,
+            deadline_s=self.clock.wall() + deadline_s,
+            accepted_at=self.clock.monotonic(),
+        )
+
+    def answer(self, tokens: int) -> str:
+        """Return the whole answer of so many tokens."""
+        return "".join(f" {index}" for index in range(tokens))
+
+    async def stop(self) -> t.Any:
+        """End the tasks of all components."""
+        await asyncio.gather(self.mover.cancel_tasks(), self.guard.cancel_tasks())
