--- a/src/cassiawalk/peer/feed.py
+++ b/src/cassiawalk/peer/feed.py
@@ -26,6 +26,7 @@
 from cassiawalk.wire import to_plain
 
 NOTICE_WAIT_S = 10.0
+NOTICE_PAUSE_S = 0.05
 ROLE_CHECK_S = 1.0
 HEARTBEAT_S = 1.0
 OUTAGE_DELAY_S = 0.5
@@ -188,6 +189,8 @@
             for notice in notices:
                 self._after = max(self._after, notice.seq)
                 self._membership.mark_noticed(notice)
+            # An API that does not wait as asked must not be called without a pause.
+            await self._clock.sleep(NOTICE_PAUSE_S)
 
     async def _follow(self) -> None:
         while True:
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,390 @@
+import asyncio
+import dataclasses
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+
+from cassiawalk.clock import Clock
+from cassiawalk.clock import LoopClock
+from cassiawalk.ids import FailureDomain
+from cassiawalk.ids import HostId
+from cassiawalk.membership import LeavingMark
+from cassiawalk.membership import LeavingSource
+from cassiawalk.membership import Membership
+from cassiawalk.membership.hosts import FEED_SILENCE_S
+from cassiawalk.membership.hosts import POLLERS
+from cassiawalk.membership.marks import MARK_HOLD_S
+from cassiawalk.membership.marks import STALE_NOTICE_S
+from cassiawalk.peer import MembershipFeed
+from cassiawalk.peer import NoteBoard
+from cassiawalk.peer import PeerFailure
+from cassiawalk.peer import PeerLinks
+from cassiawalk.peer import ShareCall
+from cassiawalk.platform import HostEntry
+from cassiawalk.platform import HostRole
+from cassiawalk.platform import HostState
+from cassiawalk.platform import LoadReport
+from cassiawalk.platform import ReclaimNotice
+from cassiawalk.routing import UpstreamState
+from cassiawalk.routing import UpstreamTable
+from cassiawalk.routing import UpstreamView
+from tests.upstream_fakes import FakeCloud
+from tests.upstream_fakes import FakeHostList
+from tests.upstream_fakes import entry
+
+ENGINE = HostId("e")
+
+
+class SteppedClock(Clock):
+    """A clock that tests move."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall(self) -> float:
+        return 1_800_000_000.0 + self.now
+
+
+def _membership(clock: Clock) -> tuple[Membership, FakeHostList]:
+    host_list = FakeHostList()
+    return Membership(host=HostId("host-0"), host_list=host_list, clock=clock), host_list
+
+
+def _entry_host(name: str, domain: str) -> HostEntry:
+    return HostEntry(
+        host=HostId(name),
+        role=HostRole.ENTRY,
+        failure_domain=FailureDomain(domain),
+        address=f"{name}:1",
+        peer_address=f"{name}:2",
+    )
+
+
+@pytest.mark.parametrize("source", list(LeavingSource))
+async def test_mark_of_any_source_survives_a_list_that_still_says_live(
+    source: LeavingSource,
+) -> None:
+    clock = SteppedClock()
+    membership, host_list = _membership(clock)
+    host_list.listed = (entry("e"),)
+    await membership.refresh()
+    membership.mark_leaving(ENGINE, source)
+    for _ in range(3):
+        clock.now += 60.0
+        await membership.refresh()
+        assert membership.is_leaving(ENGINE)
+
+
+@pytest.mark.parametrize(
+    ("listed", "after_s", "leaving"),
+    [
+        pytest.param(entry("e"), 0.0, True, id="still-live"),
+        pytest.param(entry("e"), MARK_HOLD_S + 31.0, False, id="live-long-after-the-reclaim"),
+        pytest.param(entry("e", address="e:2"), 0.0, False, id="new-address-is-a-new-host"),
+        pytest.param(None, 0.0, True, id="not-listed"),
+    ],
+)
+async def test_how_long_a_mark_holds(
+    listed: HostEntry | None, after_s: float, leaving: bool
+) -> None:
+    clock = SteppedClock()
+    membership, host_list = _membership(clock)
+    host_list.listed = (entry("e"),)
+    await membership.refresh()
+    membership.mark_leaving(ENGINE, LeavingSource.CLOUD_NOTICE, reclaim_s=clock.wall() + 30.0)
+    clock.now += after_s
+    host_list.listed = (listed or entry("other"),)
+    await membership.refresh()
+    assert membership.is_leaving(ENGINE) is leaving
+
+
+async def test_mark_comes_before_the_list_knows_the_host() -> None:
+    membership, host_list = _membership(SteppedClock())
+    membership.mark_leaving(ENGINE, LeavingSource.CLOUD_NOTICE)
+    host_list.listed = (entry("e"),)
+    await membership.refresh()
+    assert membership.is_leaving(ENGINE)
+    host_list.listed = (entry("e", address="e:2"),)
+    await membership.refresh()
+    assert not membership.is_leaving(ENGINE)
+
+
+@pytest.mark.parametrize(
+    ("ago_s", "leaving"), [(-30.0, True), (STALE_NOTICE_S / 2, True), (STALE_NOTICE_S * 2, False)]
+)
+async def test_notice_long_past_is_about_an_earlier_host(ago_s: float, leaving: bool) -> None:
+    clock = SteppedClock()
+    membership, host_list = _membership(clock)
+    host_list.listed = (entry("e"),)
+    await membership.refresh()
+    notice = ReclaimNotice(seq=1, host=ENGINE, reclaim_s=clock.wall() - ago_s)
+    membership.mark_noticed(notice)
+    assert membership.is_leaving(ENGINE) is leaving
+
+
+async def test_later_source_adds_the_deadline_and_tells_nobody_twice() -> None:
+    clock = SteppedClock()
+    membership, host_list = _membership(clock)
+    host_list.listed = (entry("e"),)
+    await membership.refresh()
+    told: list[LeavingSource] = []
+    membership.add_leaving_listener(lambda host, source: told.append(source))
+    membership.mark_leaving(ENGINE, LeavingSource.UPSTREAM)
+    assert membership.reclaim_s(ENGINE) is None
+    membership.mark_leaving(ENGINE, LeavingSource.CLOUD_NOTICE, reclaim_s=5.0)
+    assert membership.reclaim_s(ENGINE) == 5.0
+    assert told == [LeavingSource.UPSTREAM]
+
+
+async def test_peer_mark_about_an_earlier_address_is_ignored() -> None:
+    membership, host_list = _membership(SteppedClock())
+    host_list.listed = (entry("e", address="e:2"),)
+    await membership.refresh()
+    mark = LeavingMark(host=ENGINE, source=LeavingSource.PEER, noted_s=1.0, address="e:1")
+    membership.take_over_mark(mark)
+    assert not membership.is_leaving(ENGINE)
+
+
+@pytest.mark.parametrize("listed", [None, ()])
+async def test_outage_or_empty_list_keeps_the_last_view(
+    listed: tuple[HostEntry, ...] | None,
+) -> None:
+    membership, host_list = _membership(SteppedClock())
+    host_list.listed = (entry("e"),)
+    await membership.refresh()
+    host_list.listed = listed
+    await membership.refresh()
+    assert membership.entry(ENGINE) is not None
+
+
+async def test_pollers_are_few_and_of_different_domains() -> None:
+    membership, host_list = _membership(SteppedClock())
+    host_list.listed = tuple(_entry_host(f"host-{i}", "abcd"[i % 4]) for i in range(1000))
+    await membership.refresh()
+    domains = {membership.all_entries()[host].failure_domain for host in membership.pollers()}
+    assert len(domains) == len(membership.pollers()) == POLLERS
+
+
+async def test_host_polls_by_itself_only_while_no_poller_is_heard() -> None:
+    clock = SteppedClock()
+    membership, host_list = _membership(clock)
+    others = [_entry_host(f"host-{i}", "abcd"[i % 4]) for i in range(1, 40)]
+    host_list.listed = (*others, _entry_host("host-0", "a"))
+    await membership.refresh()
+    assert HostId("host-0") not in membership.pollers()
+    assert membership.polls
+    membership.note_feed()
+    assert not membership.polls
+    clock.now += FEED_SILENCE_S + 0.1
+    assert membership.polls
+
+
+class LocalLinks(PeerLinks):
+    """Delivers calls to feeds in this process; hosts in ``down`` can't be reached."""
+
+    def __init__(self, *, membership: Membership, feeds: dict[HostId, MembershipFeed]) -> None:
+        super().__init__(membership=membership, secret="secret")
+        self.feeds = feeds
+        self.down: set[HostId] = set()
+
+    async def call(self, host, message, reply, *, timeout_s):  # type: ignore[no-untyped-def]
+        if host in self.down or not isinstance(message, ShareCall):
+            return PeerFailure(reason="down", sent=False)
+        return await self.feeds[host].handle_share(message)
+
+    async def stream(self, host, message):  # type: ignore[no-untyped-def]
+        if host in self.down:
+            yield PeerFailure(reason="down", sent=False)
+            return
+        async for part in self.feeds[host].serve(message):
+            yield part.item
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Node:
+    """One host's membership and feed."""
+
+    membership: Membership
+    feed: MembershipFeed
+    links: LocalLinks
+    host_list: FakeHostList
+
+
+async def _nodes(count: int) -> dict[HostId, _Node]:
+    clock = LoopClock()
+    listed = (
+        *(_entry_host(f"host-{i}", "abcd"[i % 4]) for i in range(count)),
+        entry("e"),
+    )
+    feeds: dict[HostId, MembershipFeed] = {}
+    nodes = {}
+    for item in listed[:count]:
+        host_list = FakeHostList()
+        host_list.listed = listed
+        membership = Membership(host=item.host, host_list=host_list, clock=clock)
+        links = LocalLinks(membership=membership, feeds=feeds)
+        feeds[item.host] = MembershipFeed(
+            host=item.host,
+            membership=membership,
+            links=links,
+            board=NoteBoard(clock=clock),
+            cloud=FakeCloud(),
+            clock=clock,
+        )
+        nodes[item.host] = _Node(
+            membership=membership, feed=feeds[item.host], links=links, host_list=host_list
+        )
+    for node in nodes.values():
+        await node.membership.start()
+        await node.feed.start()
+    return nodes
+
+
+async def _stop(nodes: dict[HostId, _Node]) -> None:
+    for node in nodes.values():
+        await node.feed.stop()
+        await node.membership.stop()
+
+
+@pytest.mark.looptime
+async def test_mark_seen_by_one_follower_reaches_all_hosts() -> None:
+    nodes = await _nodes(9)
+    await asyncio.sleep(2.0)
+    pollers = next(iter(nodes.values())).membership.pollers()
+    follower = next(node for host, node in nodes.items() if host not in pollers)
+    follower.membership.mark_leaving(ENGINE, LeavingSource.UPSTREAM)
+    await asyncio.sleep(1.0)
+    assert all(node.membership.is_leaving(ENGINE) for node in nodes.values())
+    await _stop(nodes)
+
+
+@pytest.mark.looptime
+async def test_mark_is_told_again_to_a_poller_that_could_not_be_reached() -> None:
+    nodes = await _nodes(9)
+    await asyncio.sleep(2.0)
+    pollers = next(iter(nodes.values())).membership.pollers()
+    follower = next(node for host, node in nodes.items() if host not in pollers)
+    follower.links.down = set(pollers)
+    follower.membership.mark_leaving(ENGINE, LeavingSource.UPSTREAM)
+    await asyncio.sleep(2.0)
+    assert not nodes[pollers[0]].membership.is_leaving(ENGINE)
+    follower.links.down = set()
+    await asyncio.sleep(10.0)
+    assert all(node.membership.is_leaving(ENGINE) for node in nodes.values())
+    await _stop(nodes)
+
+
+@pytest.mark.looptime
+async def test_followers_learn_of_list_changes_without_the_list() -> None:
+    nodes = await _nodes(9)
+    await asyncio.sleep(2.0)
+    pollers = next(iter(nodes.values())).membership.pollers()
+    for host, node in nodes.items():
+        listed = node.host_list.listed
+        assert listed is not None
+        node.host_list.listed = (*listed, entry("new")) if host in pollers else None
+    await asyncio.sleep(3.0)
+    assert all(node.membership.entry(HostId("new")) for node in nodes.values())
+    await _stop(nodes)
+
+
+_NAMES = st.sampled_from(["a", "b", "c", "d"])
+
+
+class UpstreamMachine(RuleBasedStateMachine):
+    """Membership and table against a model: which address of a host was said to leave."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.clock = SteppedClock()
+        self.membership, _ = _membership(self.clock)
+        self.table = UpstreamTable(membership=self.membership, clock=self.clock)
+        self.listed: dict[HostId, HostEntry] = {}
+        self.left: set[str] = set()
+        self.left_unlisted: set[HostId] = set()
+        self.seen: dict[str, UpstreamView] = {}
+        self.measured_s = 0.0
+
+    def _publish(self) -> None:
+        self.membership.replace_entries(self.listed)
+        for host, item in self.listed.items():
+            if host in self.left_unlisted:
+                self.left_unlisted.discard(host)
+                self.left.add(item.address)
+            if item.state is HostState.LEAVING:
+                self.left.add(item.address)
+
+    @rule(name=_NAMES, number=st.integers(1, 3), leaving=st.booleans())
+    def list_host(self, name: str, number: int, leaving: bool) -> None:
+        address = f"{name}:{number}"
+        before = self.listed.get(HostId(name))
+        if before is not None and before.address != address:
+            # The mark of the address before ends with it.
+            self.left.discard(before.address)
+            self.left.discard(address)
+        state = HostState.LEAVING if leaving else HostState.LIVE
+        item = dataclasses.replace(entry(name, address=address), state=state)
+        self.listed = {**self.listed, HostId(name): item}
+        self._publish()
+
+    @rule(name=_NAMES, source=st.sampled_from(list(LeavingSource)))
+    def say_leaving(self, name: str, source: LeavingSource) -> None:
+        item = self.listed.get(HostId(name))
+        if item is not None:
+            self.left.add(item.address)
+            self.membership.mark_leaving(HostId(name), source)
+
+    @rule(name=_NAMES)
+    def fail(self, name: str) -> None:
+        view = next((v for v in self.table.all() if v.upstream_id == name), None)
+        if view is not None:
+            view.fire("note_failure")
+
+    @rule(name=_NAMES)
+    def answer(self, name: str) -> None:
+        view = next((v for v in self.table.all() if v.upstream_id == name), None)
+        self.measured_s += 1.0
+        if view is not None:
+            self.clock.now += 0.1
+            view.note_report(
+                LoadReport(slots=8, running=0, waiting=0, measured_s=self.measured_s),
+                asked_at=self.clock.now,
+            )
+
+    @rule(delay_s=st.floats(0.1, 30.0))
+    def wait(self, delay_s: float) -> None:
+        self.clock.now += delay_s
+
+    @invariant()
+    def leaving_upstreams_take_no_work(self) -> None:
+        for view in self.table.all():
+            if view.entry.address in self.left:
+                assert view.state is UpstreamState.LEAVING
+                assert not view.takes_work
+
+    @invariant()
+    def table_holds_what_is_listed(self) -> None:
+        listed = {(host, item.address) for host, item in self.listed.items()}
+        assert {(v.entry.host, v.entry.address) for v in self.table.all()} == listed
+
+    @invariant()
+    def gone_and_leaving_are_final(self) -> None:
+        for view in self.seen.values():
+            if view not in self.table.all():
+                assert view.state is UpstreamState.GONE
+        self.seen = {f"{id(view)}": view for view in self.table.all()} | self.seen
+
+    @invariant()
+    def half_of_the_present_upstreams_can_be_tried(self) -> None:
+        present = [v for v in self.table.all() if v.state is not UpstreamState.LEAVING]
+        assert sum(not v.takes_work for v in present) <= max(1, len(present) // 2)
+
+
+TestUpstreamMachine = UpstreamMachine.TestCase
--- a/tests/upstream_fakes.py
+++ b/tests/upstream_fakes.py
@@ -84,6 +84,7 @@
     """A cloud that gives no notices."""
 
     async def notices(self, *, after: int, wait_s: float) -> tuple[ReclaimNotice, ...] | None:
+        await asyncio.sleep(wait_s)
         return ()
 
     async def offers(self) -> tuple[MachineOffer, ...] | None:
