--- a/src/cassiawalk/routing/cache.py
+++ b/src/cassiawalk/routing/cache.py
@@ -79,10 +79,19 @@
         self._epoch = 0
 
     def leading(self, blocks: cabc.Sequence[str]) -> int:
-        """Return how many leading blocks of a prompt are believed to be cached.
+        """Return how many leading blocks of a prompt are believed to be cached."""
+        count = 0
+        for block in blocks:
+            if block not in self._blocks:
+                break
+            count += 1
+        return count
+
+    def expected_tokens(self, blocks: cabc.Sequence[str]) -> float:
+        """Return about how many leading tokens of a prompt are expected in the cache.
 
-        Blocks are chained and leave in the order of their last use, so the end of the cached run
-        is found by bisection.
+        Blocks are chained and mostly leave in the order of their last use, so the end of the
+        cached run is found by bisection; a gap inside the run may go unseen.
         """
         low, high = 0, len(blocks)
         while low < high:
@@ -91,12 +100,7 @@
                 low = middle + 1
             else:
                 high = middle
-        return low
-
-    def expected_tokens(self, blocks: cabc.Sequence[str]) -> float:
-        """Return how many leading tokens of a prompt are expected in the cache."""
-        count = self.leading(blocks)
-        if count == 0:
+        if low == 0:
             return 0.0
-        share = DOUBTED_SHARE if self.is_doubtful(blocks[count - 1]) else 1.0
-        return count * BLOCK_TOKENS * share
+        share = DOUBTED_SHARE if self.is_doubtful(blocks[low - 1]) else 1.0
+        return low * BLOCK_TOKENS * share
