Turn Nagle's algorithm off on accepted connections

Cause: test_rate_limit_refuses_with_a_short_wait took 4.67 s for 101 appends, 46 ms each. asyncio sets TCP_NODELAY only on sockets whose protocol is named; the listening sockets' was 0, so head and body of an answer met delayed acknowledgements. uvloop sets it by itself, so the daemon was hit only where it runs without it; the stand-ins always were.

--- a/src/cassiawalk/httpserver.py
+++ b/src/cassiawalk/httpserver.py
@@ -21,7 +21,8 @@
     :raises OSError: if the address can't be used.
     """
     family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
+    # asyncio turns Nagle's algorithm off only for sockets whose protocol is named.
+    sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind((address.ip, address.port))
     sock.listen(BACKLOG)
--- a/standins/_serve.py
+++ b/standins/_serve.py
@@ -35,7 +35,8 @@
 
 
 async def _run(app: Starlette, port: int) -> None:
-    sock = socket.socket()
+    # asyncio turns Nagle's algorithm off only for sockets whose protocol is named.
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind(("127.0.0.1", port))
     sock.listen(1024)
