--- a/src/cassiawalk/platform/_http.py
+++ b/src/cassiawalk/platform/_http.py
@@ -11,6 +11,7 @@
 CONNECT_TIMEOUT_S = 2.0
 ANSWER_TIMEOUT_S = 10.0
 POOL_CONNECTIONS = 512
+_NO_CONTENT = 204
 
 # A chunked answer that is cut surfaces as a ValueError, and one with a length as an
 # IncompleteReadError (an EOFError).
@@ -46,6 +47,18 @@
     return aiosonic.HTTPClient(connector)
 
 
+async def whole_body(res: aiosonic.HttpResponse) -> bytes:
+    """Return the body of an answer.
+
+    :raises ValueError: if the head announces neither a length nor chunks. The library takes a head
+        that was cut for such an answer, with an empty body.
+    """
+    framed = "content-length" in res.headers or "transfer-encoding" in res.headers
+    if not framed and res.status_code != _NO_CONTENT:
+        raise ValueError("the answer's head announces no body length")
+    return bytes(await res.content())
+
+
 async def close_client(client: aiosonic.HTTPClient) -> None:
     """Close the client's pooled connections."""
     await client.connector.cleanup()
--- a/src/cassiawalk/platform/log_http.py
+++ b/src/cassiawalk/platform/log_http.py
@@ -20,6 +20,7 @@
 _DEFAULT_RETRY_S = 1.0
 _APPEND_TIMEOUT_S = 3.0
 _READ_MARGIN_S = 3.0
+_BAD_ANSWER: tuple[type[BaseException], ...] = (*_http.LOST_ANSWER, KeyError, TypeError)
 
 
 class HttpLogService(LogService):
@@ -35,13 +36,13 @@
         try:
             async with asyncio.timeout(_APPEND_TIMEOUT_S):
                 res = await self._client.post(url, data=payload)
-                body = await res.content()
+                body = await _http.whole_body(res)
+            if res.status_code == 201:
+                return Appended(offset=Offset(int(orjson.loads(body)["offset"])))
         except _http.NOT_SENT as exc:
             return AppendRefused(reason=repr(exc), retry_after_s=_DEFAULT_RETRY_S)
-        except _http.LOST_ANSWER as exc:
+        except _BAD_ANSWER as exc:
             return AppendUnknown(reason=repr(exc))
-        if res.status_code == 201:
-            return Appended(offset=Offset(int(orjson.loads(body)["offset"])))
         if res.status_code in (429, 503):
             retry_s = _http.header_float(res.headers, "retry-after") or _DEFAULT_RETRY_S
             return AppendRefused(reason=f"status {res.status_code}", retry_after_s=retry_s)
@@ -56,11 +57,11 @@
         try:
             async with asyncio.timeout(wait_s + _READ_MARGIN_S):
                 res = await self._client.get(url, params=params)
-                body = await res.content()
+                body = await _http.whole_body(res)
             if res.status_code != 200:
                 return ReadFailed(reason=f"status {res.status_code}")
             return _read_batch(body)
-        except _http.LOST_ANSWER as exc:
+        except _BAD_ANSWER as exc:
             return ReadFailed(reason=repr(exc))
 
     async def aclose(self) -> None:
--- a/src/cassiawalk/platform/service_http.py
+++ b/src/cassiawalk/platform/service_http.py
@@ -37,14 +37,14 @@
         try:
             async with asyncio.timeout(call.timeout_s):
                 res = await client.post(self._url + call.path, data=call.body, headers=headers)
-                body = await res.content()
+                body = await _http.whole_body(res)
         except _http.NOT_SENT as exc:
             return CallFailed(reason=repr(exc), sent=False)
         except _http.LOST_ANSWER as exc:
             return CallFailed(reason=repr(exc), sent=True)
         finally:
             await _http.close_client(client)
-        return CallAnswered(status=res.status_code, body=bytes(body))
+        return CallAnswered(status=res.status_code, body=body)
 
     async def look_up(self, *, path: str, workspace: str, key: str) -> CallOutcome:
         """Ask with one GET; a look-up may be repeated."""
@@ -52,9 +52,9 @@
         try:
             async with asyncio.timeout(_LOOK_UP_TIMEOUT_S):
                 res = await client.get(f"{self._url}{path}/{key}", params={"workspace": workspace})
-                body = await res.content()
+                body = await _http.whole_body(res)
         except _http.LOST_ANSWER as exc:
             return CallFailed(reason=repr(exc), sent=True)
         finally:
             await _http.close_client(client)
-        return CallAnswered(status=res.status_code, body=bytes(body))
+        return CallAnswered(status=res.status_code, body=body)
