Kill, pause and cut off real gateways; ask further hosts when the first can't be reached

Red first: test_gateway_killed_at_each_stage got a refusal (503) at a healthy host because both hosts asked were dead; test_lost_log_answers got a final 'unknown' for a holder that the asking host did not list yet. Change: hosts that refuse the connection don't count as asked, this host is the last resort; an unreachable holder is told apart from a restarted one, and its caller is told when to come back.

--- a/src/cassiawalk/dispatch/holder.py
+++ b/src/cassiawalk/dispatch/holder.py
@@ -76,7 +76,7 @@
             claim.gateway, call, ClaimStatusReply, timeout_s=ASK_TIMEOUT_S
         )
         if isinstance(reply, PeerFailure):
-            return ClaimStatusReply(state=HolderState.LOST)
+            return ClaimStatusReply(state=HolderState.UNREACHABLE)
         return reply
 
     async def status(self, call: ClaimStatusCall) -> ClaimStatusReply:
--- a/src/cassiawalk/dispatch/once.py
+++ b/src/cassiawalk/dispatch/once.py
@@ -1,6 +1,7 @@
 """Runs at-most-once requests: claim the key, send once, record the outcome."""
 
 import asyncio
+import typing as t
 
 import eliot
 
@@ -24,6 +25,7 @@
 from cassiawalk.once import Taken
 from cassiawalk.once import Unavailable
 from cassiawalk.once.records import body_digest
+from cassiawalk.peer import ClaimStatusReply
 from cassiawalk.peer import HolderState
 from cassiawalk.platform import CallAnswered
 from cassiawalk.platform import CallFailed
@@ -37,8 +39,16 @@
 IN_PROGRESS_RETRY_S = 1.0
 RELEASE_RETRY_S = 1.0
 USABLE_WINDOW_SHARE = 0.5
+UNREACHABLE_RETRY_S = 5.0
 _SERVER_ERROR = 500
 
+# What the holder of a key can't tell, and when asking again may tell more, in seconds.
+_UNCLEAR: t.Mapping[HolderState, float | None] = {
+    HolderState.UNRESOLVED: None,
+    HolderState.LOST: None,
+    HolderState.UNREACHABLE: UNREACHABLE_RETRY_S,
+}
+
 
 class OnceRunner(Runner):
     """Dispatches a request only under a claim that won its key.
@@ -92,15 +102,22 @@
     async def _run(self, record: RequestRecord, claim: Claim) -> Refusal | None:
         begun_at = self._clock.monotonic()
         decision = await self._claims.claim(claim)
-        if isinstance(decision, Taken) and decision.outcome is None:
-            refusal = await self._ask_holder(record, claim, decision)
-            if refusal is not None or record.is_final:
-                return refusal
-            # The holder does not know the end of its call, or is lost. Its outcome may have
-            # reached the stream, or its abandonment may have freed the key, since the decision.
+        if isinstance(decision, Taken):
+            if decision.claim.body_digest != claim.body_digest:
+                return _key_reused(record)
+            if decision.outcome is not None:
+                return _answer_again(record, decision.outcome)
+            holder = decision.claim
+            reply = await self._holder.ask(holder)
+            if reply.state not in _UNCLEAR:
+                return _answer_of_holder(record, holder, reply)
+            # The outcome may have reached the stream, or an abandonment may have freed the key,
+            # since the decision.
             decision = await self._claims.claim(claim)
+            if isinstance(decision, Taken) and decision.claim == holder:
+                return await self._answer_taken(record, decision, reply.state)
         if isinstance(decision, Taken):
-            return await self._answer_taken(record, claim, decision)
+            return _in_progress(decision.claim)
         if isinstance(decision, Unavailable):
             if decision.appended:
                 self._abandon(claim)
@@ -129,40 +146,15 @@
         abandon = Abandon(key=claim.key, claim_id=claim.claim_id, claimed_s=claim.claimed_s)
         self._recorder.submit(abandon)
 
-    async def _ask_holder(
-        self, record: RequestRecord, claim: Claim, taken: Taken
-    ) -> Refusal | None:
-        """Answer by what the claim's gateway knows; None without a final event if it does not."""
-        if taken.claim.body_digest != claim.body_digest:
-            return _key_reused(record)
-        reply = await self._holder.ask(taken.claim)
-        if reply.state is HolderState.ANSWERED:
-            return _answer(record, CallAnswered(status=reply.status, body=reply.body), again=True)
-        if reply.state is HolderState.RUNNING:
-            return Refusal(
-                code=ResultCode.IN_PROGRESS,
-                detail=f"request {taken.claim.request_id} holds the key",
-                retry_after_s=IN_PROGRESS_RETRY_S,
-            )
-        if reply.state is HolderState.RELEASED:
-            return Refusal(
-                code=ResultCode.CLAIM_UNAVAILABLE,
-                detail=f"request {taken.claim.request_id} gives the key back",
-                retry_after_s=RELEASE_RETRY_S,
-            )
-        return None
-
     async def _answer_taken(
-        self, record: RequestRecord, claim: Claim, taken: Taken
+        self, record: RequestRecord, taken: Taken, state: HolderState
     ) -> Refusal | None:
-        if taken.claim.body_digest != claim.body_digest:
-            return _key_reused(record)
         if taken.outcome is not None:
-            answered = CallAnswered(status=taken.outcome.status, body=taken.outcome.body)
-            return _answer(record, answered, again=True)
+            return _answer_again(record, taken.outcome)
         found = await self._look_up.find(record)
         if found is None:
-            return _unknown(f"request {taken.claim.request_id} held the key when its host was lost")
+            detail = f"request {taken.claim.request_id} holds the key; its host is {state.value}"
+            return _unknown(detail, retry_after_s=_UNCLEAR.get(state))
         await self._record_outcome(taken.claim, found)
         return _answer(record, found, again=True)
 
@@ -254,10 +246,41 @@
     return None
 
 
+def _answer_again(record: RequestRecord, outcome: Outcome) -> Refusal | None:
+    return _answer(record, CallAnswered(status=outcome.status, body=outcome.body), again=True)
+
+
 def _key_reused(record: RequestRecord) -> Refusal:
     detail = f"key {record.key!r} was used for another request"
     return Refusal(code=ResultCode.KEY_REUSED, detail=detail)
 
 
-def _unknown(detail: str) -> Refusal:
-    return Refusal(code=ResultCode.OUTCOME_UNKNOWN, detail=detail, execution=Execution.UNKNOWN)
+def _in_progress(claim: Claim) -> Refusal:
+    return Refusal(
+        code=ResultCode.IN_PROGRESS,
+        detail=f"request {claim.request_id} holds the key",
+        retry_after_s=IN_PROGRESS_RETRY_S,
+    )
+
+
+def _answer_of_holder(
+    record: RequestRecord, claim: Claim, reply: ClaimStatusReply
+) -> Refusal | None:
+    if reply.state is HolderState.ANSWERED:
+        return _answer(record, CallAnswered(status=reply.status, body=reply.body), again=True)
+    if reply.state is HolderState.RUNNING:
+        return _in_progress(claim)
+    return Refusal(
+        code=ResultCode.CLAIM_UNAVAILABLE,
+        detail=f"request {claim.request_id} gives the key back",
+        retry_after_s=RELEASE_RETRY_S,
+    )
+
+
+def _unknown(detail: str, *, retry_after_s: float | None = None) -> Refusal:
+    return Refusal(
+        code=ResultCode.OUTCOME_UNKNOWN,
+        detail=detail,
+        retry_after_s=retry_after_s,
+        execution=Execution.UNKNOWN,
+    )
--- a/src/cassiawalk/once/client.py
+++ b/src/cassiawalk/once/client.py
@@ -16,7 +16,8 @@
 from cassiawalk.peer import PeerFailure
 from cassiawalk.peer import PeerLinks
 
-HOSTS_TRIED = 2
+HOSTS_ASKED = 2
+HOSTS_TRIED = 6
 CALL_TIMEOUT_S = 4.0
 _NOBODY = Unavailable(reason="no sequencer could be reached", appended=False)
 
@@ -34,35 +35,40 @@
 
     async def claim(self, claim: Claim) -> ClaimDecision:
         """Return the decision on a claim. The same claim may be sent again: its id decides."""
-        failure = _NOBODY
-        for host in self._candidates(claim.key):
-            decision = await self._send(host, claim)
-            if decision is not None and not isinstance(decision, Unavailable):
-                return decision
-            unclear = decision or Unavailable(reason="the sequencer's answer can't be read")
-            failure = dataclasses.replace(unclear, appended=failure.appended or unclear.appended)
-        return failure
+        decision = await self._send_to_first(claim)
+        return decision or Unavailable(reason="the sequencer's answer can't be read")
 
     async def record(self, record: OnceRecord) -> Unavailable | None:
         """Append an outcome or abandonment; None means that it is in the stream."""
-        failure: Unavailable | None = _NOBODY
-        for host in self._candidates(record.key):
-            answer = await self._send(host, record)
-            if not isinstance(answer, Unavailable):
-                return None
-            failure = answer
-        return failure
+        answer = await self._send_to_first(record)
+        return answer if isinstance(answer, Unavailable) else None
 
-    def _candidates(self, key: str) -> list[HostId]:
-        return self._placement.hosts(self._placement.partition(key))[:HOSTS_TRIED]
+    async def _send_to_first(self, record: OnceRecord) -> ClaimDecision | None:
+        """Ask the partition's hosts in turn, and this host if none of them can be reached."""
+        failure = _NOBODY
+        asked = 0
+        hosts = self._placement.hosts(self._placement.partition(record.key))[:HOSTS_TRIED]
+        for host in [*hosts, self._host]:
+            decision = await self._send(host, record)
+            if isinstance(decision, PeerFailure):
+                asked += decision.sent
+                decision = Unavailable(reason=decision.reason, appended=decision.sent)
+            else:
+                asked += 1
+            if not isinstance(decision, Unavailable):
+                return decision
+            failure = dataclasses.replace(decision, appended=failure.appended or decision.appended)
+            if asked >= HOSTS_ASKED:
+                break
+        return failure
 
-    async def _send(self, host: HostId, record: OnceRecord) -> ClaimDecision | None:
+    async def _send(self, host: HostId, record: OnceRecord) -> ClaimDecision | PeerFailure | None:
         if host == self._host:
             return await self.handle_local(record)
         call = OnceCall(record=records.to_plain(record))
         reply = await self._links.call(host, call, OnceReply, timeout_s=CALL_TIMEOUT_S)
         if isinstance(reply, PeerFailure):
-            return Unavailable(reason=reply.reason, appended=reply.sent)
+            return reply
         if reply.decision is None:
             return None
         decision = decisions.from_plain(reply.decision)
--- a/src/cassiawalk/peer/messages.py
+++ b/src/cassiawalk/peer/messages.py
@@ -40,7 +40,8 @@
 class HolderState(enum.Enum):
     """What a claim's gateway knows of its claim.
 
-    ``LOST`` stands for a gateway that can't be reached or was restarted.
+    ``LOST`` stands for a gateway process that was restarted, and ``UNREACHABLE`` for one that gave
+    no answer.
     """
 
     RUNNING = "running"
@@ -48,6 +49,7 @@
     UNRESOLVED = "unresolved"
     RELEASED = "released"
     LOST = "lost"
+    UNREACHABLE = "unreachable"
 
 
 @messages.register("claim-status")
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -196,6 +196,8 @@
             world.links.cut.add("host-a")
         again = await world.b.send("k")
     assert is_refusal(again, ResultCode.OUTCOME_UNKNOWN, Execution.UNKNOWN)
+    assert isinstance(again, Refusal)
+    assert (again.retry_after_s is not None) is cut_off
     assert world.service.runs["k"] == 1
 
 
--- /dev/null
+++ b/tests/test_once_processes.py
@@ -0,0 +1,185 @@
+"""At-most-once requests on real processes that are killed, paused or cut off from the log."""
+
+import asyncio
+import pathlib
+import signal
+import typing as t
+
+import pytest
+
+from standins.fleet import Fleet
+from tests.support import TOKEN_SHA256
+from tests.support import Answer
+from tests.support import send
+
+CONFIG = (
+    "create pool vacancy with type = plain",
+    "create service beds with pool = vacancy",
+    'create service audits with pool = vacancy, look_up = "/outcomes"',
+    'create kind beds/hold with mode = at_most_once, path = "/holds"',
+    'create kind beds/list with mode = quick, path = "/listings"',
+    'create kind audits/close with mode = at_most_once, path = "/closures"',
+    f'create workspace family with token_sha256 = "{TOKEN_SHA256}"',
+)
+PLAIN = "plain-0"
+DEADLINE_S = 1.0
+
+
+class Bench:
+    """Some hosts before one plain service."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+
+    async def start(self, hosts: int) -> None:
+        await self.fleet.start_upstream(PLAIN, role="plain", pool="vacancy", failure_domain="north")
+        await asyncio.gather(
+            *(
+                self.fleet.start_host(f"host-{number}", failure_domain=f"domain-{number}")
+                for number in range(hosts)
+            )
+        )
+        await self.fleet.wait_ready()
+        for statement in CONFIG:
+            status, answer = await self.fleet.statement("host-0", statement)
+            assert status == 200, answer
+        await self.fleet.wait_revision(len(CONFIG))
+
+    async def hold(self, host: int, key: str, **options: t.Any) -> Answer:
+        return await send(self.fleet, f"host-{host}", "beds/hold", {"bed": 1}, key=key, **options)
+
+    async def close(self, host: int, key: str) -> Answer:
+        return await send(self.fleet, f"host-{host}", "audits/close", {"lot": 1}, key=key)
+
+    async def runs(self, key: str) -> int:
+        runs = await self.fleet.get(f"{self.fleet.standins[PLAIN].url}/runs")
+        return int(runs.get(key, 0))
+
+    async def held(self, standin: str, query: str) -> None:
+        await self.fleet.get(f"{self.fleet.standins[standin].url}/held?{query}")
+
+    async def until_settled(self, host: int, key: str) -> Answer:
+        """Repeat the request as a caller does that is told to come back."""
+        async with asyncio.timeout(20):
+            while True:
+                answer = await self.hold(host, key)
+                if answer.status == 200 or "retry_after_s" not in answer.body:
+                    return answer
+                await asyncio.sleep(0.1)
+
+
+@pytest.fixture
+async def bench(tmp_path: pathlib.Path) -> t.AsyncIterator[Bench]:
+    async with Fleet(directory=tmp_path) as fleet:
+        yield Bench(fleet)
+
+
+async def kill_while(bench: Bench, host: int, call: t.Awaitable[Answer], reached: t.Any) -> None:
+    """Kill a host once its call has reached a stage."""
+    task = asyncio.ensure_future(call)
+    await reached
+    await bench.fleet.hosts[f"host-{host}"].process.kill()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+async def test_gateway_killed_at_each_stage(bench: Bench) -> None:
+    fleet = bench.fleet
+    await bench.start(5)
+
+    await fleet.faults("log", hold=True, streams="once")
+    reached = bench.held("log", "count=1")
+    await kill_while(bench, 1, bench.hold(1, "at-claim"), reached)
+    await fleet.faults("log")
+    again = await bench.hold(0, "at-claim")
+    ran = await bench.runs("at-claim")
+    assert (again.status == 200 and ran == 1) or (again.body["ran"] == "unknown" and ran == 0)
+
+    await fleet.faults(PLAIN, hold_before_run=True)
+    reached = bench.held(PLAIN, "gate=before&count=1")
+    await kill_while(bench, 2, bench.hold(2, "at-dispatch"), reached)
+    again = await bench.hold(0, "at-dispatch")
+    assert (again.body["name"], again.body["ran"]) == ("outcome_unknown", "unknown")
+    await fleet.faults(PLAIN)
+    assert (await bench.hold(0, "at-dispatch")).body["name"] == "outcome_unknown"
+    assert await bench.runs("at-dispatch") <= 1
+
+    await fleet.faults(PLAIN, hold_after_run=True)
+    reached = bench.held(PLAIN, "gate=after&count=1")
+    await kill_while(bench, 3, bench.close(3, "after-run"), reached)
+    await fleet.faults(PLAIN)
+    found = await bench.close(0, "after-run")
+    assert found.status == 200, found.body
+    assert found.body["answer"]["run"] == 1
+    assert await bench.runs("after-run") == 1
+
+    assert (await bench.hold(4, "recorded")).status == 200
+    await fleet.hosts["host-4"].process.kill()
+    again = await bench.until_settled(0, "recorded")
+    assert (again.status, again.body["recorded"]) == (200, True)
+    assert await bench.runs("recorded") == 1
+
+
+async def test_paused_gateway_wakes_after_its_deadline(bench: Bench) -> None:
+    fleet = bench.fleet
+    await bench.start(3)
+    await fleet.faults("log", hold=True, streams="once")
+    headers = {"x-deadline-seconds": str(DEADLINE_S)}
+    call = asyncio.create_task(bench.hold(1, "paused", **headers))
+    await bench.held("log", "count=1")
+    fleet.hosts["host-1"].process.signal(signal.SIGSTOP)
+    await fleet.faults("log")
+    await asyncio.sleep(1.5 * DEADLINE_S)
+    fleet.hosts["host-1"].process.signal(signal.SIGCONT)
+    refused = await call
+    assert refused.status in (503, 504), refused.body
+    assert refused.body["ran"] == "not run"
+    assert await bench.runs("paused") == 0
+    assert (await bench.until_settled(0, "paused")).status == 200
+    assert await bench.runs("paused") == 1
+
+
+async def test_lost_log_answers_and_repeats_at_all_hosts(bench: Bench) -> None:
+    fleet = bench.fleet
+    await bench.start(3)
+    for number in range(6):
+        key = f"lost-{number}"
+        fault = {"lose_answers": 2} if number % 2 else {"late_appends": 2, "hold_late": True}
+        await fleet.faults("log", streams="once", **fault)
+        answers = await asyncio.gather(*(bench.hold(host, key) for host in (0, 1, 2, 0, 1, 2)))
+        await fleet.faults("log")
+        for answer in answers:
+            told = (answer.status, answer.body.get("name"), answer.body.get("detail"))
+            come_back = told[1] in ("in_progress", "claim_unavailable", "outcome_unknown")
+            assert told[0] == 200 or (come_back and "retry-after" in answer.headers), told
+        settled = await bench.until_settled(number % 3, key)
+        assert settled.status == 200, settled.body
+        assert await bench.runs(key) == 1
+
+
+async def test_log_outage_around_the_dispatch_and_a_stop_in_it(bench: Bench) -> None:
+    fleet = bench.fleet
+    await bench.start(3)
+    await fleet.faults(PLAIN, hold_before_run=True)
+    call = asyncio.create_task(bench.hold(1, "outage"))
+    await bench.held(PLAIN, "gate=before&count=1")
+    await fleet.faults("log", outage=True, streams="once")
+    await fleet.faults(PLAIN)
+    assert (await call).status == 200
+
+    refused = await bench.hold(0, "new")
+    assert refused.body["name"] == "claim_unavailable"
+    assert refused.body["ran"] == "not run"
+    assert "retry-after" in refused.headers
+    assert await bench.runs("new") == 0
+    assert (await send(fleet, "host-0", "beds/list", {})).status == 200
+    assert (await bench.hold(1, "outage")).body["recorded"] is True
+
+    stopping = fleet.hosts["host-1"].process
+    stopping.signal(signal.SIGTERM)
+    await stopping.wait_line(lambda line: line.get("message_type") == "daemon:draining")
+    await fleet.faults("log")
+    assert await stopping.handle.wait() == 0
+    assert not [line for line in stopping.lines if line.get("message_type") == "once:unrecorded"]
+    again = await bench.until_settled(2, "outage")
+    assert (again.status, again.body["recorded"]) == (200, True)
+    assert await bench.runs("outage") == 1
