--- a/tests/test_once_machine.py
+++ b/tests/test_once_machine.py
@@ -154,6 +154,16 @@
     def let_time_pass(self, span: float) -> None:
         self.clock.advance(span)
 
+    @rule(side=SIDES)
+    def let_the_window_pass(self, side: int) -> None:
+        """Let claims of two hosts move the log time beyond the window."""
+        self.clock.advance(KEEP_S)
+        for host in ("host-a", "host-b"):
+            self.number += 1
+            self.clock.advance(OUTAGE_HOLD_S)
+            claim = make_claim(f"x-{self.number}", self.number, at_s=self.clock.now, gateway=host)
+            self.run(self.sides[side].claim(claim))
+
     @rule(side=SIDES)
     def replace_sequencer(self, side: int) -> None:
         self.run(self.sides[side].stop())
