--- a/src/cassiawalk/once/ledger.py
+++ b/src/cassiawalk/once/ledger.py
@@ -1,7 +1,6 @@
 """The fold of one partition: which claim holds each key, and its outcome."""
 
 import collections.abc as cabc
-import dataclasses
 
 from cassiawalk.ids import ClaimId
 from cassiawalk.ids import Offset
@@ -88,7 +87,11 @@
 
     def restore(self, state: LedgerState) -> None:
         """Go on from a checkpoint."""
-        self._entries = {entry.claim.key: entry for entry in state.entries}
+        entries = (
+            entry if entry.outcome is None else _with_outcome(entry, entry.outcome)
+            for entry in state.entries
+        )
+        self._entries = {entry.claim.key: entry for entry in entries}
         self._abandoned = {item.claim_id: item.since_s for item in state.abandoned}
         self._time = LogTime(stamps=state.stamps)
         self.next_offset = Offset(state.through_offset + 1)
@@ -108,8 +111,9 @@
         entry = self.entry(outcome.key)
         if entry is None or entry.claim.claim_id != outcome.claim_id:
             return
-        if entry.outcome is None:
-            self._entries[outcome.key] = dataclasses.replace(entry, outcome=outcome)
+        if entry.outcome is not None:
+            return
+        self._entries[outcome.key] = _with_outcome(entry, outcome)
 
     def _fold_abandon(self, abandon: Abandon) -> None:
         entry = self.entry(abandon.key)
@@ -128,3 +132,12 @@
         self._entries = {key: entry for key, entry in entries if not self._is_old(entry.since_s)}
         abandoned = self._abandoned.items()
         self._abandoned = {c: since for c, since in abandoned if not self._is_old(since)}
+
+
+def _with_outcome(entry: LedgerEntry, outcome: Outcome) -> LedgerEntry:
+    """Return the entry with an outcome that shares the claim's strings, to save memory."""
+    claim = entry.claim
+    shared = Outcome(
+        key=claim.key, claim_id=claim.claim_id, status=outcome.status, body=outcome.body
+    )
+    return LedgerEntry(claim=claim, since_s=entry.since_s, outcome=shared)
--- a/src/cassiawalk/once/reader.py
+++ b/src/cassiawalk/once/reader.py
@@ -21,6 +21,7 @@
 from cassiawalk.platform import ReadFailed
 
 READ_LIMIT = 64
+LARGE_ENTRY_BYTES = 32 * 1024
 OUTAGE_RETRY_S = 2.0
 
 
@@ -94,7 +95,7 @@
                 f"{self.ledger.next_offset} was read before"
             )
         for entry in batch.entries:
-            messages = _decode(entry)
+            messages = await _decode(entry)
             self._note_checkpoints(messages)
             self.ledger.fold(entry.offset, messages)
         return batch
@@ -130,7 +131,7 @@
             if batch.first_offset > start or not batch.entries:
                 break
             for entry in batch.entries:
-                for message in _decode(entry):
+                for message in await _decode(entry):
                     if isinstance(message, CheckpointPart):
                         assembler.add(message)
             state = assembler.newest(first_offset=batch.first_offset)
@@ -168,8 +169,11 @@
                 self.checkpoint_offset = max(self.checkpoint_offset, message.through_offset)
 
 
-def _decode(entry: LogEntry) -> list[object]:
+async def _decode(entry: LogEntry) -> list[object]:
+    """Return an entry's records; large ones are decoded aside, so that streams go on."""
     try:
+        if len(entry.payload) > LARGE_ENTRY_BYTES:
+            return await asyncio.to_thread(records.decode, entry.payload)
         return records.decode(entry.payload)
     except WireError as exc:
         eliot.log_message(message_type="once:bad-entry", offset=entry.offset, fault=str(exc))
--- a/src/cassiawalk/once/records.py
+++ b/src/cassiawalk/once/records.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import hashlib
+import sys
 
 from cassiawalk.ids import ClaimId
 from cassiawalk.ids import HostId
@@ -30,6 +31,11 @@
     request_id: RequestId
     claimed_s: float
 
+    def __post_init__(self) -> None:
+        # A ledger holds many claims of few hosts.
+        object.__setattr__(self, "gateway", HostId(sys.intern(self.gateway)))
+        object.__setattr__(self, "incarnation", sys.intern(self.incarnation))
+
 
 @records.register("outcome")
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/cassiawalk/once/sequencer.py
+++ b/src/cassiawalk/once/sequencer.py
@@ -240,7 +240,7 @@
         """Append the next part of a checkpoint; one that fails is tried again at the next turn."""
         if self._parts is None or self._part is None:
             return
-        payload = records.encode([self._part])
+        payload = await asyncio.to_thread(records.encode, [self._part])
         appended = await self._log.append(stream=self._reader.stream, payload=payload)
         if not isinstance(appended, Appended):
             await self._clock.sleep(OUTAGE_HOLD_S)
