Refuse at once while the log does not answer; outlive a fault in one append

Cause: with a log that accepts calls and never answers, each claim waited for the timeouts of the append in flight; an unexpected exception ended the append loop and with it the partition. test_sequencer.py: two tests more; 73 passed with test_ledger, test_once, test_once_processes.

--- a/src/cassiawalk/once/sequencer.py
+++ b/src/cassiawalk/once/sequencer.py
@@ -4,6 +4,8 @@
 import collections.abc as cabc
 import dataclasses
 
+import eliot
+
 from cassiawalk.app import Component
 from cassiawalk.clock import Clock
 from cassiawalk.ids import Offset
@@ -31,6 +33,7 @@
 RESOLVE_DELAY_S = 0.05
 SHORT_RETRY_S = 0.25
 OUTAGE_HOLD_S = 1.0
+STALL_S = 1.0
 CHECKPOINT_RECORDS = 2000
 CHECKPOINTS_PER_WINDOW = 4
 
@@ -72,6 +75,7 @@
         self._part: CheckpointPart | None = None
         self._wake = asyncio.Event()
         self._last_append = -append_interval_s
+        self._append_began: float | None = None
         self._down_until = 0.0
         self._down_reason = ""
         self.last_used = clock.monotonic()
@@ -148,9 +152,12 @@
                 self._pending.remove(item)
 
     def _refusal(self) -> Unavailable | None:
-        hold_s = self._down_until - self._clock.monotonic()
+        now = self._clock.monotonic()
+        hold_s = self._down_until - now
         if hold_s > 0:
             return Unavailable(reason=self._down_reason, retry_after_s=hold_s, appended=False)
+        if self._append_began is not None and now - self._append_began >= STALL_S:
+            return Unavailable(reason="the log service does not answer", appended=False)
         if len(self._pending) >= MAX_PENDING:
             reason = f"{MAX_PENDING} records wait for the log service"
             return Unavailable(reason=reason, appended=False)
@@ -176,12 +183,17 @@
         self._last_append = self._clock.monotonic()
 
     async def _append_batch(self, batch: list[_Pending]) -> None:
-        failure: Unavailable | None = Unavailable(reason="the sequencer stopped")
+        failure: Unavailable | None = Unavailable(reason="the append ended early")
+        self._append_began = self._clock.monotonic()
         try:
             failure = await self._append([item.record for item in batch])
             if failure is not None:
                 self._hold(failure)
+        except Exception as exc:
+            # A fault in one append must not end the loop that all later claims need.
+            eliot.log_message(message_type="once:append-failed", error=repr(exc))
         finally:
+            self._append_began = None
             self._settle(batch, failure)
 
     def _settle(self, batch: list[_Pending], failure: Unavailable | None) -> None:
--- a/tests/once_fakes.py
+++ b/tests/once_fakes.py
@@ -83,10 +83,16 @@
         self.outage_calls = 0
         self.failing_reads = 0
         self.appends = 0
+        self.answering = asyncio.Event()
+        self.answering.set()
+        self.broken = False
 
     async def append(self, *, stream: str, payload: bytes) -> AppendOutcome:
         await asyncio.sleep(0)
         self.appends += 1
+        await self.answering.wait()
+        if self.broken:
+            raise RuntimeError("a fault in the log client")
         if self._is_out():
             return AppendRefused(reason="outage", retry_after_s=OUTAGE_RETRY_S)
         effect = self.effects.popleft() if self.effects else Effect.ANSWERED
--- a/tests/test_sequencer.py
+++ b/tests/test_sequencer.py
@@ -129,6 +129,33 @@
     assert again.outcome == outcome_of(claim)
 
 
+async def test_log_that_does_not_answer_refuses_later_claims_at_once() -> None:
+    log, clock = FakeLog(), FakeClock()
+    log.answering.clear()
+    async with running(log, clock) as sequencer:
+        first = asyncio.create_task(sequencer.claim(make_claim("k", 1)))
+        while log.appends == 0:
+            await asyncio.sleep(0)
+        clock.advance(sequencer_module.STALL_S)
+        refused = await sequencer.claim(make_claim("l", 2))
+        assert isinstance(refused, Unavailable)
+        assert refused.appended is False
+        log.answering.set()
+        assert await first == Granted()
+        assert await sequencer.claim(make_claim("l", 3)) == Granted()
+
+
+async def test_fault_in_the_log_client_does_not_end_the_sequencer() -> None:
+    log, clock = FakeLog(), FakeClock()
+    log.broken = True
+    async with running(log, clock) as sequencer:
+        failed = await sequencer.claim(make_claim("k", 1))
+        assert isinstance(failed, Unavailable)
+        assert failed.appended is True
+        log.broken = False
+        assert await sequencer.claim(make_claim("l", 2)) == Granted()
+
+
 async def test_claim_of_a_caller_that_left_is_not_appended() -> None:
     log, clock = FakeLog(), FakeClock()
     sequencer = make_sequencer(log, clock)
