--- /dev/null
+++ b/src/cassiawalk/control/confirmation.py
@@ -0,0 +1,72 @@
+"""Tells which hosts have a revision in force."""
+
+import asyncio
+import dataclasses
+
+from cassiawalk.control.follower import ControlFollower
+from cassiawalk.ids import HostId
+from cassiawalk.ids import Revision
+from cassiawalk.membership import Membership
+from cassiawalk.peer import NodeStatusCall
+from cassiawalk.peer import NodeStatusReply
+from cassiawalk.peer import PeerLinks
+from cassiawalk.platform import HostRole
+
+STATUS_TIMEOUT_S = 2.0
+CALLS_AT_ONCE = 16
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Confirmation:
+    """Hosts that have a revision in force, and listed ones that did not confirm it."""
+
+    revision: Revision
+    confirmed: tuple[HostId, ...]
+    unconfirmed: tuple[HostId, ...]
+
+
+class Confirmations:
+    """Asks each listed entry host once, a bounded number of them at a time."""
+
+    def __init__(
+        self, *, host: HostId, follower: ControlFollower, membership: Membership, links: PeerLinks
+    ) -> None:
+        self._host = host
+        self._follower = follower
+        self._membership = membership
+        self._links = links
+
+    async def confirmed_revision(self) -> Revision:
+        """Return the lowest revision in force on the hosts that answer, this one included."""
+        revisions = (await self._revisions()).values()
+        return min(found for found in revisions if found is not None)
+
+    async def unconfirmed_hosts(self, revision: Revision) -> Confirmation:
+        """Return which hosts confirmed a revision; a silent host did not."""
+        confirmed: list[HostId] = []
+        unconfirmed: list[HostId] = []
+        for host, found in sorted((await self._revisions()).items()):
+            has_it = found is not None and found >= revision
+            (confirmed if has_it else unconfirmed).append(host)
+        return Confirmation(
+            revision=revision, confirmed=tuple(confirmed), unconfirmed=tuple(unconfirmed)
+        )
+
+    async def _revisions(self) -> dict[HostId, Revision | None]:
+        slots = asyncio.Semaphore(CALLS_AT_ONCE)
+        others = [
+            entry.host
+            for entry in self._membership.entries(HostRole.ENTRY)
+            if entry.host != self._host
+        ]
+        answers = await asyncio.gather(*(self._ask(host, slots) for host in others))
+        found: dict[HostId, Revision | None] = dict(zip(others, answers, strict=True))
+        found[self._host] = self._follower.state.revision
+        return found
+
+    async def _ask(self, host: HostId, slots: asyncio.Semaphore) -> Revision | None:
+        async with slots:
+            reply = await self._links.call(
+                host, NodeStatusCall(), NodeStatusReply, timeout_s=STATUS_TIMEOUT_S
+            )
+        return Revision(reply.revision) if isinstance(reply, NodeStatusReply) else None
--- /dev/null
+++ b/src/cassiawalk/control/housekeeping.py
@@ -0,0 +1,145 @@
+"""Snapshots before records expire, and the removal of expired quarantines."""
+
+import asyncio
+
+import eliot
+
+from cassiawalk.app import Component
+from cassiawalk.clock import Clock
+from cassiawalk.control.commands import CONTROL_STREAM
+from cassiawalk.control.commands import ObjectType
+from cassiawalk.control.commands import Operation
+from cassiawalk.control.commands import Verb
+from cassiawalk.control.fold import OPERATIONS_LIMIT
+from cassiawalk.control.follower import ControlFollower
+from cassiawalk.control.follower import Freshness
+from cassiawalk.control.publisher import CommandPublisher
+from cassiawalk.control.snapshots import FoundSnapshot
+from cassiawalk.control.snapshots import SnapshotStore
+from cassiawalk.control.state import ConfigState
+from cassiawalk.ids import HostId
+from cassiawalk.ids import Offset
+from cassiawalk.membership import Membership
+from cassiawalk.membership import rank
+from cassiawalk.platform import LogService
+from cassiawalk.platform import ReadFailed
+
+CHECK_INTERVAL_S = 10.0
+SNAPSHOT_EVERY_RECORDS = 1024
+RETENTION_S = 86_400.0
+CHANGED_SHARE = 1 / 8
+UNCHANGED_SHARE = 1 / 4
+QUARANTINE_GRACE_S = 60.0
+_KEY = "control-housekeeping"
+
+
+class Housekeeper(Component):
+    """Works on the host that is first by rendezvous; others doing the same work is harmless.
+
+    :param retention_s: how long the log keeps records, in seconds.
+    :param every_records: how many records may follow a snapshot before the next one.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: HostId,
+        log: LogService,
+        follower: ControlFollower,
+        publisher: CommandPublisher,
+        membership: Membership,
+        clock: Clock,
+        retention_s: float = RETENTION_S,
+        every_records: int = SNAPSHOT_EVERY_RECORDS,
+    ) -> None:
+        self._host = host
+        self._log = log
+        self._store = SnapshotStore(log=log)
+        self._follower = follower
+        self._publisher = publisher
+        self._membership = membership
+        self._clock = clock
+        self._retention_s = retention_s
+        self._every_records = every_records
+        self._known_through = Offset(-1)
+        self._wake = asyncio.Event()
+
+    async def start(self) -> None:
+        """Start looking whether there is work."""
+        self._follower.add_listener(self._note_state)
+        self.spawn(self._run(), name="control-housekeeping")
+
+    async def check(self) -> None:
+        """Do the work that is due, if this host is the one to do it."""
+        if not self._is_first() or self._follower.freshness is not Freshness.FRESH:
+            return
+        await self._publish_if_due()
+        await self._remove_expired()
+
+    def _is_first(self) -> bool:
+        hosts = self._membership.reachable_entry_hosts()
+        return bool(hosts) and rank(_KEY, hosts)[0] == self._host
+
+    def _note_state(self, state: ConfigState) -> None:
+        if state.through_offset - self._known_through >= self._every_records:
+            self._wake.set()
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(CHECK_INTERVAL_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
+            await self.check()
+
+    async def _publish_if_due(self) -> None:
+        state = self._follower.state
+        if state.through_offset < 0:
+            return
+        head = await self._log.read(stream=CONTROL_STREAM, start=Offset(0), limit=1)
+        if isinstance(head, ReadFailed):
+            return
+        newest = await self._store.find(usable_from=head.first_offset)
+        reason = self._due(state, newest, head.first_offset, head.end_offset)
+        if reason is None:
+            self._known_through = newest.through_offset if newest is not None else Offset(-1)
+            return
+        eliot.log_message(message_type="control:snapshot-due", reason=reason)
+        if await self._store.publish(state, now_s=self._clock.wall()):
+            self._known_through = state.through_offset
+
+    def _due(
+        self, state: ConfigState, newest: FoundSnapshot | None, first: Offset, end: Offset
+    ) -> str | None:
+        """Return why a snapshot is due, or None."""
+        if newest is None:
+            return "no usable snapshot is retained"
+        added = state.through_offset - newest.through_offset
+        # A writer's clock that ran ahead must not keep the next snapshot from being due.
+        age_s = abs(self._clock.wall() - newest.published_s)
+        if added >= self._every_records:
+            return f"{added} records since the last one"
+        if added > 0 and newest.through_offset < first + (end - first) // 2 and first > 0:
+            return "the last one is in the older half of the retained records"
+        if added > 0 and age_s >= self._retention_s * CHANGED_SHARE:
+            return f"changes, and the last one is {age_s:.0f} s old"
+        if age_s >= self._retention_s * UNCHANGED_SHARE:
+            return f"the last one is {age_s:.0f} s old"
+        return None
+
+    async def _remove_expired(self) -> None:
+        """Remove quarantines that ended; one that is set anew meanwhile conflicts and stays."""
+        state = self._follower.state
+        ended = self._clock.wall() - QUARANTINE_GRACE_S
+        names = [name for name, item in state.quarantines.items() if item.until_s < ended]
+        if not names:
+            return
+        operations = tuple(
+            Operation(verb=Verb.REMOVE, object_type=ObjectType.QUARANTINE, name=name)
+            for name in sorted(names)[:OPERATIONS_LIMIT]
+        )
+        await self._publisher.publish_operations(
+            operations, reason="quarantines that ended", expected=state.revision
+        )
--- /dev/null
+++ b/src/cassiawalk/control/relay.py
@@ -0,0 +1,249 @@
+"""Keeps this host's configuration current through the relay tree, a peer or the log."""
+
+import asyncio
+import contextlib
+import random
+
+import eliot
+
+from cassiawalk.app import Component
+from cassiawalk.clock import Clock
+from cassiawalk.control.decoding import IncompatibleError
+from cassiawalk.control.follower import ControlFollower
+from cassiawalk.control.relay_messages import RelayBeat
+from cassiawalk.control.relay_messages import RelayBeatReply
+from cassiawalk.control.relay_messages import RelayEntries
+from cassiawalk.control.relay_messages import RelayState
+from cassiawalk.control.relay_messages import RelaySubscribe
+from cassiawalk.control.relay_messages import RelayWelcome
+from cassiawalk.control.relay_server import RelayServer
+from cassiawalk.control.snapshots import decode_state
+from cassiawalk.control.tree import Place
+from cassiawalk.control.tree import TreeHost
+from cassiawalk.control.tree import place_of
+from cassiawalk.errors import WireError
+from cassiawalk.ids import HostId
+from cassiawalk.membership import Membership
+from cassiawalk.peer import PeerFailure
+from cassiawalk.peer import PeerLinks
+from cassiawalk.peer import messages
+from cassiawalk.platform import HostRole
+from cassiawalk.platform import LogEntry
+
+HEARTBEAT_S = 1.0
+HEARTBEAT_TIMEOUT_S = 1.5
+WELCOME_TIMEOUT_S = 1.0
+CANDIDATE_TRIES = 3
+PARENT_STALE_S = 10.0
+ALTERNATE_PARENT_S = 30.0
+ROOT_RETRY_S = 3.0
+DIRECT_LOG_S = 10.0
+RETRY_MIN_S = 0.25
+RETRY_MAX_S = 5.0
+BEHIND_BEATS = 3
+
+
+class RelayNode(Component):
+    """Drives the follower: a root tails the log, other hosts subscribe to a parent.
+
+    A parent that is silent, stale or gone is left for the next candidate; with none left, the host
+    reads the log itself for a while. A root that can't read the log asks its candidates instead.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: HostId,
+        region: str,
+        follower: ControlFollower,
+        membership: Membership,
+        links: PeerLinks,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._self = TreeHost(host=host, region=region)
+        self._follower = follower
+        self._membership = membership
+        self._links = links
+        self._clock = clock
+        self._rng = rng
+        self._place = Place(is_root=False, candidates=())
+        self._retry_s = RETRY_MIN_S
+        self._turn = 0
+        self._hosts: list[TreeHost] = []
+        self.server = RelayServer(follower=follower, clock=clock)
+        self.parent: HostId | None = None
+
+    @property
+    def place(self) -> Place:
+        """Return this host's place in the tree."""
+        return self._place
+
+    async def start(self) -> None:
+        """Start keeping the configuration current."""
+        self._membership.add_listener(self._refresh_place)
+        self._refresh_place()
+        self.spawn(self._run(), name="control-relay")
+
+    def _refresh_place(self) -> None:
+        hosts = [
+            TreeHost(host=entry.host, region=entry.region)
+            for entry in self._membership.entries(HostRole.ENTRY)
+            if not self._membership.is_leaving(entry.host)
+        ]
+        if hosts == self._hosts:
+            return
+        self._hosts = hosts
+        place = place_of(self._self, hosts)
+        if place != self._place:
+            self._place = place
+            eliot.log_message(
+                message_type="control:place", root=place.is_root, parents=list(place.candidates)
+            )
+
+    async def _run(self) -> None:
+        while True:
+            if self._place.is_root:
+                await self._tail_log()
+            elif not await self._follow_any(limit_s=None):
+                await self._read_log_directly()
+
+    async def _tail_log(self) -> None:
+        """Read the log once; in an outage learn from peers for a while."""
+        if await self._follower.read_log():
+            self._retry_s = RETRY_MIN_S
+            return
+        if not await self._follow_any(limit_s=ROOT_RETRY_S):
+            await self._back_off()
+
+    async def _read_log_directly(self) -> None:
+        """Read the log for a while, as no peer can be followed."""
+        until = self._clock.monotonic() + DIRECT_LOG_S
+        while self._clock.monotonic() < until:
+            if not await self._follower.read_log():
+                await self._back_off()
+                return
+            self._retry_s = RETRY_MIN_S
+
+    async def _back_off(self) -> None:
+        """Sleep with full jitter, so that hosts don't come back to the log all at once."""
+        await self._clock.sleep(RETRY_MIN_S + self._rng.random() * (self._retry_s - RETRY_MIN_S))
+        self._retry_s = min(RETRY_MAX_S, self._retry_s * 2)
+
+    async def _follow_any(self, *, limit_s: float | None) -> bool:
+        """Follow the first candidate that can be followed; return False if none can."""
+        place = self._place
+        for candidate in self._next_candidates(place):
+            is_parent = candidate == place.candidates[0]
+            alternate_s = None if is_parent else ALTERNATE_PARENT_S
+            if await self._follow(candidate, place, limit_s=limit_s or alternate_s):
+                self._retry_s = RETRY_MIN_S
+                return True
+            if self._place != place:
+                return False
+        return False
+
+    def _next_candidates(self, place: Place) -> list[HostId]:
+        """Return the parent and a few of the others; later calls go on with the next ones."""
+        others = list(place.candidates[1:])
+        start = self._turn % len(others) if others else 0
+        self._turn += CANDIDATE_TRIES - 1
+        return [*place.candidates[:1], *(others[start:] + others[:start])][:CANDIDATE_TRIES]
+
+    async def _follow(self, parent: HostId, place: Place, *, limit_s: float | None) -> bool:
+        """Follow a parent until it fails, the place changes or the limit is over.
+
+        :return: whether the parent was of use.
+        """
+        welcomed = asyncio.Event()
+        stream = asyncio.create_task(self._read_stream(parent, welcomed))
+        useful = False
+        try:
+            await _first_of(stream, welcomed, timeout_s=WELCOME_TIMEOUT_S)
+            until = None if limit_s is None else self._clock.monotonic() + limit_s
+            behind = 0
+            while welcomed.is_set() and not stream.done() and self._place == place:
+                if until is not None and self._clock.monotonic() >= until:
+                    break
+                reply = await self._beat(parent)
+                if reply is None:
+                    break
+                behind = behind + 1 if self._is_behind(reply) else 0
+                if behind >= BEHIND_BEATS:
+                    break
+                useful, self.parent = True, parent
+                await asyncio.wait({stream}, timeout=HEARTBEAT_S)
+            if useful and stream.done():
+                await self._clock.sleep(RETRY_MIN_S)
+        finally:
+            self.parent = None
+            stream.cancel()
+            await asyncio.gather(stream, return_exceptions=True)
+        return useful
+
+    async def _beat(self, parent: HostId) -> RelayBeatReply | None:
+        """Send one heartbeat; return the reply of a parent that is worth following, or None."""
+        asked_at = self._clock.monotonic()
+        reply = await self._links.call(
+            parent,
+            RelayBeat(host=self._self.host),
+            RelayBeatReply,
+            timeout_s=HEARTBEAT_TIMEOUT_S,
+        )
+        if isinstance(reply, PeerFailure) or not reply.subscribed:
+            return None
+        if reply.age_s is None or reply.contact_s is None:
+            return None
+        # Counting from before the call keeps an answer that waited in a socket from looking new.
+        elapsed_s = self._clock.monotonic() - asked_at
+        contact_s = max(0.0, reply.contact_s) + elapsed_s
+        if contact_s > PARENT_STALE_S:
+            return None
+        if not self._is_behind(reply):
+            self._follower.confirm(age_s=max(0.0, reply.age_s) + elapsed_s)
+            self._follower.note_contact(age_s=contact_s)
+        return reply
+
+    def _is_behind(self, reply: RelayBeatReply) -> bool:
+        return self._follower.state.through_offset < reply.through_offset
+
+    async def _read_stream(self, parent: HostId, welcomed: asyncio.Event) -> None:
+        """Take over what a parent sends; return once it can't be followed any more."""
+        call = RelaySubscribe(
+            host=self._self.host, through_offset=self._follower.state.through_offset
+        )
+        async with contextlib.aclosing(self._links.stream(parent, call)) as parts:
+            async for part in parts:
+                if isinstance(part, PeerFailure) or not await self._take(part, welcomed):
+                    return
+
+    async def _take(self, part: object, welcomed: asyncio.Event) -> bool:
+        """Take over one part of a subscription; return False if it ends it."""
+        try:
+            message = messages.from_plain(part)
+            if isinstance(message, RelayWelcome):
+                welcomed.set()
+                return True
+            if isinstance(message, RelayEntries):
+                return await self._take_entries(message)
+            if isinstance(message, RelayState):
+                await self._follower.adopt(decode_state(message.data, version=message.version))
+                return True
+        except (WireError, IncompatibleError) as exc:
+            eliot.log_message(message_type="control:bad-part", fault=exc.format_message())
+        return False
+
+    async def _take_entries(self, message: RelayEntries) -> bool:
+        entries = [
+            LogEntry(offset=entry.offset, payload=entry.payload) for entry in message.entries
+        ]
+        return await self._follower.apply(entries, after=message.after)
+
+
+async def _first_of(task: asyncio.Task[None], event: asyncio.Event, *, timeout_s: float) -> None:
+    """Return when the task is done, the event is set or the time is over."""
+    waiter = asyncio.create_task(event.wait())
+    try:
+        await asyncio.wait({task, waiter}, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        waiter.cancel()
--- /dev/null
+++ b/src/cassiawalk/control/tree.py
@@ -0,0 +1,90 @@
+"""Which host relays the ``control`` stream to which.
+
+A few roots tail the log; below them each host relays to at most ``FAN_OUT`` others of its region.
+Hosts derive the tree from their own view of the membership. Views that differ make a worse tree,
+never a wrong state: how current a relay is shows in its heartbeats.
+"""
+
+import collections.abc as cabc
+import dataclasses
+
+from cassiawalk.ids import HostId
+from cassiawalk.membership import rank
+
+RELAY_ROOTS = 3
+RELAY_ROOTS_LIMIT = 8
+FAN_OUT = 8
+ALTERNATES = 2
+_KEY = "control"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TreeHost:
+    """A host that takes part in the tree."""
+
+    host: HostId
+    region: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Place:
+    """A host's place: whether it tails the log, and whom it asks, the preferred one first."""
+
+    is_root: bool
+    candidates: tuple[HostId, ...]
+
+
+def place_of(host: TreeHost, hosts: cabc.Iterable[TreeHost]) -> Place:
+    """Return the place of ``host`` among ``hosts``; one that is not listed yet is a leaf."""
+    regions = {item.host: item.region for item in hosts}
+    if len(set(regions.values())) > RELAY_ROOTS_LIMIT:
+        # With a root in each region the log would have too many readers.
+        regions = dict.fromkeys(regions, "")
+    region = regions.get(host.host, host.region)
+    order = rank(_KEY, regions)
+    roots = _roots(order, regions)
+    if host.host in roots:
+        return Place(is_root=True, candidates=_for_root(host.host, order, roots))
+    near_roots = [item for item in roots if regions[item] == region] or roots
+    near = [item for item in order if regions[item] == region]
+    line = near_roots + [item for item in near if item not in roots]
+    index = line.index(host.host) if host.host in line else len(line)
+    return Place(is_root=False, candidates=_for_leaf(host.host, line, index, near_roots, roots))
+
+
+def _roots(order: cabc.Sequence[HostId], regions: cabc.Mapping[HostId, str]) -> list[HostId]:
+    """Return the first host of each region by rank, filled up to the number of roots."""
+    firsts: dict[str, HostId] = {}
+    for host in order:
+        firsts.setdefault(regions[host], host)
+    chosen = list(firsts.values())[:RELAY_ROOTS_LIMIT]
+    for host in order:
+        if len(chosen) >= RELAY_ROOTS:
+            break
+        if host not in chosen:
+            chosen.append(host)
+    return chosen
+
+
+def _for_root(
+    host: HostId, order: cabc.Sequence[HostId], roots: cabc.Sequence[HostId]
+) -> tuple[HostId, ...]:
+    others = [item for item in roots if item != host]
+    below = [item for item in order if item not in roots]
+    return tuple(others + below[:ALTERNATES])
+
+
+def _for_leaf(
+    host: HostId,
+    line: cabc.Sequence[HostId],
+    index: int,
+    near_roots: cabc.Sequence[HostId],
+    roots: cabc.Sequence[HostId],
+) -> tuple[HostId, ...]:
+    """Return the parent, then alternates from above in the line, then roots."""
+    if index == 0:
+        return ()
+    parent = line[min((index - len(near_roots)) // FAN_OUT, index - 1)]
+    above = [item for item in line[: max(1, index // FAN_OUT + len(near_roots))] if item != host]
+    alternates = rank(f"{_KEY}-{host}", above)[:ALTERNATES]
+    return tuple(dict.fromkeys([parent, *alternates, *near_roots, *roots]))
--- a/src/cassiawalk/node.py
+++ b/src/cassiawalk/node.py
@@ -15,6 +15,10 @@
 from cassiawalk.clock import Clock
 from cassiawalk.control import CommandPublisher
 from cassiawalk.control import ControlFollower
+from cassiawalk.control import Housekeeper
+from cassiawalk.control import RelayNode
+from cassiawalk.control.relay_messages import RelayBeat
+from cassiawalk.control.relay_messages import RelaySubscribe
 from cassiawalk.control.state import PoolType
 from cassiawalk.dispatch import Dispatcher
 from cassiawalk.dispatch import HttpConnector
@@ -82,9 +86,13 @@
         self.membership = Membership(host=cfg.host_id, host_list=host_list, clock=clock)
         self.links = PeerLinks(membership=self.membership, secret=self._secret)
         self.control = ControlFollower(
-            log=self.log, clock=clock, staleness_bound_s=cfg.control_staleness_bound_s
+            log=self.log,
+            clock=clock,
+            staleness_bound_s=cfg.control_staleness_bound_s,
+            outage_bound_s=cfg.control_outage_bound_s,
         )
         self.publisher = CommandPublisher(log=self.log, follower=self.control, clock=clock)
+        self._build_relay()
         self.sequencers = SequencerPool(log=self.log)
         self.claims = ClaimClient(
             host=cfg.host_id,
@@ -94,6 +102,28 @@
             partitions=cfg.once_partitions,
         )
 
+    def _build_relay(self) -> None:
+        cfg = self._cfg
+        self.relay = RelayNode(
+            host=cfg.host_id,
+            region=cfg.region,
+            follower=self.control,
+            membership=self.membership,
+            links=self.links,
+            clock=self._clock,
+            rng=self._rng,
+        )
+        self.housekeeper = Housekeeper(
+            host=cfg.host_id,
+            log=self.log,
+            follower=self.control,
+            publisher=self.publisher,
+            membership=self.membership,
+            clock=self._clock,
+            retention_s=cfg.control_retention_s,
+            every_records=cfg.control_snapshot_every,
+        )
+
     def _build_requests(self) -> None:
         clock = self._clock
         self.store = RequestStore(clock=clock)
@@ -180,13 +210,16 @@
 
         self.peer_server.handle(OnceCall, self.claims.handle_call)
         self.peer_server.handle(NodeStatusCall, node_status)
+        self.peer_server.handle(RelayBeat, self.relay.server.beat)
+        self.peer_server.handle_stream(RelaySubscribe, self.relay.server.serve)
         self.peer_server.handle_stream(AttachCall, attachments.serve)
 
     def _components(self) -> list[Component]:
         return [
             self.membership,
             self.links,
-            self.control,
+            self.relay,
+            self.housekeeper,
             self.sequencers,
             self.peer_server,
             self.connector,
--- a/src/cassiawalk/settings.py
+++ b/src/cassiawalk/settings.py
@@ -148,6 +148,7 @@
 
 
 _SECONDS = NumberType(low=0, high=86400, unit="seconds")
+_DAYS = NumberType(low=1, high=366 * 86400, unit="seconds")
 
 SPECS: tuple[SettingSpec, ...] = (
     _spec("host", "id", NameType(), None, "Name of this host, as in the host list."),
@@ -183,6 +184,27 @@
         "20",
         "How long configuration is served without proof that it is current, in seconds.",
     ),
+    _spec(
+        "control",
+        "outage_bound_s",
+        _DAYS,
+        "3600",
+        "How long configuration is served in an outage that the log itself reports, in seconds.",
+    ),
+    _spec(
+        "control",
+        "retention_s",
+        _DAYS,
+        "86400",
+        "How long the log keeps records, in seconds; snapshots are published well inside it.",
+    ),
+    _spec(
+        "control",
+        "snapshot_every",
+        NumberType(low=1, high=1_000_000, unit="records", whole=True),
+        "1024",
+        "Records of configuration between snapshots.",
+    ),
 )
 
 
@@ -205,6 +227,9 @@
     once_window_s: float
     once_partitions: int
     control_staleness_bound_s: float
+    control_outage_bound_s: float
+    control_retention_s: float
+    control_snapshot_every: int
 
 
 _PREFIXED_SECTIONS = ("drain", "once", "control")
