Give orders to engines under a lease on the log

Cause: operators could name a pool's model, but nothing told the engines, and two controllers of one pool had nothing to decide between them. Ruled out: a lease by clock alone (a stopped holder goes on as if it held it); a record that names the lease it replaces (readers that start after the retention would judge it differently). A claim counts if its writer had read the last record on the pool, which any reader can judge. Change: orders/ with book, lease and controller. The offset of the record that took the lease is the fencing number; the holder counts from before its send, others from after their read; where engines don't check the number the old lease and a margin are waited out. The lease is looked at before each order; the wanted state is asserted again every 20 s. One append renews all of a host's pools every 10 s.

--- a/src/cassiawalk/control/housekeeping.py
+++ b/src/cassiawalk/control/housekeeping.py
@@ -22,9 +22,11 @@
 from cassiawalk.membership import Membership
 from cassiawalk.membership import rank
 from cassiawalk.platform import LogService
+from cassiawalk.platform import ReadBatch
 from cassiawalk.platform import ReadFailed
 
 CHECK_INTERVAL_S = 10.0
+STAND_BY_HOSTS = 3
 SNAPSHOT_EVERY_RECORDS = 1024
 RETENTION_S = 86_400.0
 CHANGED_SHARE = 1 / 8
@@ -34,7 +36,10 @@
 
 
 class Housekeeper(Component):
-    """Works on the host that is first by rendezvous; others doing the same work is harmless.
+    """Works on the first host by rendezvous, and on the next ones when work is long overdue.
+
+    A first host that is listed but stopped thus holds nothing up. The same work done twice is
+    harmless.
 
     :param retention_s: how long the log keeps records, in seconds.
     :param every_records: how many records may follow a snapshot before the next one.
@@ -71,14 +76,17 @@
 
     async def check(self) -> None:
         """Do the work that is due, if this host is the one to do it."""
-        if not self._is_first() or self._follower.freshness is not Freshness.FRESH:
+        patience = self.patience
+        if patience is None or self._follower.freshness is not Freshness.FRESH:
             return
-        await self._publish_if_due()
-        await self._remove_expired()
+        await self._publish_if_due(patience)
+        await self._remove_expired(patience)
 
-    def _is_first(self) -> bool:
-        hosts = self._membership.reachable_entry_hosts()
-        return bool(hosts) and rank(_KEY, hosts)[0] == self._host
+    @property
+    def patience(self) -> int | None:
+        """Return by how many times work must be overdue for this host to do it, or None."""
+        first = rank(_KEY, self._membership.reachable_entry_hosts())[:STAND_BY_HOSTS]
+        return first.index(self._host) + 1 if self._host in first else None
 
     def _note_state(self, state: ConfigState) -> None:
         if state.through_offset - self._known_through >= self._every_records:
@@ -94,7 +102,7 @@
             self._wake.clear()
             await self.check()
 
-    async def _publish_if_due(self) -> None:
+    async def _publish_if_due(self, patience: int) -> None:
         state = self._follower.state
         if state.through_offset < 0:
             return
@@ -102,7 +110,7 @@
         if isinstance(head, ReadFailed):
             return
         newest = await self._store.find(usable_from=head.first_offset)
-        reason = self._due(state, newest, head.first_offset, head.end_offset)
+        reason = self._due(state, newest, head, patience)
         if reason is None:
             self._known_through = newest.through_offset if newest is not None else Offset(-1)
             return
@@ -111,7 +119,7 @@
             self._known_through = state.through_offset
 
     def _due(
-        self, state: ConfigState, newest: FoundSnapshot | None, first: Offset, end: Offset
+        self, state: ConfigState, newest: FoundSnapshot | None, head: ReadBatch, patience: int
     ) -> str | None:
         """Return why a snapshot is due, or None."""
         if newest is None:
@@ -119,20 +127,25 @@
         added = state.through_offset - newest.through_offset
         # A writer's clock that ran ahead must not keep the next snapshot from being due.
         age_s = abs(self._clock.wall() - newest.published_s)
-        if added >= self._every_records:
+        if added >= self._every_records * patience:
             return f"{added} records since the last one"
-        if added > 0 and newest.through_offset < first + (end - first) // 2 and first > 0:
-            return "the last one is in the older half of the retained records"
-        if added > 0 and age_s >= self._retention_s * CHANGED_SHARE:
+        older = (head.end_offset - head.first_offset) // (2 * patience)
+        if (
+            added > 0
+            and head.first_offset > 0
+            and newest.through_offset < head.first_offset + older
+        ):
+            return "the last one is among the older of the retained records"
+        if added > 0 and age_s >= self._retention_s * CHANGED_SHARE * patience:
             return f"changes, and the last one is {age_s:.0f} s old"
-        if age_s >= self._retention_s * UNCHANGED_SHARE:
+        if age_s >= self._retention_s * UNCHANGED_SHARE * patience:
             return f"the last one is {age_s:.0f} s old"
         return None
 
-    async def _remove_expired(self) -> None:
+    async def _remove_expired(self, patience: int) -> None:
         """Remove quarantines that ended; one that is set anew meanwhile conflicts and stays."""
         state = self._follower.state
-        ended = self._clock.wall() - QUARANTINE_GRACE_S
+        ended = self._clock.wall() - QUARANTINE_GRACE_S * patience
         names = [name for name, item in state.quarantines.items() if item.until_s < ended]
         if not names:
             return
--- a/src/cassiawalk/node.py
+++ b/src/cassiawalk/node.py
@@ -36,6 +36,8 @@
 from cassiawalk.metrics import Metrics
 from cassiawalk.once import ClaimClient
 from cassiawalk.once import SequencerPool
+from cassiawalk.orders import LeaseKeeper
+from cassiawalk.orders import OrderController
 from cassiawalk.peer import AttachCall
 from cassiawalk.peer import NodeStatusCall
 from cassiawalk.peer import NodeStatusReply
@@ -69,6 +71,7 @@
         }
         self._build_platform()
         self._build_requests()
+        self._build_orders()
         self._build_servers()
         self.app = Application(components=self._components())
 
@@ -144,6 +147,19 @@
             metrics=self.metrics,
         )
 
+    def _build_orders(self) -> None:
+        host = self._cfg.host_id
+        holder = f"{host}/{self.incarnation}"
+        self.orders = OrderController(
+            host=host,
+            leases=LeaseKeeper(host=host, holder=holder, log=self.log, clock=self._clock),
+            control=self.control,
+            membership=self.membership,
+            table=self.table,
+            connector=self.connector,
+            clock=self._clock,
+        )
+
     def _stream_runner(self) -> StreamRunner:
         return StreamRunner(
             scheduler=self.scheduler,
@@ -225,6 +241,7 @@
             self.connector,
             self.table,
             self.watcher,
+            self.orders,
             self.recorder,
             self.scheduler,
             self.dispatcher,
--- /dev/null
+++ b/src/cassiawalk/orders/controller.py
@@ -0,0 +1,151 @@
+"""Keeps the engines of a pool in the state that operators want."""
+
+import asyncio
+import dataclasses
+
+import eliot
+
+from cassiawalk.app import Component
+from cassiawalk.clock import Clock
+from cassiawalk.control import ControlFollower
+from cassiawalk.control import Freshness
+from cassiawalk.control.state import Pool
+from cassiawalk.control.state import PoolType
+from cassiawalk.dispatch import Connector
+from cassiawalk.ids import HostId
+from cassiawalk.ids import Offset
+from cassiawalk.ids import PoolName
+from cassiawalk.ids import UpstreamId
+from cassiawalk.membership import Membership
+from cassiawalk.membership import rank
+from cassiawalk.orders.lease import LeaseKeeper
+from cassiawalk.platform import HostRole
+from cassiawalk.platform.engine import EngineOrder
+from cassiawalk.platform.engine import OrderOutcome
+from cassiawalk.routing import UpstreamTable
+from cassiawalk.routing import UpstreamView
+from cassiawalk.routing.upstream import UpstreamState
+
+STEP_S = 1.0
+REASSERT_S = 20.0
+ORDERS_AT_ONCE = 16
+LOAD_MODEL = "load_model"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Asserted:
+    """The last order that an engine carried out for this process, and when."""
+
+    fence: Offset
+    address: str
+    model: str
+    at: float
+
+
+class OrderController(Component):
+    """Gives orders for the pools that this host is first for by rendezvous.
+
+    Orders only say which state an engine shall be in. They are derived from the configuration, so
+    that a new holder repeats them without knowing what the old one did, and are repeated at times
+    because an engine that does not check fencing numbers may have followed an old holder.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: HostId,
+        leases: LeaseKeeper,
+        control: ControlFollower,
+        membership: Membership,
+        table: UpstreamTable,
+        connector: Connector,
+        clock: Clock,
+    ) -> None:
+        self._host = host
+        self._leases = leases
+        self._control = control
+        self._membership = membership
+        self._table = table
+        self._connector = connector
+        self._clock = clock
+        self._asserted: dict[UpstreamId, _Asserted] = {}
+
+    async def start(self) -> None:
+        """Start looking after pools."""
+        self.spawn(self._run(), name="orders")
+
+    async def step(self) -> None:
+        """Take the leases that are due, then give the orders that are due under them."""
+        pools = self._pools()
+        if not pools:
+            return
+        if await self._leases.read():
+            fenced = {name for name, pool in pools.items() if pool.checks_fencing}
+            await self._leases.claim(pools, fenced=fenced)
+            await self._leases.read()
+        for name, pool in pools.items():
+            if self._leases.held(name) is not None:
+                await self._assert_pool(name, pool)
+
+    async def _run(self) -> None:
+        while True:
+            await self.step()
+            await self._clock.sleep(STEP_S)
+
+    def _pools(self) -> dict[PoolName, Pool]:
+        """Return the engine pools to look after, unless the configuration may be old."""
+        hosts = self._membership.reachable_entry_hosts()
+        if self._control.freshness is not Freshness.FRESH or not hosts:
+            return {}
+        return {
+            name: pool
+            for name, pool in self._control.state.pools.items()
+            if pool.type is PoolType.ENGINE
+            and pool.model
+            and rank(f"orders-{name}", hosts)[0] == self._host
+        }
+
+    async def _assert_pool(self, name: PoolName, pool: Pool) -> None:
+        listed = {view.upstream_id for view in self._table.all()}
+        self._asserted = {key: done for key, done in self._asserted.items() if key in listed}
+        slots = asyncio.Semaphore(ORDERS_AT_ONCE)
+        engines = [
+            view
+            for view in self._table.in_pool(name)
+            if view.entry.role is HostRole.ENGINE
+            and view.state not in (UpstreamState.LEAVING, UpstreamState.GONE)
+        ]
+        await asyncio.gather(*(self._assert_engine(name, pool, view, slots) for view in engines))
+
+    async def _assert_engine(
+        self, name: PoolName, pool: Pool, view: UpstreamView, slots: asyncio.Semaphore
+    ) -> None:
+        async with slots:
+            # The lease is looked at again before each order, as the orders before it took time.
+            lease = self._leases.held(name)
+            if lease is None or not self._is_due(view, lease.fence, pool.model):
+                return
+            order = EngineOrder(fence=lease.fence, action=LOAD_MODEL, argument=pool.model)
+            outcome = await self._connector.engine(view).order(order)
+        eliot.log_message(
+            message_type="orders:given",
+            engine=view.upstream_id,
+            fence=order.fence,
+            model=order.argument,
+            outcome=outcome.value,
+        )
+        if outcome is OrderOutcome.STALE_FENCE:
+            self._leases.drop(name)
+        if outcome is OrderOutcome.DONE:
+            self._asserted[view.upstream_id] = _Asserted(
+                fence=lease.fence,
+                address=view.entry.address,
+                model=pool.model,
+                at=self._clock.monotonic(),
+            )
+
+    def _is_due(self, view: UpstreamView, fence: Offset, model: str) -> bool:
+        done = self._asserted.get(view.upstream_id)
+        if done is None or self._clock.monotonic() - done.at >= REASSERT_S:
+            return True
+        return (done.fence, done.address, done.model) != (fence, view.entry.address, model)
--- /dev/null
+++ b/src/cassiawalk/orders/lease.py
@@ -0,0 +1,133 @@
+"""Takes and renews leases on pools."""
+
+import collections.abc as cabc
+import dataclasses
+
+import eliot
+
+from cassiawalk.clock import Clock
+from cassiawalk.ids import HostId
+from cassiawalk.ids import Offset
+from cassiawalk.ids import PoolName
+from cassiawalk.orders.book import ORDERS_STREAM
+from cassiawalk.orders.book import LeaseBook
+from cassiawalk.orders.book import LeaseRecord
+from cassiawalk.orders.book import PoolClaim
+from cassiawalk.orders.book import order_records
+from cassiawalk.platform import Appended
+from cassiawalk.platform import LogService
+from cassiawalk.platform import ReadFailed
+
+LEASE_S = 30.0
+RENEW_AFTER_S = 10.0
+MARGIN_S = 5.0
+READ_LIMIT = 256
+NUMBERS_KEPT = 64
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class HeldLease:
+    """A lease that this process holds until ``until``, in its own monotonic seconds."""
+
+    fence: Offset
+    until: float
+
+
+class LeaseKeeper:
+    """Leases of this process.
+
+    The holder counts a lease from before its record was sent, others from after they read it, so
+    the holder stops first. ``MARGIN_S`` covers clocks of different speed.
+    """
+
+    def __init__(self, *, host: HostId, holder: str, log: LogService, clock: Clock) -> None:
+        self._host = host
+        self._holder = holder
+        self._log = log
+        self._clock = clock
+        self._next = Offset(0)
+        self._number = 0
+        self._sent_at: dict[int, float] = {}
+        self._last_sent: dict[PoolName, float] = {}
+        self._held: dict[PoolName, HeldLease] = {}
+        self.book = LeaseBook()
+
+    def held(self, pool: PoolName) -> HeldLease | None:
+        """Return the lease on a pool if it is still running on this process's clock."""
+        lease = self._held.get(pool)
+        return lease if lease is not None and self._clock.monotonic() < lease.until else None
+
+    def drop(self, pool: PoolName) -> None:
+        """Stop holding a lease until the stream shows who holds it."""
+        self._held.pop(pool, None)
+
+    async def read(self) -> bool:
+        """Read the stream to its end; return False if that can't be done now."""
+        while True:
+            batch = await self._log.read(stream=ORDERS_STREAM, start=self._next, limit=READ_LIMIT)
+            if isinstance(batch, ReadFailed):
+                return False
+            seen_at = self._clock.monotonic()
+            for entry in batch.entries:
+                self.book.fold(entry.offset, entry.payload, seen_at=seen_at)
+                self._next = Offset(entry.offset + 1)
+            self._next = max(self._next, batch.first_offset)
+            if self._next >= batch.end_offset:
+                self._take_over_own()
+                return True
+
+    async def claim(
+        self, pools: cabc.Iterable[PoolName], *, fenced: cabc.Container[PoolName]
+    ) -> None:
+        """Renew and take what is due among ``pools`` with at most one append.
+
+        Call ``read`` before, and again after it to learn what was taken.
+
+        :param fenced: pools whose engines refuse old fencing numbers.
+        """
+        claims = [claim for pool in pools if (claim := self._due(pool, pool in fenced)) is not None]
+        if not claims:
+            return
+        self._number += 1
+        sent_at = self._clock.monotonic()
+        self._sent_at[self._number] = sent_at
+        self._sent_at.pop(self._number - NUMBERS_KEPT, None)
+        record = LeaseRecord(
+            host=self._host,
+            holder=self._holder,
+            number=self._number,
+            duration_s=LEASE_S,
+            read_through=Offset(self._next - 1),
+            claims=tuple(claims),
+        )
+        for claim in claims:
+            self._last_sent[claim.pool] = sent_at
+        outcome = await self._log.append(
+            stream=ORDERS_STREAM, payload=order_records.encode([record])
+        )
+        if not isinstance(outcome, Appended):
+            eliot.log_message(message_type="orders:append-failed", reason=outcome.reason)
+
+    def _due(self, pool: PoolName, fenced: bool) -> PoolClaim | None:
+        """Return the claim that should be sent for a pool now, or None."""
+        now = self._clock.monotonic()
+        if now - self._last_sent.get(pool, float("-inf")) < RENEW_AFTER_S:
+            return None
+        lease = self.book.get(pool)
+        if lease is None:
+            return PoolClaim(pool=pool)
+        if lease.holder == self._holder:
+            return PoolClaim(pool=pool, fence=lease.fence)
+        # Engines that check the fencing number refuse the old holder, so that one missed renewal
+        # is enough; with others the old lease is waited out.
+        wait_s = RENEW_AFTER_S + MARGIN_S if fenced else lease.duration_s + MARGIN_S
+        return PoolClaim(pool=pool) if now >= lease.seen_at + wait_s else None
+
+    def _take_over_own(self) -> None:
+        for pool in self._last_sent:
+            lease = self.book.get(pool)
+            sent_at = None if lease is None else self._sent_at.get(lease.number)
+            if lease is None or lease.holder != self._holder or sent_at is None:
+                self._held.pop(pool, None)
+                continue
+            self._held[pool] = HeldLease(fence=lease.fence, until=sent_at + lease.duration_s)
