--- a/src/cassiawalk/admin/app.py
+++ b/src/cassiawalk/admin/app.py
@@ -127,8 +127,8 @@
                 return _answer(ResultCode.COMMAND_REJECTED, detail)
             state = found
         plain = to_plain(state)
-        plain.pop("verdicts")
-        plain.pop("changes")
+        for verdict in plain["verdicts"].values():
+            verdict["statement"] = mask_digests(verdict["statement"])
         for workspace in plain["workspaces"].values():
             workspace.pop("token_sha256")
         return JSONResponse({"config": plain})
--- a/src/cassiawalk/node.py
+++ b/src/cassiawalk/node.py
@@ -18,6 +18,10 @@
 from cassiawalk.clock import Clock
 from cassiawalk.control import CommandPublisher
 from cassiawalk.control import ControlFollower
+from cassiawalk.control import Housekeeper
+from cassiawalk.control import RelayNode
+from cassiawalk.control.relay_messages import RelayBeat
+from cassiawalk.control.relay_messages import RelaySubscribe
 from cassiawalk.control.state import PoolType
 from cassiawalk.crashes import ControlQuarantines
 from cassiawalk.crashes import CrashGuard
@@ -52,6 +56,8 @@
 from cassiawalk.once import ClaimClient
 from cassiawalk.once import Placement
 from cassiawalk.once import SequencerPool
+from cassiawalk.orders import LeaseKeeper
+from cassiawalk.orders import OrderController
 from cassiawalk.peer import AttachCall
 from cassiawalk.peer import ClaimStatusCall
 from cassiawalk.peer import FeedCall
@@ -93,6 +99,7 @@
         self._build_platform()
         self._build_requests()
         self._build_handover()
+        self._build_orders()
         self._build_servers()
         self._meter_control()
         self.app = Application(components=self._components())
@@ -121,9 +128,13 @@
             clock=clock,
         )
         self.control = ControlFollower(
-            log=self.log, clock=clock, staleness_bound_s=cfg.control_staleness_bound_s
+            log=self.log,
+            clock=clock,
+            staleness_bound_s=cfg.control_staleness_bound_s,
+            outage_bound_s=cfg.control_outage_bound_s,
         )
         self.publisher = CommandPublisher(log=self.log, follower=self.control, clock=clock)
+        self._build_relay()
         placement = Placement(
             host=cfg.host_id, membership=self.membership, partitions=cfg.once_partitions
         )
@@ -134,6 +145,28 @@
             host=cfg.host_id, placement=placement, links=self.links, pool=self.sequencers
         )
 
+    def _build_relay(self) -> None:
+        cfg = self._cfg
+        self.relay = RelayNode(
+            host=cfg.host_id,
+            region=cfg.region,
+            follower=self.control,
+            membership=self.membership,
+            links=self.links,
+            clock=self._clock,
+            rng=self._rng,
+        )
+        self.housekeeper = Housekeeper(
+            host=cfg.host_id,
+            log=self.log,
+            follower=self.control,
+            publisher=self.publisher,
+            membership=self.membership,
+            clock=self._clock,
+            retention_s=cfg.control_retention_s,
+            every_records=cfg.control_snapshot_every,
+        )
+
     def _build_requests(self) -> None:
         clock = self._clock
         self.store = RequestStore(clock=clock)
@@ -190,6 +223,19 @@
             clock=self._clock,
         )
 
+    def _build_orders(self) -> None:
+        host = self._cfg.host_id
+        holder = f"{host}/{self.incarnation}"
+        self.orders = OrderController(
+            host=host,
+            leases=LeaseKeeper(host=host, holder=holder, log=self.log, clock=self._clock),
+            control=self.control,
+            membership=self.membership,
+            table=self.table,
+            connector=self.connector,
+            clock=self._clock,
+        )
+
     def _stream_runner(self) -> StreamRunner:
         return StreamRunner(
             scheduler=self.scheduler,
@@ -320,6 +366,8 @@
         self.peer_server.handle(SoloCall, self.turns.handle_call)
         self.peer_server.handle(ShareCall, self.feed.handle_share)
         self.peer_server.handle_stream(FeedCall, self.feed.serve)
+        self.peer_server.handle(RelayBeat, self.relay.server.beat)
+        self.peer_server.handle_stream(RelaySubscribe, self.relay.server.serve)
         self.peer_server.handle_stream(AttachCall, attachments.serve)
         self.peer_server.handle(AnnounceCall, self.locator.handle_announce)
         self.peer_server.handle(LocateCall, self.locator.handle_locate)
@@ -331,8 +379,12 @@
         for component in (
             self.membership,
             self.links,
+            self.feed,
             self.control,
+            self.relay,
+            self.housekeeper,
             self.sequencers,
+            self.orders,
             self.watcher,
         ):
             component.meter = self.metrics.control
@@ -349,7 +401,8 @@
         return [
             self.membership,
             self.links,
-            self.control,
+            self.relay,
+            self.housekeeper,
             self.sequencers,
             self.peer_server,
             self.feed,
@@ -358,6 +411,7 @@
             self.watcher,
             self.mover,
             self.guard,
+            self.orders,
             self.recorder,
             self.scheduler,
             self.dispatcher,
