--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -7,9 +7,11 @@
 from benchmarks.workloads import Deployment
 from cassiawalk.admission import AdmissionGate
 from cassiawalk.admission import Scheduler
+from cassiawalk.admission.gate import TARGET_SLACK
 from cassiawalk.clock import Clock
 from cassiawalk.ids import UpstreamId
 from cassiawalk.requests import RequestRecord
+from cassiawalk.results import Refusal
 from cassiawalk.routing import Router
 from cassiawalk.routing import UpstreamTable
 from cassiawalk.routing import UpstreamView
@@ -86,8 +88,15 @@
     return 0 if view.report is None else view.report.running + view.report.waiting
 
 
+class QueueOnly(AdmissionGate):
+    """A baseline: refuses only when the queue is full and lets deadlines pass in it."""
+
+    def check(self, record: RequestRecord) -> Refusal | None:
+        return self._scheduler.refusal(record)
+
+
 class RouterPolicy(Policy):
-    """The product's admission with a baseline router."""
+    """A baseline router with a queue that refuses only when it is full."""
 
     def __init__(self, *, name: str, router: type[PlainRouter]) -> None:
         self.name = name
@@ -98,7 +107,7 @@
     ) -> Decisions:
         router = self._router(table=table, rng=rng)
         scheduler = Scheduler(table=table, router=router, clock=clock)
-        return Decisions(scheduler=scheduler, gate=AdmissionGate(scheduler=scheduler, clock=clock))
+        return Decisions(scheduler=scheduler, gate=QueueOnly(scheduler=scheduler, clock=clock))
 
 
 class ProductPolicy(Policy):
@@ -111,8 +120,12 @@
         weights: ScoreWeights | None = None,
         choices: int = CHOICES,
         lead_share: float = LEAD_SHARE,
+        target_slack: float | None = TARGET_SLACK,
+        predict: bool = True,
     ) -> None:
         self.name = name
+        self._target_slack = target_slack
+        self._predict = predict
         self._weights = weights or ScoreWeights()
         self._choices = choices
         self._lead_share = lead_share
@@ -133,7 +146,9 @@
             lead_share=self._lead_share,
         )
         scheduler = Scheduler(table=table, router=router, clock=clock)
-        return Decisions(scheduler=scheduler, gate=AdmissionGate(scheduler=scheduler, clock=clock))
+        gate_type = AdmissionGate if self._predict else QueueOnly
+        gate = gate_type(scheduler=scheduler, clock=clock, rng=rng, target_slack=self._target_slack)
+        return Decisions(scheduler=scheduler, gate=gate)
 
 
 POLICIES: dict[str, Policy] = {
@@ -143,6 +158,11 @@
         RouterPolicy(name="least-reported", router=LeastReported),
         RouterPolicy(name="random-two", router=RandomTwo),
         ProductPolicy(name="product"),
+        ProductPolicy(name="queue-only", predict=False),
+        ProductPolicy(name="deadline-only", target_slack=None),
+        ProductPolicy(name="slack-2", target_slack=2.0),
+        ProductPolicy(name="slack-0.7", target_slack=0.7),
+        ProductPolicy(name="lead-4", lead_share=4.0),
         ProductPolicy(name="lead-0.25", lead_share=0.25),
         ProductPolicy(name="lead-1", lead_share=1.0),
         ProductPolicy(name="choices-2", choices=2),
--- a/src/cassiawalk/admission/scheduler.py
+++ b/src/cassiawalk/admission/scheduler.py
@@ -1,6 +1,7 @@
 """Gives queued requests a slot on an upstream."""
 
 import asyncio
+import collections
 import dataclasses
 
 from cassiawalk.admission.fairqueue import FairQueue
@@ -10,6 +11,7 @@
 from cassiawalk.ids import PoolName
 from cassiawalk.ids import UpstreamId
 from cassiawalk.requests.record import RequestRecord
+from cassiawalk.results import Execution
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
 from cassiawalk.routing import Router
@@ -19,6 +21,7 @@
 QUEUE_LIMIT = 2000
 QUEUE_FULL_RETRY_S = 2.0
 
+_URGENT = 0
 _PRIORITIES = {KindMode.AT_MOST_ONCE: 0, KindMode.QUICK: 0, KindMode.MUST_ARRIVE: 1}
 
 
@@ -31,6 +34,18 @@
     granted_at: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Expectation:
+    """When a new request would have its first token and its end, in seconds from now.
+
+    ``queued`` says whether any of that is waiting for others.
+    """
+
+    first_s: float
+    end_s: float
+    queued: bool
+
+
 @dataclasses.dataclass(kw_only=True, eq=False)
 class _Waiter:
     """A queued request and the future of its slot."""
@@ -48,6 +63,7 @@
         self._router = router
         self._clock = clock
         self._queues: dict[PoolName, FairQueue[_Waiter]] = {}
+        self._running: collections.Counter[PoolName] = collections.Counter()
         table.add_listener(self.pump_all)
 
     def refusal(self, record: RequestRecord) -> Refusal | None:
@@ -61,6 +77,19 @@
             )
         return None
 
+    def expect(self, record: RequestRecord) -> Expectation | None:
+        """Return when a new request would be served, or None if no upstream takes work."""
+        estimate = self._router.predict(record)
+        if estimate is None:
+            return None
+        queued_s = self._queued_s(record)
+        first_s = queued_s + estimate.first_s
+        return Expectation(
+            first_s=first_s,
+            end_s=first_s + estimate.hold_s,
+            queued=queued_s + estimate.wait_s > 0.0,
+        )
+
     def waiting(self, pool: PoolName) -> int:
         """Return how many requests wait for a pool."""
         return len(self._queues.get(pool, ()))
@@ -79,8 +108,8 @@
             waiter,
             workspace=record.workspace,
             share=record.share,
-            cost=float(record.kind.max_tokens),
-            priority=_PRIORITIES[record.kind.mode],
+            cost=self._router.hold_s(record),
+            priority=_priority(record),
         )
         self._pump(record.pool)
         try:
@@ -91,6 +120,7 @@
                 code=ResultCode.DEADLINE_PASSED_WAITING,
                 detail="no upstream had a free slot before the deadline",
                 retry_after_s=QUEUE_FULL_RETRY_S,
+                execution=_execution(record),
             )
         finally:
             self._withdraw(queue, waiter)
@@ -98,6 +128,7 @@
     def release(self, lease: SlotLease) -> None:
         """Give a slot back and serve the queue."""
         hold_s = self._clock.monotonic() - lease.granted_at
+        self._running[lease.record.pool] -= 1
         self._router.note_ended(lease.upstream, lease.record, hold_s)
         self._pump(lease.record.pool)
 
@@ -106,6 +137,19 @@
         for pool in self._queues:
             self._pump(pool)
 
+    def _queued_s(self, record: RequestRecord) -> float:
+        """Return the expected wait in this host's queue, from the work ahead and its slots."""
+        queue = self._queues.get(record.pool)
+        if not queue:
+            return 0.0
+        ahead_s = queue.ahead(
+            workspace=record.workspace,
+            share=record.share,
+            cost=self._router.hold_s(record),
+            priority=_priority(record),
+        )
+        return ahead_s / max(1, self._running[record.pool])
+
     def _withdraw(self, queue: FairQueue[_Waiter], waiter: _Waiter) -> None:
         queue.remove(waiter)
         cancelled = not waiter.slot.done()
@@ -120,9 +164,25 @@
             upstream = self._router.choose(waiter.record, exclude=waiter.exclude)
             if upstream is None:
                 return
-            queue.remove(waiter)
+            queue.remove(waiter, served=True)
+            self._running[pool] += 1
             self._router.note_sent(upstream, waiter.record)
             lease = SlotLease(
                 upstream=upstream, record=waiter.record, granted_at=self._clock.monotonic()
             )
             waiter.slot.set_result(lease)
+
+
+def _priority(record: RequestRecord) -> int:
+    """Return the lane of a request; one that ran before goes first wherever it goes on."""
+    return _URGENT if record.attempt > 0 else _PRIORITIES[record.kind.mode]
+
+
+def _execution(record: RequestRecord) -> Execution | None:
+    """Return what is known of an earlier attempt, or None if there was none.
+
+    An at-most-once request waits again only if nothing of it was sent.
+    """
+    if record.attempt == 0 or record.kind.mode is KindMode.AT_MOST_ONCE:
+        return None
+    return Execution.UNKNOWN
--- a/src/cassiawalk/node.py
+++ b/src/cassiawalk/node.py
@@ -100,7 +100,7 @@
         self.table = UpstreamTable(membership=self.membership, clock=clock)
         self.router = Router(table=self.table, rng=self._rng)
         self.scheduler = Scheduler(table=self.table, router=self.router, clock=clock)
-        self.gate = AdmissionGate(scheduler=self.scheduler, clock=clock)
+        self.gate = AdmissionGate(scheduler=self.scheduler, clock=clock, rng=self._rng)
         self.connector = HttpConnector()
         self.watcher = UpstreamWatcher(table=self.table, connector=self.connector, clock=clock)
         self.retries = RetryPolicy(clock=clock, rng=self._rng)
--- a/src/cassiawalk/routing/router.py
+++ b/src/cassiawalk/routing/router.py
@@ -13,7 +13,7 @@
 from cassiawalk.routing.upstream import UpstreamView
 
 CHOICES = 4
-LEAD_SHARE = 4.0
+LEAD_SHARE = 1.0
 
 
 class Router:
@@ -67,6 +67,10 @@
         estimates = [self.scorer.estimate(view, record, demand, mean) for view in usable]
         return min(estimates, key=lambda estimate: estimate.first_s)
 
+    def hold_s(self, record: RequestRecord) -> float:
+        """Return how long a request is expected to hold its slot, in seconds."""
+        return self.scorer.holds.of(record)
+
     def note_sent(self, view: UpstreamView, record: RequestRecord) -> None:
         """Note that a request goes to an upstream."""
         view.own_running.add(record.request_id)
--- a/src/cassiawalk/routing/score.py
+++ b/src/cassiawalk/routing/score.py
@@ -61,6 +61,7 @@
 
     wait_s: float
     prefill_s: float
+    hold_s: float
     score: float
 
     @property
@@ -127,7 +128,7 @@
             at_stake = demand.tokens + record.kind.max_tokens
             lost_s = RECLAIMS_PER_S * hold_s * at_stake * PREFILL_TOKEN_S
             score += weights.recompute * lost_s
-        return Estimate(wait_s=wait_s, prefill_s=prefill_s, score=score)
+        return Estimate(wait_s=wait_s, prefill_s=prefill_s, hold_s=hold_s * speed, score=score)
 
     def occupancy(self, view: UpstreamView, mean_others: float) -> float:
         """Return the estimated number of requests that run or wait at an upstream."""
