Correct the expected wait by what requests of that priority really waited

Cause: reports count all that waits in an engine together, but quick requests overtake there. Change: WaitError, an EWMA of real over expected wait for each priority.

--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -12,11 +12,13 @@
 from cassiawalk.ids import UpstreamId
 from cassiawalk.requests import RequestRecord
 from cassiawalk.results import Refusal
+from cassiawalk.routing import Choice
 from cassiawalk.routing import Router
 from cassiawalk.routing import UpstreamTable
 from cassiawalk.routing import UpstreamView
 from cassiawalk.routing.router import CHOICES
 from cassiawalk.routing.router import LEAD_SHARE
+from cassiawalk.routing.score import Estimate
 from cassiawalk.routing.score import ScoreWeights
 
 
@@ -40,6 +42,9 @@
         """Return the components."""
 
 
+NOTHING = Estimate(wait_s=0.0, prefill_s=0.0, hold_s=0.0, score=0.0)
+
+
 class PlainRouter(Router):
     """A baseline: at most as many own requests on an upstream as it has slots."""
 
@@ -50,11 +55,11 @@
 
     def choose(
         self, record: RequestRecord, *, exclude: frozenset[UpstreamId] = frozenset()
-    ) -> UpstreamView | None:
+    ) -> Choice | None:
         usable = [view for view in self.table.in_pool(record.pool) if view.takes_work]
         preferred = [view for view in usable if view.upstream_id not in exclude]
         free = [view for view in preferred or usable if len(view.own_running) < view.slots]
-        return self.pick(free) if free else None
+        return Choice(upstream=self.pick(free), estimate=NOTHING) if free else None
 
     def pick(self, free: list[UpstreamView]) -> UpstreamView:
         raise NotImplementedError
@@ -122,7 +127,9 @@
         lead_share: float = LEAD_SHARE,
         target_slack: float | None = TARGET_SLACK,
         predict: bool = True,
+        corrects: bool = True,
     ) -> None:
+        self._corrects = corrects
         self.name = name
         self._target_slack = target_slack
         self._predict = predict
@@ -145,7 +152,7 @@
             choices=self._choices,
             lead_share=self._lead_share,
         )
-        scheduler = Scheduler(table=table, router=router, clock=clock)
+        scheduler = Scheduler(table=table, router=router, clock=clock, corrects=self._corrects)
         gate_type = AdmissionGate if self._predict else QueueOnly
         gate = gate_type(scheduler=scheduler, clock=clock, rng=rng, target_slack=self._target_slack)
         return Decisions(scheduler=scheduler, gate=gate)
@@ -159,6 +166,8 @@
         RouterPolicy(name="random-two", router=RandomTwo),
         ProductPolicy(name="product"),
         ProductPolicy(name="queue-only", predict=False),
+        ProductPolicy(name="uncorrected", corrects=False),
+        ProductPolicy(name="slack-1", target_slack=1.0),
         ProductPolicy(name="deadline-only", target_slack=None),
         ProductPolicy(name="slack-2", target_slack=2.0),
         ProductPolicy(name="slack-0.7", target_slack=0.7),
--- a/src/cassiawalk/admission/gate.py
+++ b/src/cassiawalk/admission/gate.py
@@ -10,7 +10,7 @@
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
 
-TARGET_SLACK = 1.0
+TARGET_SLACK = 1.5
 RETRY_FLOOR_S = 0.5
 RETRY_SPREAD = 0.5
 NO_UPSTREAM_RETRY_S = 2.0
--- a/src/cassiawalk/admission/scheduler.py
+++ b/src/cassiawalk/admission/scheduler.py
@@ -17,6 +17,7 @@
 from cassiawalk.routing import Router
 from cassiawalk.routing import UpstreamTable
 from cassiawalk.routing import UpstreamView
+from cassiawalk.routing.score import Estimate
 
 QUEUE_LIMIT = 2000
 QUEUE_FULL_RETRY_S = 2.0
@@ -32,6 +33,7 @@
     upstream: UpstreamView
     record: RequestRecord
     granted_at: float
+    expected: Estimate
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -58,9 +60,12 @@
 class Scheduler(Component):
     """One fair queue for each pool, served whenever a slot may have become free."""
 
-    def __init__(self, *, table: UpstreamTable, router: Router, clock: Clock) -> None:
+    def __init__(
+        self, *, table: UpstreamTable, router: Router, clock: Clock, corrects: bool = True
+    ) -> None:
         self._table = table
         self._router = router
+        self._corrects = corrects
         self._clock = clock
         self._queues: dict[PoolName, FairQueue[_Waiter]] = {}
         self._running: collections.Counter[PoolName] = collections.Counter()
@@ -83,7 +88,8 @@
         if estimate is None:
             return None
         queued_s = self._queued_s(record)
-        first_s = queued_s + estimate.first_s
+        factor = self._router.wait_factor(record) if self._corrects else 1.0
+        first_s = queued_s + estimate.wait_s * factor + estimate.prefill_s
         return Expectation(
             first_s=first_s,
             end_s=first_s + estimate.hold_s,
@@ -128,6 +134,9 @@
     def release(self, lease: SlotLease) -> None:
         """Give a slot back and serve the queue."""
         hold_s = self._clock.monotonic() - lease.granted_at
+        first_at = lease.record.first_text_at
+        if first_at is not None and first_at >= lease.granted_at:
+            self._router.note_first(lease.record, lease.expected, first_at - lease.granted_at)
         self._running[lease.record.pool] -= 1
         self._router.note_ended(lease.upstream, lease.record, hold_s)
         self._pump(lease.record.pool)
@@ -161,14 +170,17 @@
         if queue is None:
             return
         while (waiter := queue.peek()) is not None:
-            upstream = self._router.choose(waiter.record, exclude=waiter.exclude)
-            if upstream is None:
+            choice = self._router.choose(waiter.record, exclude=waiter.exclude)
+            if choice is None:
                 return
             queue.remove(waiter, served=True)
             self._running[pool] += 1
-            self._router.note_sent(upstream, waiter.record)
+            self._router.note_sent(choice, waiter.record)
             lease = SlotLease(
-                upstream=upstream, record=waiter.record, granted_at=self._clock.monotonic()
+                upstream=choice.upstream,
+                record=waiter.record,
+                granted_at=self._clock.monotonic(),
+                expected=choice.estimate,
             )
             waiter.slot.set_result(lease)
 
--- a/src/cassiawalk/routing/router.py
+++ b/src/cassiawalk/routing/router.py
@@ -1,14 +1,17 @@
 """Chooses the upstream for a request."""
 
+import dataclasses
 import random
 import weakref
 
 from cassiawalk.ids import UpstreamId
 from cassiawalk.requests.record import RequestRecord
+from cassiawalk.routing.score import TOKEN_INTERVAL_S
 from cassiawalk.routing.score import Demand
 from cassiawalk.routing.score import Estimate
 from cassiawalk.routing.score import Scorer
 from cassiawalk.routing.score import ScoreWeights
+from cassiawalk.routing.score import engine_priority
 from cassiawalk.routing.table import UpstreamTable
 from cassiawalk.routing.upstream import UpstreamView
 
@@ -16,6 +19,14 @@
 LEAD_SHARE = 1.0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Choice:
+    """The chosen upstream and what is to be expected of it."""
+
+    upstream: UpstreamView
+    estimate: Estimate
+
+
 class Router:
     """Takes the best score among a few random candidates and the best cached one.
 
@@ -44,18 +55,22 @@
 
     def choose(
         self, record: RequestRecord, *, exclude: frozenset[UpstreamId] = frozenset()
-    ) -> UpstreamView | None:
+    ) -> Choice | None:
         """Return an upstream with room, or None if the request has to wait."""
         usable = self._usable(record, exclude)
         mean = _mean_others(usable)
-        free = [view for view in usable if self._has_room(view, mean)]
+        free = [
+            view
+            for view in usable
+            if self.scorer.occupancy(view, mean) < (1.0 + self._lead_share) * view.slots
+        ]
         if not free:
             return None
         demand = self._demand(record)
         candidates = self._candidates(free, demand)
-        return min(
-            candidates, key=lambda view: self.scorer.estimate(view, record, demand, mean).score
-        )
+        estimates = [self.scorer.estimate(view, record, demand, mean) for view in candidates]
+        best = min(range(len(candidates)), key=lambda index: estimates[index].score)
+        return Choice(upstream=candidates[best], estimate=estimates[best])
 
     def predict(self, record: RequestRecord) -> Estimate | None:
         """Return the best estimate over the pool, or None if no upstream takes work."""
@@ -71,12 +86,22 @@
         """Return how long a request is expected to hold its slot, in seconds."""
         return self.scorer.holds.of(record)
 
-    def note_sent(self, view: UpstreamView, record: RequestRecord) -> None:
+    def note_sent(self, choice: Choice, record: RequestRecord) -> None:
         """Note that a request goes to an upstream."""
+        view = choice.upstream
         view.own_running.add(record.request_id)
         view.load.note_own(len(view.own_running))
         view.cache.note_sent(self._demand(record).blocks)
 
+    def note_first(self, record: RequestRecord, expected: Estimate, first_s: float) -> None:
+        """Compare an estimate with the time that the first token really took."""
+        waited_s = first_s - expected.prefill_s - TOKEN_INTERVAL_S
+        self.scorer.waits.note(engine_priority(record), expected.wait_s, waited_s)
+
+    def wait_factor(self, record: RequestRecord) -> float:
+        """Return by what the expected wait in an upstream is to be multiplied."""
+        return self.scorer.waits.factor(engine_priority(record))
+
     def note_ended(self, view: UpstreamView, record: RequestRecord, hold_s: float) -> None:
         """Note that an attempt ended after it held its slot for ``hold_s`` seconds."""
         view.own_running.discard(record.request_id)
@@ -87,10 +112,6 @@
         usable = [view for view in self._table.in_pool(record.pool) if view.takes_work]
         return [view for view in usable if view.upstream_id not in exclude] or usable
 
-    def _has_room(self, view: UpstreamView, mean_others: float) -> bool:
-        lead = max(1.0, self._lead_share * view.slots)
-        return self.scorer.occupancy(view, mean_others) < view.slots + lead
-
     def _candidates(self, free: list[UpstreamView], demand: Demand) -> list[UpstreamView]:
         sample = self._rng.sample(free, min(self._choices, len(free)))
         if not demand.blocks or len(sample) == len(free):
--- a/src/cassiawalk/routing/score.py
+++ b/src/cassiawalk/routing/score.py
@@ -12,6 +12,8 @@
 TOKEN_INTERVAL_S = 0.03
 PLAIN_ANSWER_S = 0.1
 LEARNING_RATE = 0.05
+LEAST_WAIT_S = 0.05
+MAX_WAIT_FACTOR = 10.0
 SECONDS_PER_PRICE = 0.02
 RECLAIMS_PER_S = 1 / 600
 
@@ -99,12 +101,37 @@
         return self.of(record) if self._mean is None else self._mean
 
 
+class WaitError:
+    """Learns how long requests really waited in upstreams against what was expected.
+
+    Upstreams serve by priority, and reports count all that waits there together, so the factor
+    differs between priorities.
+    """
+
+    def __init__(self) -> None:
+        self._expected: dict[int, float] = {}
+        self._actual: dict[int, float] = {}
+
+    def note(self, priority: int, expected_s: float, actual_s: float) -> None:
+        """Note one request's expected and real wait."""
+        for means, value in ((self._expected, expected_s), (self._actual, actual_s)):
+            before = means.get(priority, 0.0)
+            means[priority] = before + LEARNING_RATE * (max(0.0, value) - before)
+
+    def factor(self, priority: int) -> float:
+        """Return by what an expected wait is to be multiplied."""
+        expected_s = self._expected.get(priority, 0.0) + LEAST_WAIT_S
+        actual_s = self._actual.get(priority, 0.0) + LEAST_WAIT_S
+        return min(max(actual_s / expected_s, 1 / MAX_WAIT_FACTOR), MAX_WAIT_FACTOR)
+
+
 class Scorer:
     """Estimates and scores upstreams for requests of one pool."""
 
     def __init__(self, *, weights: ScoreWeights | None = None) -> None:
         self.weights = weights or ScoreWeights()
         self.holds = HoldTimes()
+        self.waits = WaitError()
 
     def estimate(
         self, view: UpstreamView, record: RequestRecord, demand: Demand, mean_others: float
@@ -128,7 +155,12 @@
             at_stake = demand.tokens + record.kind.max_tokens
             lost_s = RECLAIMS_PER_S * hold_s * at_stake * PREFILL_TOKEN_S
             score += weights.recompute * lost_s
-        return Estimate(wait_s=wait_s, prefill_s=prefill_s, hold_s=hold_s * speed, score=score)
+        return Estimate(
+            wait_s=wait_s,
+            prefill_s=prefill_s,
+            hold_s=hold_s * speed,
+            score=score,
+        )
 
     def occupancy(self, view: UpstreamView, mean_others: float) -> float:
         """Return the estimated number of requests that run or wait at an upstream."""
