Let accepted must_arrive requests wait for the retry budget

Change: a trickle of half a retry a second in the budget, and must_arrive waits for the budget up to its deadline (dispatch/stream.py and call.py: one argument each); quick work is given up at once. Recomputed tokens are now counted only for requests that an engine computed before.

--- a/benchmarks/bed.py
+++ b/benchmarks/bed.py
@@ -163,7 +163,12 @@
         """Start an engine with empty caches; an on-demand one costs more."""
         name = f"engine-{self._number}"
         self._number += 1
-        self.connector.engines[name] = FakeEngine(host=name, spec=self.spec, clock=self.clock)
+        self.connector.engines[name] = FakeEngine(
+            host=name,
+            spec=self.spec,
+            clock=self.clock,
+            computed_before=self.connector.computed_before,
+        )
         self.hosts.entries[name] = HostEntry(
             host=HostId(name),
             role=HostRole.ENGINE,
--- a/benchmarks/fakes.py
+++ b/benchmarks/fakes.py
@@ -64,7 +64,9 @@
 class FakeEngine(Engine):
     """Slots with a priority queue, one prefill at a time, a prefix cache and lagging notices."""
 
-    def __init__(self, *, host: str, spec: EngineSpec, clock: Clock) -> None:
+    def __init__(
+        self, *, host: str, spec: EngineSpec, clock: Clock, computed_before: set[RequestId]
+    ) -> None:
         self.host = host
         self.spec = spec
         self.usage = Usage()
@@ -73,6 +75,7 @@
         self.refusing = False
         self.dead = asyncio.Event()
         self._clock = clock
+        self._computed_before = computed_before
         self._cache = PrefixCache(limit_blocks=spec.cache_blocks)
         self._running = 0
         self._waiting: list[tuple[int, int, asyncio.Future[None]]] = []
@@ -180,8 +183,9 @@
         self._note_cache(CacheRemoved, removed)
         self.usage.computed += computed
         self.usage.cached += cached
-        if req.attempt > 1:
+        if req.request_id in self._computed_before:
             self.usage.resumed += computed
+        self._computed_before.add(req.request_id)
         return computed, cached
 
     def _note_cache(self, kind: type[CacheStored] | type[CacheRemoved], blocks: list[str]) -> None:
@@ -239,6 +243,7 @@
     def __init__(self) -> None:
         self.engines: dict[str, FakeEngine] = {}
         self.plains: dict[str, FakePlain] = {}
+        self.computed_before: set[RequestId] = set()
 
     def engine(self, upstream: UpstreamView) -> Engine:
         """Return the fake engine."""
--- a/src/cassiawalk/dispatch/call.py
+++ b/src/cassiawalk/dispatch/call.py
@@ -3,6 +3,7 @@
 from cassiawalk.admission import Scheduler
 from cassiawalk.admission import SlotLease
 from cassiawalk.clock import Clock
+from cassiawalk.control.state import KindMode
 from cassiawalk.dispatch.connector import Connector
 from cassiawalk.dispatch.retry import RetryPolicy
 from cassiawalk.dispatch.runner import Runner
@@ -79,7 +80,10 @@
             tried = tried | {lease.upstream.upstream_id}
             record.retries += 1
             record.state = RequestState.WAITING
-            if not await self._retries.permit(record.service, record.retries, record.deadline_s):
+            must_arrive = record.kind.mode is KindMode.MUST_ARRIVE
+            if not await self._retries.permit(
+                record.service, record.retries, record.deadline_s, waits=must_arrive
+            ):
                 return _exhausted(outcome)
             self._metrics.note_retry(record)
 
--- a/src/cassiawalk/dispatch/retry.py
+++ b/src/cassiawalk/dispatch/retry.py
@@ -9,19 +9,36 @@
 RETRY_RESERVE = 10.0
 BACKOFF_BASE_S = 0.05
 BACKOFF_LIMIT_S = 2.0
+BACKOFF_DOUBLINGS = 10
+TRICKLE_PER_S = 0.5
+BUDGET_WAIT_S = 1.0
 
 
 class RetryBudget:
     """A token bucket that successes fill and retries empty.
 
+    A slow trickle lets a few attempts through while nothing succeeds, so that the end of an outage
+    is noticed; it is too little to hold an outage up.
+
     :param share: retries allowed for each success.
     :param reserve: retries allowed before any success, and the bucket's size.
+    :param trickle_per_s: retries allowed each second whatever succeeds.
     """
 
-    def __init__(self, *, share: float = RETRY_SHARE, reserve: float = RETRY_RESERVE) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        share: float = RETRY_SHARE,
+        reserve: float = RETRY_RESERVE,
+        trickle_per_s: float = TRICKLE_PER_S,
+    ) -> None:
+        self._clock = clock
         self._share = share
         self._reserve = reserve
+        self._trickle_per_s = trickle_per_s
         self._tokens = reserve
+        self._filled_at = clock.monotonic()
 
     def note_success(self) -> None:
         """Add the share of one success."""
@@ -29,6 +46,10 @@
 
     def take(self) -> bool:
         """Use one retry; return False if none is left."""
+        now = self._clock.monotonic()
+        trickle = self._trickle_per_s * (now - self._filled_at)
+        self._tokens = min(self._reserve, self._tokens + trickle)
+        self._filled_at = now
         if self._tokens < 1.0:
             return False
         self._tokens -= 1.0
@@ -45,22 +66,35 @@
 
     def budget(self, service: ServiceName) -> RetryBudget:
         """Return the budget of a service."""
-        return self._budgets.setdefault(service, RetryBudget())
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(clock=self._clock)
+            self._budgets[service] = budget
+        return budget
 
     def delay_s(self, retries: int) -> float:
         """Return the wait before the next attempt, in seconds.
 
         :param retries: how many retries the request has had.
         """
-        ceiling = min(BACKOFF_LIMIT_S, BACKOFF_BASE_S * 2.0**retries)
+        ceiling = min(BACKOFF_LIMIT_S, BACKOFF_BASE_S * 2.0 ** min(retries, BACKOFF_DOUBLINGS))
         return self._rng.uniform(0.0, ceiling)
 
-    async def permit(self, service: ServiceName, retries: int, deadline_s: float) -> bool:
-        """Wait out the backoff; return False if the budget or the deadline forbids a retry."""
-        delay_s = self.delay_s(retries)
-        if self._clock.wall() + delay_s >= deadline_s:
-            return False
-        if not self.budget(service).take():
-            return False
-        await self._clock.sleep(delay_s)
-        return True
+    async def permit(
+        self, service: ServiceName, retries: int, deadline_s: float, *, waits: bool = False
+    ) -> bool:
+        """Wait out the backoff; return False if the budget or the deadline forbids a retry.
+
+        :param waits: whether to wait for the budget up to the deadline, for a request that must
+            arrive; others are given up at once.
+        """
+        while True:
+            delay_s = self.delay_s(retries)
+            if self._clock.wall() + delay_s >= deadline_s:
+                return False
+            if self.budget(service).take():
+                await self._clock.sleep(delay_s)
+                return True
+            if not waits or self._clock.wall() + BUDGET_WAIT_S >= deadline_s:
+                return False
+            await self._clock.sleep(self._rng.uniform(0.0, 2.0 * BUDGET_WAIT_S))
--- a/src/cassiawalk/dispatch/stream.py
+++ b/src/cassiawalk/dispatch/stream.py
@@ -5,6 +5,7 @@
 from cassiawalk.admission import Scheduler
 from cassiawalk.admission import SlotLease
 from cassiawalk.clock import Clock
+from cassiawalk.control.state import KindMode
 from cassiawalk.dispatch.connector import Connector
 from cassiawalk.dispatch.retry import RetryPolicy
 from cassiawalk.dispatch.runner import Runner
@@ -112,7 +113,10 @@
         if ending.reason is not InterruptReason.REFUSED:
             lease.upstream.fire("note_failure")
         record.retries += 1
-        if await self._retries.permit(record.service, record.retries, record.deadline_s):
+        must_arrive = record.kind.mode is KindMode.MUST_ARRIVE
+        if await self._retries.permit(
+            record.service, record.retries, record.deadline_s, waits=must_arrive
+        ):
             self._metrics.note_retry(record)
             return None
         detail = f"{record.retries} attempts failed, the last: {ending.reason.value}"
