--- a/src/cassiawalk/admission/gate.py
+++ b/src/cassiawalk/admission/gate.py
@@ -2,6 +2,7 @@
 
 import random
 
+from cassiawalk.admission.limits import LimitKeeper
 from cassiawalk.admission.scheduler import Expectation
 from cassiawalk.admission.scheduler import Scheduler
 from cassiawalk.clock import Clock
@@ -30,11 +31,13 @@
         clock: Clock,
         rng: random.Random | None = None,
         target_slack: float | None = TARGET_SLACK,
+        limits: LimitKeeper | None = None,
     ) -> None:
         self._scheduler = scheduler
         self._clock = clock
         self._rng = rng or random.Random()
         self._target_slack = target_slack
+        self._limits = limits
 
     def check(self, record: RequestRecord) -> Refusal | None:
         """Return why the request is refused, or None to accept it."""
@@ -44,6 +47,12 @@
         refusal = self._scheduler.refusal(record)
         if refusal is not None:
             return refusal
+        refusal = self._too_late(record, left_s)
+        if refusal is not None or self._limits is None:
+            return refusal
+        return self._limits.check(record)
+
+    def _too_late(self, record: RequestRecord, left_s: float) -> Refusal | None:
         expected = self._scheduler.expect(record)
         if expected is None:
             return self._without_upstream(record)
--- /dev/null
+++ b/src/cassiawalk/admission/limitowner.py
@@ -0,0 +1,113 @@
+"""Hands out leases on the limits of the workspaces that this host owns."""
+
+import collections.abc as cabc
+import dataclasses
+
+from cassiawalk.admission.shares import floor_count
+from cassiawalk.admission.shares import floor_rate
+from cassiawalk.admission.shares import share_out
+from cassiawalk.admission.shares import whole_parts
+from cassiawalk.clock import Clock
+from cassiawalk.control.state import Limit
+from cassiawalk.ids import HostId
+from cassiawalk.ids import WorkspaceName
+from cassiawalk.peer import LimitShare
+from cassiawalk.peer import WorkspaceDemand
+
+DECAY_S = 5.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Grant:
+    """A host's last demand and lease; ``until`` is in monotonic seconds."""
+
+    demand: WorkspaceDemand
+    rate: float = 0.0
+    concurrent: int = 0
+    until: float = 0.0
+
+
+class LimitOwner:
+    """Keeps each workspace's leases and never leases out more than its limit.
+
+    A host without a lease is taken to use its floor, and one whose lease ran out the larger of the
+    two until its share has decayed; that is what such hosts do. A new owner knows no
+    leases of its predecessor, so the total can exceed the limit for one lease and decay at most.
+    """
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._grants: dict[WorkspaceName, dict[HostId, _Grant]] = {}
+
+    def grant(
+        self,
+        host: HostId,
+        demand: WorkspaceDemand,
+        limit: Limit,
+        *,
+        hosts: cabc.Sequence[HostId],
+        lease_s: float,
+    ) -> LimitShare:
+        """Return a host's new lease.
+
+        :param hosts: all live hosts in the order of the workspace's rendezvous.
+        """
+        now = self._clock.monotonic()
+        grants = self._grants.setdefault(demand.workspace, {})
+        for gone in [name for name in grants if name not in hosts]:
+            if grants[gone].until + DECAY_S < now:
+                del grants[gone]
+        own = grants.setdefault(host, _Grant(demand=demand))
+        own.demand = demand
+        own.rate = self._rate(host, limit, grants, hosts, now)
+        own.concurrent = self._concurrent(host, limit, grants, hosts, now)
+        own.until = now + lease_s
+        return LimitShare(
+            workspace=demand.workspace, rate=own.rate, concurrent=own.concurrent, lease_s=lease_s
+        )
+
+    def _rate(
+        self,
+        host: HostId,
+        limit: Limit,
+        grants: dict[HostId, _Grant],
+        hosts: cabc.Sequence[HostId],
+        now: float,
+    ) -> float:
+        demands = {name: grants[name].demand.rate if name in grants else 0.0 for name in hosts}
+        wanted = share_out(limit.requests_per_s, demands).get(host, 0.0)
+        floor = floor_rate(limit.requests_per_s, len(hosts))
+        used = 0.0
+        for name in {*hosts, *grants} - {host}:
+            used += _in_use(grants.get(name), lambda grant: grant.rate, floor, now)
+        return max(0.0, min(wanted, limit.requests_per_s - used))
+
+    def _concurrent(
+        self,
+        host: HostId,
+        limit: Limit,
+        grants: dict[HostId, _Grant],
+        hosts: cabc.Sequence[HostId],
+        now: float,
+    ) -> int:
+        demands = {
+            name: float(grants[name].demand.concurrent) if name in grants else 0.0 for name in hosts
+        }
+        wanted = whole_parts(limit.concurrent, share_out(limit.concurrent, demands)).get(host, 0)
+        used = 0
+        for name in {*hosts, *grants} - {host}:
+            position = hosts.index(name) if name in hosts else len(hosts)
+            floor = floor_count(limit.concurrent, position, len(hosts))
+            used += round(
+                _in_use(grants.get(name), lambda grant: float(grant.concurrent), floor, now)
+            )
+        return max(0, min(wanted, limit.concurrent - used))
+
+
+def _in_use(
+    grant: _Grant | None, part: cabc.Callable[[_Grant], float], floor: float, now: float
+) -> float:
+    """Return how much of a limit another host may be using."""
+    if grant is None or grant.until + DECAY_S < now:
+        return floor
+    return part(grant) if now <= grant.until else max(part(grant), floor)
--- a/src/cassiawalk/node.py
+++ b/src/cassiawalk/node.py
@@ -6,6 +6,7 @@
 from cassiawalk.admin.operators import Operators
 from cassiawalk.admin.queries import Queries
 from cassiawalk.admission import AdmissionGate
+from cassiawalk.admission import LimitKeeper
 from cassiawalk.admission import Scheduler
 from cassiawalk.app import Application
 from cassiawalk.app import Component
@@ -38,6 +39,7 @@
 from cassiawalk.peer import OnceCall
 from cassiawalk.peer import PeerLinks
 from cassiawalk.peer import PeerServer
+from cassiawalk.peer import ShareCall
 from cassiawalk.platform.hosts_http import HttpCloudApi
 from cassiawalk.platform.hosts_http import HttpHostList
 from cassiawalk.platform.log_http import HttpLogService
@@ -100,7 +102,16 @@
         self.table = UpstreamTable(membership=self.membership, clock=clock)
         self.router = Router(table=self.table, rng=self._rng)
         self.scheduler = Scheduler(table=self.table, router=self.router, clock=clock)
-        self.gate = AdmissionGate(scheduler=self.scheduler, clock=clock, rng=self._rng)
+        self.limits = LimitKeeper(
+            host=self._cfg.host_id,
+            limits=lambda: self.control.state.limits,
+            membership=self.membership,
+            links=self.links,
+            clock=clock,
+        )
+        self.gate = AdmissionGate(
+            scheduler=self.scheduler, clock=clock, rng=self._rng, limits=self.limits
+        )
         self.connector = HttpConnector()
         self.watcher = UpstreamWatcher(table=self.table, connector=self.connector, clock=clock)
         self.retries = RetryPolicy(clock=clock, rng=self._rng)
@@ -178,6 +189,7 @@
         async def node_status(_: NodeStatusCall) -> NodeStatusReply:
             return queries.node_status(draining=self.dispatcher.draining)
 
+        self.peer_server.handle(ShareCall, self.limits.serve)
         self.peer_server.handle(OnceCall, self.claims.handle_call)
         self.peer_server.handle(NodeStatusCall, node_status)
         self.peer_server.handle_stream(AttachCall, attachments.serve)
@@ -194,6 +206,7 @@
             self.watcher,
             self.recorder,
             self.scheduler,
+            self.limits,
             self.dispatcher,
             self.admin_server,
             self.caller_server,
--- a/src/cassiawalk/peer/__init__.py
+++ b/src/cassiawalk/peer/__init__.py
@@ -3,6 +3,7 @@
 from cassiawalk.peer.links import PeerFailure as PeerFailure
 from cassiawalk.peer.links import PeerLinks as PeerLinks
 from cassiawalk.peer.messages import AttachCall as AttachCall
+from cassiawalk.peer.messages import LimitShare as LimitShare
 from cassiawalk.peer.messages import LocateCall as LocateCall
 from cassiawalk.peer.messages import LocateReply as LocateReply
 from cassiawalk.peer.messages import NodeStatusCall as NodeStatusCall
@@ -10,6 +11,9 @@
 from cassiawalk.peer.messages import OnceCall as OnceCall
 from cassiawalk.peer.messages import OnceReply as OnceReply
 from cassiawalk.peer.messages import PeerFault as PeerFault
+from cassiawalk.peer.messages import ShareCall as ShareCall
+from cassiawalk.peer.messages import ShareReply as ShareReply
 from cassiawalk.peer.messages import StreamPart as StreamPart
+from cassiawalk.peer.messages import WorkspaceDemand as WorkspaceDemand
 from cassiawalk.peer.messages import messages as messages
 from cassiawalk.peer.server import PeerServer as PeerServer
--- a/src/cassiawalk/peer/messages.py
+++ b/src/cassiawalk/peer/messages.py
@@ -87,3 +87,39 @@
     draining: bool
     running: int
     waiting: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class WorkspaceDemand:
+    """A host's recent demand of one workspace: requests a second, and requests at once."""
+
+    workspace: WorkspaceName
+    rate: float
+    concurrent: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LimitShare:
+    """A host's lease of a part of a workspace's limit, for ``lease_s`` seconds."""
+
+    workspace: WorkspaceName
+    rate: float
+    concurrent: int
+    lease_s: float
+
+
+@messages.register("share")
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ShareCall:
+    """Tells a host's demands to the owner of the workspaces' limits and asks for its shares."""
+
+    host: HostId
+    demands: tuple[WorkspaceDemand, ...]
+
+
+@messages.register("share-reply")
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ShareReply:
+    """The shares of the host that asked."""
+
+    shares: tuple[LimitShare, ...]
--- /dev/null
+++ b/tests/decisions.py
@@ -0,0 +1,58 @@
+"""Values for tests of admission and routing."""
+
+import itertools
+
+from cassiawalk.clock import Clock
+from cassiawalk.control.state import Kind
+from cassiawalk.control.state import KindMode
+from cassiawalk.ids import KindName
+from cassiawalk.ids import PoolName
+from cassiawalk.ids import RequestId
+from cassiawalk.ids import ServiceName
+from cassiawalk.ids import WorkspaceName
+from cassiawalk.requests import RequestRecord
+
+FAMILY = WorkspaceName("family")
+_numbers = itertools.count()
+
+
+class FakeClock(Clock):
+    """A clock that stands still until it is set."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall(self) -> float:
+        return self.now
+
+    async def sleep(self, delay_s: float) -> None:
+        self.now += max(0.0, delay_s)
+
+
+def make_record(
+    *,
+    workspace: WorkspaceName = FAMILY,
+    mode: KindMode = KindMode.QUICK,
+    target_ms: int = 1000,
+    max_tokens: int = 32,
+    deadline_s: float = 1030.0,
+    prompt: str = "p",
+    share: float = 1.0,
+) -> RequestRecord:
+    """Return a request's record; the deadline is in the fake clock's seconds."""
+    return RequestRecord(
+        request_id=RequestId(f"r{next(_numbers)}"),
+        workspace=workspace,
+        service=ServiceName("enquiries"),
+        kind_name=KindName(mode.value),
+        kind=Kind(mode=mode, target_ms=target_ms, max_tokens=max_tokens),
+        pool=PoolName("models"),
+        body=b"{}",
+        prompt=prompt,
+        deadline_s=deadline_s,
+        accepted_at=1000.0,
+        share=share,
+    )
