--- /dev/null
+++ b/tests/test_retry.py
@@ -0,0 +1,85 @@
+import random
+
+import pytest
+
+from cassiawalk.dispatch import RetryBudget
+from cassiawalk.dispatch import RetryPolicy
+from cassiawalk.dispatch.retry import BACKOFF_LIMIT_S
+from cassiawalk.dispatch.retry import RETRY_RESERVE
+from cassiawalk.dispatch.retry import RETRY_SHARE
+from cassiawalk.dispatch.retry import TRICKLE_PER_S
+from cassiawalk.ids import ServiceName
+from tests.decisions import FakeClock
+
+SERVICE = ServiceName("enquiries")
+
+
+def _policy(clock: FakeClock) -> RetryPolicy:
+    return RetryPolicy(clock=clock, rng=random.Random(1))
+
+
+def test_retries_are_a_share_of_successes() -> None:
+    clock = FakeClock()
+    budget = RetryBudget(clock=clock)
+    while budget.take():
+        pass
+    for _ in range(20):
+        budget.note_success()
+    taken = sum(budget.take() for _ in range(20))
+    assert taken == round(20 * RETRY_SHARE)
+
+
+def test_trickle_lets_few_attempts_through_an_outage() -> None:
+    clock = FakeClock()
+    budget = RetryBudget(clock=clock)
+    taken = 0
+    for _ in range(600):
+        clock.now += 0.1
+        taken += sum(budget.take() for _ in range(10))
+    assert taken <= RETRY_RESERVE + 60 * TRICKLE_PER_S + 1
+    assert taken > RETRY_RESERVE
+
+
+def test_bucket_does_not_fill_beyond_its_size() -> None:
+    clock = FakeClock()
+    budget = RetryBudget(clock=clock)
+    clock.now += 10_000.0
+    for _ in range(1000):
+        budget.note_success()
+    assert sum(budget.take() for _ in range(100)) == RETRY_RESERVE
+
+
+@pytest.mark.parametrize("retries", [0, 1, 5, 10, 5000])
+def test_backoff_is_bounded(retries: int) -> None:
+    policy = _policy(FakeClock())
+    assert all(0.0 <= policy.delay_s(retries) <= BACKOFF_LIMIT_S for _ in range(50))
+
+
+async def test_quick_work_is_given_up_at_once_without_budget() -> None:
+    clock = FakeClock()
+    policy = _policy(clock)
+    while policy.budget(SERVICE).take():
+        pass
+    began = clock.now
+    assert not await policy.permit(SERVICE, 1, clock.now + 60.0)
+    assert clock.now == began
+
+
+async def test_work_that_must_arrive_waits_for_the_budget() -> None:
+    clock = FakeClock()
+    policy = _policy(clock)
+    while policy.budget(SERVICE).take():
+        pass
+    assert await policy.permit(SERVICE, 1, clock.now + 60.0, waits=True)
+
+
+@pytest.mark.parametrize("waits", [False, True])
+async def test_no_retry_passes_the_deadline(waits: bool) -> None:
+    clock = FakeClock()
+    policy = _policy(clock)
+    deadline_s = clock.now + 3.0
+    while policy.budget(SERVICE).take():
+        pass
+    while await policy.permit(SERVICE, 9, deadline_s, waits=waits):
+        assert clock.now < deadline_s
+    assert clock.now < deadline_s
