Give back a slot that was granted to a cancelled request

Cause: a slot granted in the same step as the waiting request's timeout or cancellation was never released; and failed attempts taught the host that requests take no time. The queue wait goes into the metrics.

--- a/src/cassiawalk/admission/scheduler.py
+++ b/src/cassiawalk/admission/scheduler.py
@@ -10,6 +10,7 @@
 from cassiawalk.control.state import KindMode
 from cassiawalk.ids import PoolName
 from cassiawalk.ids import UpstreamId
+from cassiawalk.metrics import Metrics
 from cassiawalk.requests.record import RequestRecord
 from cassiawalk.results import Execution
 from cassiawalk.results import Refusal
@@ -58,13 +59,23 @@
 
 
 class Scheduler(Component):
-    """One fair queue for each pool, served whenever a slot may have become free."""
+    """One fair queue for each pool, served whenever a slot may have become free.
+
+    :param corrects: whether expected waits are corrected by what requests really waited.
+    """
 
     def __init__(
-        self, *, table: UpstreamTable, router: Router, clock: Clock, corrects: bool = True
+        self,
+        *,
+        table: UpstreamTable,
+        router: Router,
+        clock: Clock,
+        metrics: Metrics | None = None,
+        corrects: bool = True,
     ) -> None:
         self._table = table
         self._router = router
+        self._metrics = metrics
         self._corrects = corrects
         self._clock = clock
         self._queues: dict[PoolName, FairQueue[_Waiter]] = {}
@@ -117,10 +128,12 @@
             cost=self._router.hold_s(record),
             priority=_priority(record),
         )
+        queued_at = self._clock.monotonic()
+        lease: SlotLease | None = None
         self._pump(record.pool)
         try:
             async with asyncio.timeout(max(0.0, record.deadline_s - self._clock.wall())):
-                return await slot
+                lease = await slot
         except TimeoutError:
             return Refusal(
                 code=ResultCode.DEADLINE_PASSED_WAITING,
@@ -129,16 +142,18 @@
                 execution=_execution(record),
             )
         finally:
-            self._withdraw(queue, waiter)
+            queue.remove(waiter)
+            if lease is None:
+                self._give_up(slot)
+        if self._metrics is not None:
+            self._metrics.note_queue_wait(record, self._clock.monotonic() - queued_at)
+        return lease
 
     def release(self, lease: SlotLease) -> None:
         """Give a slot back and serve the queue."""
-        hold_s = self._clock.monotonic() - lease.granted_at
-        first_at = lease.record.first_text_at
-        if first_at is not None and first_at >= lease.granted_at:
-            self._router.note_first(lease.record, lease.expected, first_at - lease.granted_at)
+        self._learn(lease)
         self._running[lease.record.pool] -= 1
-        self._router.note_ended(lease.upstream, lease.record, hold_s)
+        self._router.note_ended(lease.upstream, lease.record)
         self._pump(lease.record.pool)
 
     def pump_all(self) -> None:
@@ -159,11 +174,21 @@
         )
         return ahead_s / max(1, self._running[record.pool])
 
-    def _withdraw(self, queue: FairQueue[_Waiter], waiter: _Waiter) -> None:
-        queue.remove(waiter)
-        cancelled = not waiter.slot.done()
-        if cancelled:
-            waiter.slot.cancel()
+    def _learn(self, lease: SlotLease) -> None:
+        """Learn times from an attempt that served; a quick failure tells nothing about them."""
+        first_at = lease.record.first_text_at
+        served = first_at is not None and first_at >= lease.granted_at
+        if first_at is not None and served:
+            self._router.note_first(lease.record, lease.expected, first_at - lease.granted_at)
+        if served or not lease.record.prompt:
+            self._router.note_hold(lease.record, self._clock.monotonic() - lease.granted_at)
+
+    def _give_up(self, slot: asyncio.Future[SlotLease]) -> None:
+        """Cancel a slot that is not taken, and give back one that was granted meanwhile."""
+        if slot.done() and not slot.cancelled():
+            self.release(slot.result())
+        else:
+            slot.cancel()
 
     def _pump(self, pool: PoolName) -> None:
         queue = self._queues.get(pool)
--- a/src/cassiawalk/node.py
+++ b/src/cassiawalk/node.py
@@ -101,7 +101,9 @@
         self.store = RequestStore(clock=clock)
         self.table = UpstreamTable(membership=self.membership, clock=clock)
         self.router = Router(table=self.table, rng=self._rng)
-        self.scheduler = Scheduler(table=self.table, router=self.router, clock=clock)
+        self.scheduler = Scheduler(
+            table=self.table, router=self.router, clock=clock, metrics=self.metrics
+        )
         self.limits = LimitKeeper(
             host=self._cfg.host_id,
             limits=lambda: self.control.state.limits,
--- a/src/cassiawalk/routing/router.py
+++ b/src/cassiawalk/routing/router.py
@@ -102,10 +102,13 @@
         """Return by what the expected wait in an upstream is to be multiplied."""
         return self.scorer.waits.factor(engine_priority(record))
 
-    def note_ended(self, view: UpstreamView, record: RequestRecord, hold_s: float) -> None:
-        """Note that an attempt ended after it held its slot for ``hold_s`` seconds."""
+    def note_ended(self, view: UpstreamView, record: RequestRecord) -> None:
+        """Note that an attempt ended."""
         view.own_running.discard(record.request_id)
         view.load.note_own(len(view.own_running))
+
+    def note_hold(self, record: RequestRecord, hold_s: float) -> None:
+        """Learn how long a request held its slot, in seconds."""
         self.scorer.holds.note(record, hold_s)
 
     def _usable(self, record: RequestRecord, exclude: frozenset[UpstreamId]) -> list[UpstreamView]:
