Hold must_arrive work back while the pool is nearly full

Cause: long requests took the slots that quick ones needed. Change: new must_arrive work waits in the host's own queue while the pool's estimated occupancy is over 85 in 100; the pump looks at both lanes' heads, so that held work does not block quick work.

--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -17,6 +17,7 @@
 from cassiawalk.routing import UpstreamTable
 from cassiawalk.routing import UpstreamView
 from cassiawalk.routing.router import CHOICES
+from cassiawalk.routing.router import HELD_SHARE
 from cassiawalk.routing.router import LEAD_SHARE
 from cassiawalk.routing.score import Estimate
 from cassiawalk.routing.score import ScoreWeights
@@ -128,7 +129,9 @@
         target_slack: float | None = TARGET_SLACK,
         predict: bool = True,
         corrects: bool = True,
+        held_share: float = HELD_SHARE,
     ) -> None:
+        self._held_share = held_share
         self._corrects = corrects
         self.name = name
         self._target_slack = target_slack
@@ -151,6 +154,7 @@
             weights=weights,
             choices=self._choices,
             lead_share=self._lead_share,
+            held_share=self._held_share,
         )
         scheduler = Scheduler(table=table, router=router, clock=clock, corrects=self._corrects)
         gate_type = AdmissionGate if self._predict else QueueOnly
@@ -169,6 +173,10 @@
         ProductPolicy(name="uncorrected", corrects=False),
         ProductPolicy(name="slack-1", target_slack=1.0),
         ProductPolicy(name="deadline-only", target_slack=None),
+        ProductPolicy(name="held-none", held_share=99.0),
+        ProductPolicy(name="held-0.7", held_share=0.7),
+        ProductPolicy(name="held-0.85", held_share=0.85),
+        ProductPolicy(name="held-1.3", held_share=1.3),
         ProductPolicy(name="slack-2", target_slack=2.0),
         ProductPolicy(name="slack-0.7", target_slack=0.7),
         ProductPolicy(name="lead-4", lead_share=4.0),
--- a/src/cassiawalk/admission/fairqueue.py
+++ b/src/cassiawalk/admission/fairqueue.py
@@ -95,8 +95,16 @@
 
     def peek(self) -> _T | None:
         """Return the next item without removing it, or None."""
-        lane = self._next_lane()
-        return None if lane is None else lane.entries[0].item
+        return next(iter(self.heads()), None)
+
+    def heads(self) -> list[_T]:
+        """Return the first item of each priority, the next one first."""
+        waiting = [lane for lane in self._lanes.values() if lane.entries]
+        if len(waiting) > 1:
+            total = sum(lane.served for lane in waiting)
+            if waiting[1].served < LOWER_LANE_SHARE * total:
+                waiting[0], waiting[1] = waiting[1], waiting[0]
+        return [lane.entries[0].item for lane in waiting]
 
     def remove(self, item: _T, *, served: bool = False) -> None:
         """Remove an item; one that is not queued is ignored.
@@ -131,14 +139,6 @@
             self._lanes = dict(sorted(self._lanes.items()))
         return lane
 
-    def _next_lane(self) -> _Lane[_T] | None:
-        waiting = [lane for lane in self._lanes.values() if lane.entries]
-        if len(waiting) < 2:
-            return waiting[0] if waiting else None
-        first, lower = waiting[0], waiting[1]
-        total = first.served + lower.served
-        return lower if lower.served < LOWER_LANE_SHARE * total else first
-
     def _end_contest(self) -> None:
         for lane in self._lanes.values():
             lane.served = 0.0
--- a/src/cassiawalk/admission/scheduler.py
+++ b/src/cassiawalk/admission/scheduler.py
@@ -192,22 +192,26 @@
 
     def _pump(self, pool: PoolName) -> None:
         queue = self._queues.get(pool)
-        if queue is None:
-            return
-        while (waiter := queue.peek()) is not None:
-            choice = self._router.choose(waiter.record, exclude=waiter.exclude)
-            if choice is None:
-                return
-            queue.remove(waiter, served=True)
-            self._running[pool] += 1
-            self._router.note_sent(choice, waiter.record)
-            lease = SlotLease(
-                upstream=choice.upstream,
-                record=waiter.record,
-                granted_at=self._clock.monotonic(),
-                expected=choice.estimate,
-            )
-            waiter.slot.set_result(lease)
+        if queue is not None:
+            while any(self._grant(pool, queue, waiter) for waiter in queue.heads()):
+                pass
+
+    def _grant(self, pool: PoolName, queue: FairQueue[_Waiter], waiter: _Waiter) -> bool:
+        """Give a waiter a slot; return False if no upstream has room for it."""
+        choice = self._router.choose(waiter.record, exclude=waiter.exclude)
+        if choice is None:
+            return False
+        queue.remove(waiter, served=True)
+        self._running[pool] += 1
+        self._router.note_sent(choice, waiter.record)
+        lease = SlotLease(
+            upstream=choice.upstream,
+            record=waiter.record,
+            granted_at=self._clock.monotonic(),
+            expected=choice.estimate,
+        )
+        waiter.slot.set_result(lease)
+        return True
 
 
 def _priority(record: RequestRecord) -> int:
--- a/src/cassiawalk/routing/router.py
+++ b/src/cassiawalk/routing/router.py
@@ -4,6 +4,7 @@
 import random
 import weakref
 
+from cassiawalk.control.state import KindMode
 from cassiawalk.ids import UpstreamId
 from cassiawalk.requests.record import RequestRecord
 from cassiawalk.routing.score import TOKEN_INTERVAL_S
@@ -17,6 +18,7 @@
 
 CHOICES = 4
 LEAD_SHARE = 1.0
+HELD_SHARE = 0.85
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -43,11 +45,13 @@
         weights: ScoreWeights | None = None,
         choices: int = CHOICES,
         lead_share: float = LEAD_SHARE,
+        held_share: float = HELD_SHARE,
     ) -> None:
         self._table = table
         self._rng = rng
         self._choices = choices
         self._lead_share = lead_share
+        self._held_share = held_share
         self.scorer = Scorer(weights=weights)
         self._demands: weakref.WeakKeyDictionary[RequestRecord, Demand] = (
             weakref.WeakKeyDictionary()
@@ -59,6 +63,8 @@
         """Return an upstream with room, or None if the request has to wait."""
         usable = self._usable(record, exclude)
         mean = _mean_others(usable)
+        if self._is_held(record, usable, mean):
+            return None
         free = [
             view
             for view in usable
@@ -115,6 +121,16 @@
         usable = [view for view in self._table.in_pool(record.pool) if view.takes_work]
         return [view for view in usable if view.upstream_id not in exclude] or usable
 
+    def _is_held(
+        self, record: RequestRecord, usable: list[UpstreamView], mean_others: float
+    ) -> bool:
+        """Return whether work that may wait leaves the pool's remaining slots to quick work."""
+        if record.kind.mode is not KindMode.MUST_ARRIVE or record.attempt > 0:
+            return False
+        own = sum(view.load.own for view in usable)
+        slots = sum(view.slots for view in usable)
+        return own + mean_others * len(usable) >= self._held_share * slots
+
     def _candidates(self, free: list[UpstreamView], demand: Demand) -> list[UpstreamView]:
         sample = self._rng.sample(free, min(self._choices, len(free)))
         if not demand.blocks or len(sample) == len(free):
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -199,3 +199,32 @@
         assert isinstance(lease, SlotLease)
         host.scheduler.release(lease)
     assert host.router.hold_s(record) == before
+
+
+async def test_held_work_does_not_block_quick_work() -> None:
+    host = Host(clock=LoopClock())
+    leases = await _fill(host)
+    long_ones = [
+        asyncio.create_task(
+            host.scheduler.acquire(_on_loop(host, mode=KindMode.MUST_ARRIVE, max_tokens=500))
+        )
+        for _ in range(3)
+    ]
+    quick = [asyncio.create_task(host.scheduler.acquire(_on_loop(host))) for _ in range(5)]
+    await asyncio.sleep(0)
+    for lease in leases[:5]:
+        host.scheduler.release(lease)
+    await asyncio.sleep(0)
+    assert all(task.done() for task in quick)
+    assert not any(task.done() for task in long_ones)
+    for task in long_ones:
+        task.cancel()
+    await asyncio.gather(*long_ones, return_exceptions=True)
+
+
+async def test_work_that_must_arrive_gets_the_pool_when_it_is_not_full() -> None:
+    host = Host(clock=LoopClock())
+    leases = [
+        await host.scheduler.acquire(_on_loop(host, mode=KindMode.MUST_ARRIVE)) for _ in range(6)
+    ]
+    assert all(isinstance(lease, SlotLease) for lease in leases)
