Tighten admission only while accepted requests miss their targets

Cause: under lasting overload the queue stands at the limit itself, so what was accepted missed its target; at 1.5 times the load a tight limit refused on wrong forecasts. Change: the slack goes from 2 to 0.5 as the share of misses goes from 0 to 0.3.

--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -7,7 +7,8 @@
 from benchmarks.workloads import Deployment
 from cassiawalk.admission import AdmissionGate
 from cassiawalk.admission import Scheduler
-from cassiawalk.admission.gate import TARGET_SLACK
+from cassiawalk.admission.gate import LOOSE_SLACK
+from cassiawalk.admission.gate import TIGHT_SLACK
 from cassiawalk.clock import Clock
 from cassiawalk.ids import UpstreamId
 from cassiawalk.requests import RequestRecord
@@ -126,7 +127,8 @@
         weights: ScoreWeights | None = None,
         choices: int = CHOICES,
         lead_share: float = LEAD_SHARE,
-        target_slack: float | None = TARGET_SLACK,
+        loose_slack: float | None = LOOSE_SLACK,
+        tight_slack: float = TIGHT_SLACK,
         predict: bool = True,
         corrects: bool = True,
         held_share: float = HELD_SHARE,
@@ -134,7 +136,8 @@
         self._held_share = held_share
         self._corrects = corrects
         self.name = name
-        self._target_slack = target_slack
+        self._loose_slack = loose_slack
+        self._tight_slack = tight_slack
         self._predict = predict
         self._weights = weights or ScoreWeights()
         self._choices = choices
@@ -158,7 +161,13 @@
         )
         scheduler = Scheduler(table=table, router=router, clock=clock, corrects=self._corrects)
         gate_type = AdmissionGate if self._predict else QueueOnly
-        gate = gate_type(scheduler=scheduler, clock=clock, rng=rng, target_slack=self._target_slack)
+        gate = gate_type(
+            scheduler=scheduler,
+            clock=clock,
+            rng=rng,
+            loose_slack=self._loose_slack,
+            tight_slack=self._tight_slack,
+        )
         return Decisions(scheduler=scheduler, gate=gate)
 
 
@@ -171,14 +180,18 @@
         ProductPolicy(name="product"),
         ProductPolicy(name="queue-only", predict=False),
         ProductPolicy(name="uncorrected", corrects=False),
-        ProductPolicy(name="slack-1", target_slack=1.0),
-        ProductPolicy(name="deadline-only", target_slack=None),
+        ProductPolicy(name="slack-1", loose_slack=1.0, tight_slack=1.0),
+        ProductPolicy(name="deadline-only", loose_slack=None),
         ProductPolicy(name="held-none", held_share=99.0),
         ProductPolicy(name="held-0.7", held_share=0.7),
         ProductPolicy(name="held-0.85", held_share=0.85),
         ProductPolicy(name="held-1.3", held_share=1.3),
-        ProductPolicy(name="slack-2", target_slack=2.0),
-        ProductPolicy(name="slack-0.7", target_slack=0.7),
+        ProductPolicy(name="tight-0.25", tight_slack=0.25),
+        ProductPolicy(name="tight-1", tight_slack=1.0),
+        ProductPolicy(name="loose-4", loose_slack=4.0),
+        ProductPolicy(name="slack-1.5", loose_slack=1.5, tight_slack=1.5),
+        ProductPolicy(name="slack-2", loose_slack=2.0, tight_slack=2.0),
+        ProductPolicy(name="slack-0.7", loose_slack=0.7, tight_slack=0.7),
         ProductPolicy(name="lead-4", lead_share=4.0),
         ProductPolicy(name="lead-0.25", lead_share=0.25),
         ProductPolicy(name="lead-1", lead_share=1.0),
--- a/src/cassiawalk/admission/gate.py
+++ b/src/cassiawalk/admission/gate.py
@@ -11,7 +11,9 @@
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
 
-TARGET_SLACK = 1.5
+LOOSE_SLACK = 2.0
+TIGHT_SLACK = 0.5
+TIGHT_MISSES = 0.3
 RETRY_FLOOR_S = 0.5
 RETRY_SPREAD = 0.5
 NO_UPSTREAM_RETRY_S = 2.0
@@ -20,8 +22,13 @@
 class AdmissionGate:
     """Refuses at once what can't be served in time.
 
-    :param target_slack: how many times its latency target a request that need not arrive may be
-        expected to take to its first token; None leaves only the deadline.
+    A request that need not arrive is refused if its first token is expected later than its latency
+    target times a slack. The slack is loose while accepted requests make their targets, as a
+    refusal on a wrong forecast is a certain miss, and tight when they miss them, as the queue then
+    stands at the slack itself.
+
+    :param loose_slack: the slack when no request misses its target; None leaves only deadlines.
+    :param tight_slack: the slack when ``TIGHT_MISSES`` of the requests miss their targets.
     """
 
     def __init__(
@@ -30,13 +37,15 @@
         scheduler: Scheduler,
         clock: Clock,
         rng: random.Random | None = None,
-        target_slack: float | None = TARGET_SLACK,
+        loose_slack: float | None = LOOSE_SLACK,
+        tight_slack: float = TIGHT_SLACK,
         limits: LimitKeeper | None = None,
     ) -> None:
         self._scheduler = scheduler
         self._clock = clock
         self._rng = rng or random.Random()
-        self._target_slack = target_slack
+        self._loose_slack = loose_slack
+        self._tight_slack = tight_slack
         self._limits = limits
 
     def check(self, record: RequestRecord) -> Refusal | None:
@@ -70,11 +79,17 @@
         """Return by how many seconds the request would come late."""
         excess_s = expected.end_s - left_s
         needs_target = record.kind.mode is not KindMode.MUST_ARRIVE
-        if needs_target and self._target_slack is not None and expected.queued:
-            limit_s = self._target_slack * record.kind.target_ms / 1000
+        if needs_target and self._loose_slack is not None and expected.queued:
+            slack = self._slack(self._loose_slack, self._scheduler.misses(record.pool))
+            limit_s = slack * record.kind.target_ms / 1000
             excess_s = max(excess_s, expected.first_s - limit_s)
         return excess_s
 
+    def _slack(self, loose: float, misses: float) -> float:
+        """Return the slack for a share of requests that miss their targets."""
+        tightness = min(1.0, misses / TIGHT_MISSES)
+        return loose + tightness * (self._tight_slack - loose)
+
     def _without_upstream(self, record: RequestRecord) -> Refusal | None:
         """Refuse quick work that nobody can take; work that must arrive waits for an upstream."""
         if record.kind.mode is KindMode.MUST_ARRIVE:
--- a/src/cassiawalk/admission/scheduler.py
+++ b/src/cassiawalk/admission/scheduler.py
@@ -22,6 +22,7 @@
 
 QUEUE_LIMIT = 2000
 QUEUE_FULL_RETRY_S = 2.0
+MISS_RATE = 0.1
 
 _URGENT = 0
 _PRIORITIES = {KindMode.AT_MOST_ONCE: 0, KindMode.QUICK: 0, KindMode.MUST_ARRIVE: 1}
@@ -79,6 +80,7 @@
         self._corrects = corrects
         self._clock = clock
         self._queues: dict[PoolName, FairQueue[_Waiter]] = {}
+        self._misses: dict[PoolName, float] = {}
         self._running: collections.Counter[PoolName] = collections.Counter()
         table.add_listener(self.pump_all)
 
@@ -107,6 +109,10 @@
             queued=queued_s + estimate.wait_s > 0.0,
         )
 
+    def misses(self, pool: PoolName) -> float:
+        """Return the recent share of requests that missed their target, of those that have one."""
+        return self._misses.get(pool, 0.0)
+
     def waiting(self, pool: PoolName) -> int:
         """Return how many requests wait for a pool."""
         return len(self._queues.get(pool, ()))
@@ -180,9 +186,17 @@
         served = first_at is not None and first_at >= lease.granted_at
         if first_at is not None and served:
             self._router.note_first(lease.record, lease.expected, first_at - lease.granted_at)
+            self._note_target(lease.record, first_at - lease.record.accepted_at)
         if served or not lease.record.prompt:
             self._router.note_hold(lease.record, self._clock.monotonic() - lease.granted_at)
 
+    def _note_target(self, record: RequestRecord, first_s: float) -> None:
+        if record.kind.mode is KindMode.MUST_ARRIVE:
+            return
+        missed = 1.0 if first_s > record.kind.target_ms / 1000 else 0.0
+        before = self._misses.get(record.pool, 0.0)
+        self._misses[record.pool] = before + MISS_RATE * (missed - before)
+
     def _give_up(self, slot: asyncio.Future[SlotLease]) -> None:
         """Cancel a slot that is not taken, and give back one that was granted meanwhile."""
         if slot.done() and not slot.cancelled():
