Decide on a sample of upstreams instead of all, and give the deal headroom

Cause: every decision estimated all upstreams twice. Change: a sample and the best cached one are estimated; all are looked at only if none of the sample has room. us a decision, before -> after (busy machine): 442 -> 361 at 10, 696 -> 374 at 30, 1,817 -> 510 at 100, 13,083 -> 3,567 at 1,000.

--- a/benchmarks/subsets.py
+++ b/benchmarks/subsets.py
@@ -4,6 +4,7 @@
 import collections.abc as cabc
 import random
 import statistics
+import sys
 import time
 
 from cassiawalk.membership import rank
@@ -112,4 +113,4 @@
 
 
 if __name__ == "__main__":
-    main()
+    main(int(sys.argv[1]) if len(sys.argv) > 1 else 5)
--- a/src/cassiawalk/routing/prefix.py
+++ b/src/cassiawalk/routing/prefix.py
@@ -55,6 +55,10 @@
         while len(self._blocks) > MAX_BLOCKS:
             self._blocks.popitem(last=False)
 
+    def holds(self, block: str) -> bool:
+        """Return whether a block is believed to be in the cache."""
+        return block in self._blocks
+
     def expected_tokens(self, blocks: cabc.Sequence[str]) -> float:
         """Return how many leading tokens are expected in the cache.
 
--- a/src/cassiawalk/routing/router.py
+++ b/src/cassiawalk/routing/router.py
@@ -65,27 +65,26 @@
         mean = _mean_others(usable)
         if self._is_held(record, usable, mean):
             return None
-        free = [
-            view
-            for view in usable
-            if self.scorer.occupancy(view, mean) < (1.0 + self._lead_share) * view.slots
-        ]
-        if not free:
-            return None
         demand = self._demand(record)
-        candidates = self._candidates(free, demand)
+        candidates = self._candidates(usable, demand, mean)
+        if not candidates:
+            return None
         estimates = [self.scorer.estimate(view, record, demand, mean) for view in candidates]
         best = min(range(len(candidates)), key=lambda index: estimates[index].score)
         return Choice(upstream=candidates[best], estimate=estimates[best])
 
     def predict(self, record: RequestRecord) -> Estimate | None:
-        """Return the best estimate over the pool, or None if no upstream takes work."""
+        """Return the best estimate of a few candidates, or None if no upstream takes work."""
         usable = self._usable(record, frozenset())
         if not usable:
             return None
         demand = self._demand(record)
         mean = _mean_others(usable)
-        estimates = [self.scorer.estimate(view, record, demand, mean) for view in usable]
+        candidates = self._sample(usable)
+        cached = _best_cached(usable, demand)
+        if cached is not None:
+            candidates.append(cached)
+        estimates = [self.scorer.estimate(view, record, demand, mean) for view in candidates]
         return min(estimates, key=lambda estimate: estimate.first_s)
 
     def hold_s(self, record: RequestRecord) -> float:
@@ -131,12 +130,24 @@
         slots = sum(view.slots for view in usable)
         return own + mean_others * len(usable) >= self._held_share * slots
 
-    def _candidates(self, free: list[UpstreamView], demand: Demand) -> list[UpstreamView]:
-        sample = self._rng.sample(free, min(self._choices, len(free)))
-        if not demand.blocks or len(sample) == len(free):
-            return sample
-        cached = max(free, key=lambda view: view.cache.expected_tokens(demand.blocks))
-        return [*sample, cached]
+    def _candidates(
+        self, usable: list[UpstreamView], demand: Demand, mean_others: float
+    ) -> list[UpstreamView]:
+        """Return a few upstreams with room; all are looked at only if none of the sample has."""
+        found = [view for view in self._sample(usable) if self._has_room(view, mean_others)]
+        cached = _best_cached(usable, demand)
+        if cached is not None and cached not in found and self._has_room(cached, mean_others):
+            found.append(cached)
+        if found or len(usable) <= self._choices:
+            return found
+        free = [view for view in usable if self._has_room(view, mean_others)]
+        return self._sample(free)
+
+    def _sample(self, views: list[UpstreamView]) -> list[UpstreamView]:
+        return self._rng.sample(views, min(self._choices, len(views)))
+
+    def _has_room(self, view: UpstreamView, mean_others: float) -> bool:
+        return self.scorer.occupancy(view, mean_others) < (1.0 + self._lead_share) * view.slots
 
     def _demand(self, record: RequestRecord) -> Demand:
         demand = self._demands.get(record)
@@ -148,3 +159,13 @@
 
 def _mean_others(views: list[UpstreamView]) -> float:
     return sum(view.load.others for view in views) / max(1, len(views))
+
+
+def _best_cached(views: list[UpstreamView], demand: Demand) -> UpstreamView | None:
+    """Return the upstream that is expected to hold most of the prompt, if any holds some."""
+    if not demand.blocks:
+        return None
+    holders = [view for view in views if view.cache.holds(demand.blocks[0])]
+    if not holders:
+        return None
+    return max(holders, key=lambda view: view.cache.expected_tokens(demand.blocks))
--- a/src/cassiawalk/routing/subset.py
+++ b/src/cassiawalk/routing/subset.py
@@ -1,9 +1,9 @@
 """Which upstreams of a large pool a host talks to.
 
-Each upstream is dealt to an equal number of hosts, nearest hosts first: pairs in one failure
-domain, then pairs in one region, then any. Within a ring the pairs are taken in the order of a
-hash of both names, so that a host or upstream that comes or goes moves few others. All hosts
-compute the same deal from the same view; different views only shift some load.
+Each upstream is dealt to an equal number of hosts and at most a tenth more, nearest hosts first:
+pairs in one failure domain, then pairs in one region, then any. Within a ring the pairs are taken
+in the order of a hash of both names, so that a host or upstream that comes or goes moves few
+others. All hosts compute the same deal from the same view; different views only shift some load.
 
 The deal of equal shares by distance follows the ring deal of the paper "Exact Claim to Ring Deal",
 there for connections and processors.
@@ -12,9 +12,11 @@
 import collections.abc as cabc
 import dataclasses
 import heapq
+import math
 import zlib
 
 SUBSET_SIZE = 28
+QUOTA_HEADROOM = 1.1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -53,7 +55,7 @@
         self._upstreams = upstreams
         self._size = size
         self.found: dict[str, list[str]] = {host.name: [] for host in hosts}
-        quota = -(-len(hosts) * size // len(upstreams))
+        quota = math.ceil(QUOTA_HEADROOM * len(hosts) * size / len(upstreams))
         self._owed = {upstream.name: quota for upstream in upstreams}
 
     def deal_ring(self, key: cabc.Callable[[Place], str]) -> None:
