--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -7,14 +7,20 @@
 from benchmarks.workloads import Deployment
 from cassiawalk.admission import AdmissionGate
 from cassiawalk.admission import Scheduler
+from cassiawalk.admission.gate import LOOSE_SLACK
+from cassiawalk.admission.gate import TIGHT_SLACK
 from cassiawalk.clock import Clock
 from cassiawalk.ids import UpstreamId
 from cassiawalk.requests import RequestRecord
+from cassiawalk.results import Refusal
+from cassiawalk.routing import Choice
 from cassiawalk.routing import Router
 from cassiawalk.routing import UpstreamTable
 from cassiawalk.routing import UpstreamView
 from cassiawalk.routing.router import CHOICES
+from cassiawalk.routing.router import HELD_SHARE
 from cassiawalk.routing.router import LEAD_SHARE
+from cassiawalk.routing.score import Estimate
 from cassiawalk.routing.score import ScoreWeights
 
 
@@ -38,6 +44,9 @@
         """Return the components."""
 
 
+NOTHING = Estimate(wait_s=0.0, prefill_s=0.0, hold_s=0.0, score=0.0)
+
+
 class PlainRouter(Router):
     """A baseline: at most as many own requests on an upstream as it has slots."""
 
@@ -48,11 +57,11 @@
 
     def choose(
         self, record: RequestRecord, *, exclude: frozenset[UpstreamId] = frozenset()
-    ) -> UpstreamView | None:
+    ) -> Choice | None:
         usable = [view for view in self.table.in_pool(record.pool) if view.takes_work]
         preferred = [view for view in usable if view.upstream_id not in exclude]
         free = [view for view in preferred or usable if len(view.own_running) < view.slots]
-        return self.pick(free) if free else None
+        return Choice(upstream=self.pick(free), estimate=NOTHING) if free else None
 
     def pick(self, free: list[UpstreamView]) -> UpstreamView:
         raise NotImplementedError
@@ -86,8 +95,15 @@
     return 0 if view.report is None else view.report.running + view.report.waiting
 
 
+class QueueOnly(AdmissionGate):
+    """A baseline: refuses only when the queue is full and lets deadlines pass in it."""
+
+    def check(self, record: RequestRecord) -> Refusal | None:
+        return self._scheduler.refusal(record)
+
+
 class RouterPolicy(Policy):
-    """The product's admission with a baseline router."""
+    """A baseline router with a queue that refuses only when it is full."""
 
     def __init__(self, *, name: str, router: type[PlainRouter]) -> None:
         self.name = name
@@ -98,7 +114,7 @@
     ) -> Decisions:
         router = self._router(table=table, rng=rng)
         scheduler = Scheduler(table=table, router=router, clock=clock)
-        return Decisions(scheduler=scheduler, gate=AdmissionGate(scheduler=scheduler, clock=clock))
+        return Decisions(scheduler=scheduler, gate=QueueOnly(scheduler=scheduler, clock=clock))
 
 
 class ProductPolicy(Policy):
@@ -111,8 +127,18 @@
         weights: ScoreWeights | None = None,
         choices: int = CHOICES,
         lead_share: float = LEAD_SHARE,
+        loose_slack: float | None = LOOSE_SLACK,
+        tight_slack: float = TIGHT_SLACK,
+        predict: bool = True,
+        corrects: bool = True,
+        held_share: float = HELD_SHARE,
     ) -> None:
+        self._held_share = held_share
+        self._corrects = corrects
         self.name = name
+        self._loose_slack = loose_slack
+        self._tight_slack = tight_slack
+        self._predict = predict
         self._weights = weights or ScoreWeights()
         self._choices = choices
         self._lead_share = lead_share
@@ -131,9 +157,18 @@
             weights=weights,
             choices=self._choices,
             lead_share=self._lead_share,
+            held_share=self._held_share,
         )
-        scheduler = Scheduler(table=table, router=router, clock=clock)
-        return Decisions(scheduler=scheduler, gate=AdmissionGate(scheduler=scheduler, clock=clock))
+        scheduler = Scheduler(table=table, router=router, clock=clock, corrects=self._corrects)
+        gate_type = AdmissionGate if self._predict else QueueOnly
+        gate = gate_type(
+            scheduler=scheduler,
+            clock=clock,
+            rng=rng,
+            loose_slack=self._loose_slack,
+            tight_slack=self._tight_slack,
+        )
+        return Decisions(scheduler=scheduler, gate=gate)
 
 
 POLICIES: dict[str, Policy] = {
@@ -143,6 +178,21 @@
         RouterPolicy(name="least-reported", router=LeastReported),
         RouterPolicy(name="random-two", router=RandomTwo),
         ProductPolicy(name="product"),
+        ProductPolicy(name="queue-only", predict=False),
+        ProductPolicy(name="uncorrected", corrects=False),
+        ProductPolicy(name="slack-1", loose_slack=1.0, tight_slack=1.0),
+        ProductPolicy(name="deadline-only", loose_slack=None),
+        ProductPolicy(name="held-none", held_share=99.0),
+        ProductPolicy(name="held-0.7", held_share=0.7),
+        ProductPolicy(name="held-0.85", held_share=0.85),
+        ProductPolicy(name="held-1.3", held_share=1.3),
+        ProductPolicy(name="tight-0.25", tight_slack=0.25),
+        ProductPolicy(name="tight-1", tight_slack=1.0),
+        ProductPolicy(name="loose-4", loose_slack=4.0),
+        ProductPolicy(name="slack-1.5", loose_slack=1.5, tight_slack=1.5),
+        ProductPolicy(name="slack-2", loose_slack=2.0, tight_slack=2.0),
+        ProductPolicy(name="slack-0.7", loose_slack=0.7, tight_slack=0.7),
+        ProductPolicy(name="lead-4", lead_share=4.0),
         ProductPolicy(name="lead-0.25", lead_share=0.25),
         ProductPolicy(name="lead-1", lead_share=1.0),
         ProductPolicy(name="choices-2", choices=2),
--- a/src/cassiawalk/admission/scheduler.py
+++ b/src/cassiawalk/admission/scheduler.py
@@ -1,6 +1,7 @@
 """Gives queued requests a slot on an upstream."""
 
 import asyncio
+import collections
 import dataclasses
 
 from cassiawalk.admission.fairqueue import FairQueue
@@ -9,16 +10,21 @@
 from cassiawalk.control.state import KindMode
 from cassiawalk.ids import PoolName
 from cassiawalk.ids import UpstreamId
+from cassiawalk.metrics import Metrics
 from cassiawalk.requests.record import RequestRecord
+from cassiawalk.results import Execution
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
 from cassiawalk.routing import Router
 from cassiawalk.routing import UpstreamTable
 from cassiawalk.routing import UpstreamView
+from cassiawalk.routing.score import Estimate
 
 QUEUE_LIMIT = 2000
 QUEUE_FULL_RETRY_S = 2.0
+MISS_RATE = 0.1
 
+_URGENT = 0
 _PRIORITIES = {KindMode.AT_MOST_ONCE: 0, KindMode.QUICK: 0, KindMode.MUST_ARRIVE: 1}
 
 
@@ -29,6 +35,19 @@
     upstream: UpstreamView
     record: RequestRecord
     granted_at: float
+    expected: Estimate
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Expectation:
+    """When a new request would have its first token and its end, in seconds from now.
+
+    ``queued`` says whether any of that is waiting for others.
+    """
+
+    first_s: float
+    end_s: float
+    queued: bool
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -41,13 +60,28 @@
 
 
 class Scheduler(Component):
-    """One fair queue for each pool, served whenever a slot may have become free."""
-
-    def __init__(self, *, table: UpstreamTable, router: Router, clock: Clock) -> None:
+    """One fair queue for each pool, served whenever a slot may have become free.
+
+    :param corrects: whether expected waits are corrected by what requests really waited.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: UpstreamTable,
+        router: Router,
+        clock: Clock,
+        metrics: Metrics | None = None,
+        corrects: bool = True,
+    ) -> None:
         self._table = table
         self._router = router
+        self._metrics = metrics
+        self._corrects = corrects
         self._clock = clock
         self._queues: dict[PoolName, FairQueue[_Waiter]] = {}
+        self._misses: dict[PoolName, float] = {}
+        self._running: collections.Counter[PoolName] = collections.Counter()
         table.add_listener(self.pump_all)
 
     def refusal(self, record: RequestRecord) -> Refusal | None:
@@ -61,6 +95,24 @@
             )
         return None
 
+    def expect(self, record: RequestRecord) -> Expectation | None:
+        """Return when a new request would be served, or None if no upstream takes work."""
+        estimate = self._router.predict(record)
+        if estimate is None:
+            return None
+        queued_s = self._queued_s(record)
+        factor = self._router.wait_factor(record) if self._corrects else 1.0
+        first_s = queued_s + estimate.wait_s * factor + estimate.prefill_s
+        return Expectation(
+            first_s=first_s,
+            end_s=first_s + estimate.hold_s,
+            queued=queued_s + estimate.wait_s > 0.0,
+        )
+
+    def misses(self, pool: PoolName) -> float:
+        """Return the recent share of requests that missed their target, of those that have one."""
+        return self._misses.get(pool, 0.0)
+
     def waiting(self, pool: PoolName) -> int:
         """Return how many requests wait for a pool."""
         return len(self._queues.get(pool, ()))
@@ -79,59 +131,113 @@
             waiter,
             workspace=record.workspace,
             share=record.share,
-            cost=float(record.kind.max_tokens),
-            priority=_PRIORITIES[record.kind.mode] - (1 if record.attempt else 0),
+            cost=self._router.hold_s(record),
+            priority=_priority(record),
         )
+        queued_at = self._clock.monotonic()
+        lease: SlotLease | None = None
         self._pump(record.pool)
         try:
             async with asyncio.timeout(max(0.0, record.deadline_s - self._clock.wall())):
-                return await slot
-        except asyncio.CancelledError:
-            self._give_back(slot)
-            raise
+                lease = await slot
         except TimeoutError:
-            self._give_back(slot)
             return Refusal(
                 code=ResultCode.DEADLINE_PASSED_WAITING,
                 detail="no upstream had a free slot before the deadline",
                 retry_after_s=QUEUE_FULL_RETRY_S,
+                execution=_execution(record),
             )
         finally:
-            self._withdraw(queue, waiter)
+            queue.remove(waiter)
+            if lease is None:
+                self._give_up(slot)
+        if self._metrics is not None:
+            self._metrics.note_queue_wait(record, self._clock.monotonic() - queued_at)
+        return lease
 
     def release(self, lease: SlotLease) -> None:
         """Give a slot back and serve the queue."""
-        hold_s = self._clock.monotonic() - lease.granted_at
-        self._router.note_ended(lease.upstream, lease.record, hold_s)
+        self._learn(lease)
+        self._running[lease.record.pool] -= 1
+        self._router.note_ended(lease.upstream, lease.record)
         self._pump(lease.record.pool)
 
-    def _give_back(self, slot: asyncio.Future[SlotLease]) -> None:
-        """Release a slot that was granted in the moment in which its waiter gave up."""
-        if slot.done() and not slot.cancelled():
-            self.release(slot.result())
-
     def pump_all(self) -> None:
         """Serve all queues after upstreams or their reports changed."""
         for pool in self._queues:
             self._pump(pool)
 
-    def _withdraw(self, queue: FairQueue[_Waiter], waiter: _Waiter) -> None:
-        queue.remove(waiter)
-        cancelled = not waiter.slot.done()
-        if cancelled:
-            waiter.slot.cancel()
+    def _queued_s(self, record: RequestRecord) -> float:
+        """Return the expected wait in this host's queue, from the work ahead and its slots."""
+        queue = self._queues.get(record.pool)
+        if not queue:
+            return 0.0
+        ahead_s = queue.ahead(
+            workspace=record.workspace,
+            share=record.share,
+            cost=self._router.hold_s(record),
+            priority=_priority(record),
+        )
+        return ahead_s / max(1, self._running[record.pool])
+
+    def _learn(self, lease: SlotLease) -> None:
+        """Learn times from an attempt that served; a quick failure tells nothing about them."""
+        first_at = lease.record.first_text_at
+        served = first_at is not None and first_at >= lease.granted_at
+        if first_at is not None and served:
+            self._router.note_first(lease.record, lease.expected, first_at - lease.granted_at)
+            self._note_target(lease.record, first_at - lease.record.accepted_at)
+        if served or not lease.record.prompt:
+            self._router.note_hold(lease.record, self._clock.monotonic() - lease.granted_at)
+
+    def _note_target(self, record: RequestRecord, first_s: float) -> None:
+        if record.kind.mode is KindMode.MUST_ARRIVE:
+            return
+        missed = 1.0 if first_s > record.kind.target_ms / 1000 else 0.0
+        before = self._misses.get(record.pool, 0.0)
+        self._misses[record.pool] = before + MISS_RATE * (missed - before)
+
+    def _give_up(self, slot: asyncio.Future[SlotLease]) -> None:
+        """Cancel a slot that is not taken, and give back one that was granted meanwhile."""
+        if slot.done() and not slot.cancelled():
+            self.release(slot.result())
+        else:
+            slot.cancel()
 
     def _pump(self, pool: PoolName) -> None:
         queue = self._queues.get(pool)
-        if queue is None:
-            return
-        while (waiter := queue.peek()) is not None:
-            upstream = self._router.choose(waiter.record, exclude=waiter.exclude)
-            if upstream is None:
-                return
-            queue.remove(waiter)
-            self._router.note_sent(upstream, waiter.record)
-            lease = SlotLease(
-                upstream=upstream, record=waiter.record, granted_at=self._clock.monotonic()
-            )
-            waiter.slot.set_result(lease)
+        if queue is not None:
+            while any(self._grant(pool, queue, waiter) for waiter in queue.heads()):
+                pass
+
+    def _grant(self, pool: PoolName, queue: FairQueue[_Waiter], waiter: _Waiter) -> bool:
+        """Give a waiter a slot; return False if no upstream has room for it."""
+        choice = self._router.choose(waiter.record, exclude=waiter.exclude)
+        if choice is None:
+            return False
+        queue.remove(waiter, served=True)
+        self._running[pool] += 1
+        self._router.note_sent(choice, waiter.record)
+        lease = SlotLease(
+            upstream=choice.upstream,
+            record=waiter.record,
+            granted_at=self._clock.monotonic(),
+            expected=choice.estimate,
+        )
+        waiter.slot.set_result(lease)
+        return True
+
+
+def _priority(record: RequestRecord) -> int:
+    """Return the lane of a request; one that ran before goes first wherever it goes on."""
+    return _URGENT if record.attempt > 0 else _PRIORITIES[record.kind.mode]
+
+
+def _execution(record: RequestRecord) -> Execution | None:
+    """Return what is known of an earlier attempt, or None if there was none.
+
+    An at-most-once request waits again only if nothing of it was sent.
+    """
+    if record.attempt == 0 or record.kind.mode is KindMode.AT_MOST_ONCE:
+        return None
+    return Execution.UNKNOWN
--- a/src/cassiawalk/dispatch/stream.py
+++ b/src/cassiawalk/dispatch/stream.py
@@ -219,10 +219,10 @@
         if ending.reason is InterruptReason.LEAVING:
             return None
         record.retries += 1
-        if await self._retries.permit(record.service, record.retries, record.deadline_s):
-            self._metrics.note_retry(record)
-            return None
-        if await self._wait_without_budget(record):
+        must_arrive = record.kind.mode is KindMode.MUST_ARRIVE
+        if await self._retries.permit(
+            record.service, record.retries, record.deadline_s, waits=must_arrive
+        ):
             self._metrics.note_retry(record)
             return None
         detail = f"{record.retries} attempts failed, the last: {ending.reason.value}"
@@ -230,21 +230,6 @@
             code=ResultCode.RETRIES_EXHAUSTED, detail=detail, retry_after_s=RETRY_AFTER_S
         )
 
-    async def _wait_without_budget(self, record: RequestRecord) -> bool:
-        """Pace the retry of a must-arrive request whose service has no budget left.
-
-        An accepted request of this mode is given up only at its deadline. The backoff has full
-        jitter and each attempt needs a slot on an upstream that takes work, so the retries of an
-        outage stay below the slots that are left.
-        """
-        delay_s = self._retries.delay_s(record.retries)
-        if record.kind.mode is not KindMode.MUST_ARRIVE:
-            return False
-        if self._clock.wall() + delay_s >= record.deadline_s:
-            return False
-        await self._clock.sleep(delay_s)
-        return True
-
 
 def _explained(reason: InterruptReason) -> InterruptReason:
     """Return the reason on an upstream that was leaving; it uses no retry budget."""
--- a/src/cassiawalk/node.py
+++ b/src/cassiawalk/node.py
@@ -9,6 +9,7 @@
 from cassiawalk.admin import QueryService
 from cassiawalk.admin import RowSource
 from cassiawalk.admission import AdmissionGate
+from cassiawalk.admission import LimitKeeper
 from cassiawalk.admission import Scheduler
 from cassiawalk.app import Application
 from cassiawalk.app import Component
@@ -61,6 +62,7 @@
 from cassiawalk.peer import AttachCall
 from cassiawalk.peer import ClaimStatusCall
 from cassiawalk.peer import FeedCall
+from cassiawalk.peer import LimitShareCall
 from cassiawalk.peer import LocateCall
 from cassiawalk.peer import MembershipFeed
 from cassiawalk.peer import NodeStatusCall
@@ -172,10 +174,23 @@
         self.store = RequestStore(clock=clock)
         self.table = UpstreamTable(membership=self.membership, clock=clock)
         self.router = Router(table=self.table, rng=self._rng)
-        self.scheduler = Scheduler(table=self.table, router=self.router, clock=clock)
+        self.scheduler = Scheduler(
+            table=self.table, router=self.router, clock=clock, metrics=self.metrics
+        )
+        self.limits = LimitKeeper(
+            host=self._cfg.host_id,
+            limits=lambda: self.control.state.limits,
+            membership=self.membership,
+            links=self.links,
+            clock=clock,
+        )
         self.guard = self._crash_guard()
         self.gate = AdmissionGate(
-            scheduler=self.scheduler, clock=clock, quarantine=self.guard.refusal
+            scheduler=self.scheduler,
+            clock=clock,
+            rng=self._rng,
+            limits=self.limits,
+            quarantine=self.guard.refusal,
         )
         self.connector = HttpConnector(traffic=self.metrics.control)
         self.mover = Mover(
@@ -359,6 +374,7 @@
         )
 
     def _handle_peer_calls(self, attachments: Attachments, queries: QueryService) -> None:
+        self.peer_server.handle(LimitShareCall, self.limits.serve)
         self.peer_server.handle(OnceCall, self.claims.handle_call)
         self.peer_server.handle(QueryCall, queries.handle)
         self.peer_server.handle(NodeStatusCall, self._status_reporter().handle)
@@ -414,6 +430,7 @@
             self.orders,
             self.recorder,
             self.scheduler,
+            self.limits,
             self.dispatcher,
             self._drain_switch(),
             self.locator,
--- a/src/cassiawalk/peer/__init__.py
+++ b/src/cassiawalk/peer/__init__.py
@@ -13,6 +13,9 @@
 from cassiawalk.peer.messages import ClaimStatusCall as ClaimStatusCall
 from cassiawalk.peer.messages import ClaimStatusReply as ClaimStatusReply
 from cassiawalk.peer.messages import HolderState as HolderState
+from cassiawalk.peer.messages import LimitShare as LimitShare
+from cassiawalk.peer.messages import LimitShareCall as LimitShareCall
+from cassiawalk.peer.messages import LimitShareReply as LimitShareReply
 from cassiawalk.peer.messages import LocateCall as LocateCall
 from cassiawalk.peer.messages import LocateReply as LocateReply
 from cassiawalk.peer.messages import NodeStatusCall as NodeStatusCall
@@ -23,5 +26,6 @@
 from cassiawalk.peer.messages import QueryCall as QueryCall
 from cassiawalk.peer.messages import QueryReply as QueryReply
 from cassiawalk.peer.messages import StreamPart as StreamPart
+from cassiawalk.peer.messages import WorkspaceDemand as WorkspaceDemand
 from cassiawalk.peer.messages import messages as messages
 from cassiawalk.peer.server import PeerServer as PeerServer
--- a/src/cassiawalk/routing/router.py
+++ b/src/cassiawalk/routing/router.py
@@ -1,19 +1,32 @@
 """Chooses the upstream for a request."""
 
+import dataclasses
 import random
 import weakref
 
+from cassiawalk.control.state import KindMode
 from cassiawalk.ids import UpstreamId
 from cassiawalk.requests.record import RequestRecord
+from cassiawalk.routing.score import TOKEN_INTERVAL_S
 from cassiawalk.routing.score import Demand
 from cassiawalk.routing.score import Estimate
 from cassiawalk.routing.score import Scorer
 from cassiawalk.routing.score import ScoreWeights
+from cassiawalk.routing.score import engine_priority
 from cassiawalk.routing.table import UpstreamTable
 from cassiawalk.routing.upstream import UpstreamView
 
 CHOICES = 4
-LEAD_SHARE = 4.0
+LEAD_SHARE = 1.0
+HELD_SHARE = 0.85
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Choice:
+    """The chosen upstream and what is to be expected of it."""
+
+    upstream: UpstreamView
+    estimate: Estimate
 
 
 class Router:
@@ -32,11 +45,13 @@
         weights: ScoreWeights | None = None,
         choices: int = CHOICES,
         lead_share: float = LEAD_SHARE,
+        held_share: float = HELD_SHARE,
     ) -> None:
         self._table = table
         self._rng = rng
         self._choices = choices
         self._lead_share = lead_share
+        self._held_share = held_share
         self.scorer = Scorer(weights=weights)
         self._demands: weakref.WeakKeyDictionary[RequestRecord, Demand] = (
             weakref.WeakKeyDictionary()
@@ -44,55 +59,95 @@
 
     def choose(
         self, record: RequestRecord, *, exclude: frozenset[UpstreamId] = frozenset()
-    ) -> UpstreamView | None:
+    ) -> Choice | None:
         """Return an upstream with room, or None if the request has to wait."""
         usable = self._usable(record, exclude)
         mean = _mean_others(usable)
-        free = [view for view in usable if self._has_room(view, mean)]
-        if not free:
+        if self._is_held(record, usable, mean):
             return None
         demand = self._demand(record)
-        candidates = self._candidates(free, demand)
-        return min(
-            candidates, key=lambda view: self.scorer.estimate(view, record, demand, mean).score
-        )
+        candidates = self._candidates(usable, demand, mean)
+        if not candidates:
+            return None
+        estimates = [self.scorer.estimate(view, record, demand, mean) for view in candidates]
+        best = min(range(len(candidates)), key=lambda index: estimates[index].score)
+        return Choice(upstream=candidates[best], estimate=estimates[best])
 
     def predict(self, record: RequestRecord) -> Estimate | None:
-        """Return the best estimate over the pool, or None if no upstream takes work."""
+        """Return the best estimate of a few candidates, or None if no upstream takes work."""
         usable = self._usable(record, frozenset())
         if not usable:
             return None
         demand = self._demand(record)
         mean = _mean_others(usable)
-        estimates = [self.scorer.estimate(view, record, demand, mean) for view in usable]
+        candidates = self._sample(usable)
+        cached = _best_cached(usable, demand)
+        if cached is not None:
+            candidates.append(cached)
+        estimates = [self.scorer.estimate(view, record, demand, mean) for view in candidates]
         return min(estimates, key=lambda estimate: estimate.first_s)
 
-    def note_sent(self, view: UpstreamView, record: RequestRecord) -> None:
+    def hold_s(self, record: RequestRecord) -> float:
+        """Return how long a request is expected to hold its slot, in seconds."""
+        return self.scorer.holds.of(record)
+
+    def note_sent(self, choice: Choice, record: RequestRecord) -> None:
         """Note that a request goes to an upstream."""
+        view = choice.upstream
         view.own_running.add(record.request_id)
         view.load.note_own(len(view.own_running))
         view.cache.note_sent(self._demand(record).blocks)
 
-    def note_ended(self, view: UpstreamView, record: RequestRecord, hold_s: float) -> None:
-        """Note that an attempt ended after it held its slot for ``hold_s`` seconds."""
+    def note_first(self, record: RequestRecord, expected: Estimate, first_s: float) -> None:
+        """Compare an estimate with the time that the first token really took."""
+        waited_s = first_s - expected.prefill_s - TOKEN_INTERVAL_S
+        self.scorer.waits.note(engine_priority(record), expected.wait_s, waited_s)
+
+    def wait_factor(self, record: RequestRecord) -> float:
+        """Return by what the expected wait in an upstream is to be multiplied."""
+        return self.scorer.waits.factor(engine_priority(record))
+
+    def note_ended(self, view: UpstreamView, record: RequestRecord) -> None:
+        """Note that an attempt ended."""
         view.own_running.discard(record.request_id)
         view.load.note_own(len(view.own_running))
+
+    def note_hold(self, record: RequestRecord, hold_s: float) -> None:
+        """Learn how long a request held its slot, in seconds."""
         self.scorer.holds.note(record, hold_s)
 
     def _usable(self, record: RequestRecord, exclude: frozenset[UpstreamId]) -> list[UpstreamView]:
         usable = [view for view in self._table.in_pool(record.pool) if view.takes_work]
         return [view for view in usable if view.upstream_id not in exclude] or usable
 
-    def _has_room(self, view: UpstreamView, mean_others: float) -> bool:
-        lead = max(1.0, self._lead_share * view.slots)
-        return self.scorer.occupancy(view, mean_others) < view.slots + lead
+    def _is_held(
+        self, record: RequestRecord, usable: list[UpstreamView], mean_others: float
+    ) -> bool:
+        """Return whether work that may wait leaves the pool's remaining slots to quick work."""
+        if record.kind.mode is not KindMode.MUST_ARRIVE or record.attempt > 0:
+            return False
+        own = sum(view.load.own for view in usable)
+        slots = sum(view.slots for view in usable)
+        return own + mean_others * len(usable) >= self._held_share * slots
+
+    def _candidates(
+        self, usable: list[UpstreamView], demand: Demand, mean_others: float
+    ) -> list[UpstreamView]:
+        """Return a few upstreams with room; all are looked at only if none of the sample has."""
+        found = [view for view in self._sample(usable) if self._has_room(view, mean_others)]
+        cached = _best_cached(usable, demand)
+        if cached is not None and cached not in found and self._has_room(cached, mean_others):
+            found.append(cached)
+        if found or len(usable) <= self._choices:
+            return found
+        free = [view for view in usable if self._has_room(view, mean_others)]
+        return self._sample(free)
+
+    def _sample(self, views: list[UpstreamView]) -> list[UpstreamView]:
+        return self._rng.sample(views, min(self._choices, len(views)))
 
-    def _candidates(self, free: list[UpstreamView], demand: Demand) -> list[UpstreamView]:
-        sample = self._rng.sample(free, min(self._choices, len(free)))
-        if not demand.blocks or len(sample) == len(free):
-            return sample
-        cached = max(free, key=lambda view: view.cache.expected_tokens(demand.blocks))
-        return [*sample, cached]
+    def _has_room(self, view: UpstreamView, mean_others: float) -> bool:
+        return self.scorer.occupancy(view, mean_others) < (1.0 + self._lead_share) * view.slots
 
     def _demand(self, record: RequestRecord) -> Demand:
         demand = self._demands.get(record)
@@ -104,3 +159,13 @@
 
 def _mean_others(views: list[UpstreamView]) -> float:
     return sum(view.load.others for view in views) / max(1, len(views))
+
+
+def _best_cached(views: list[UpstreamView], demand: Demand) -> UpstreamView | None:
+    """Return the upstream that is expected to hold most of the prompt, if any holds some."""
+    if not demand.blocks:
+        return None
+    holders = [view for view in views if demand.blocks[0] in view.cache]
+    if not holders:
+        return None
+    return max(holders, key=lambda view: view.cache.expected_tokens(demand.blocks))
--- a/tests/once_gateway.py
+++ b/tests/once_gateway.py
@@ -94,7 +94,8 @@
         await self.before_slot()
         if self.refusal is not None:
             return self.refusal
-        return SlotLease(upstream=t.cast(t.Any, FakeView()), record=record, granted_at=0.0)
+        view, expected = t.cast(t.Any, FakeView()), t.cast(t.Any, None)
+        return SlotLease(upstream=view, record=record, granted_at=0.0, expected=expected)
 
     def release(self, lease: SlotLease) -> None:
         """Do nothing."""
