--- a/src/cassiawalk/control/rules.py
+++ b/src/cassiawalk/control/rules.py
@@ -215,6 +215,9 @@
     for name in value.services.split():
         if name not in draft.table("services"):
             raise RejectedError(f"{operation.target}: service {name!r} does not exist")
+    before = draft.table("workspaces").get(operation.name)
+    if before is not None and before.token_sha256 == value.token_sha256:
+        return
     for name, other in draft.table("workspaces").items():
         if name != operation.name and other.token_sha256 == value.token_sha256:
             raise RejectedError(f"{operation.target}: workspace {name} has the same token")
--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -125,10 +125,10 @@
     for number in range(21, 41):
         status, answer = await hosts.statement(others[0], f'put drain a with reason = "{number}"')
         assert status == 200, answer
-    await asyncio.wait(
-        [asyncio.create_task(wait_snapshot(hosts, host, through=30)) for host in others],
-        return_when=asyncio.FIRST_COMPLETED,
-    )
+    published = [asyncio.create_task(wait_snapshot(hosts, host, through=30)) for host in others]
+    await next(asyncio.as_completed(published))
+    for task in published:
+        task.cancel()
     log = hosts.standins["log"].url
     await hosts.post(f"{log}/streams/control/expire", {"through": 30})
     hosts.hosts[stopped].process.signal(signal.SIGCONT)
