--- /dev/null
+++ b/benchmarks/guards.py
@@ -0,0 +1,56 @@
+"""The product's crash guard for experiments, with quarantines kept in memory."""
+
+import asyncio
+
+from benchmarks.fakes import FakeCloud
+from cassiawalk.clock import Clock
+from cassiawalk.crashes.guard import CrashGuard
+from cassiawalk.crashes.guard import QuarantinePublisher
+from cassiawalk.crashes.turns import SoloTurns
+from cassiawalk.ids import Fingerprint
+from cassiawalk.ids import HostId
+from cassiawalk.membership import Membership
+from cassiawalk.peer import MembershipFeed
+from cassiawalk.peer import NoteBoard
+from cassiawalk.peer import PeerLinks
+from cassiawalk.routing import UpstreamTable
+
+
+class MemoryQuarantines(QuarantinePublisher):
+    """Keeps what was quarantined."""
+
+    def __init__(self) -> None:
+        self.published: dict[Fingerprint, float] = {}
+
+    async def publish(self, fingerprint: Fingerprint, *, until_s: float, reason: str) -> None:
+        """Keep the fingerprint."""
+        await asyncio.sleep(0)
+        self.published[fingerprint] = until_s
+
+    def until_s(self, fingerprint: Fingerprint) -> float | None:
+        """Return the end of a quarantine, or None."""
+        return self.published.get(fingerprint)
+
+    def is_empty(self) -> bool:
+        """Return whether nothing was quarantined."""
+        return not self.published
+
+
+def build_guard(
+    *, host: HostId, membership: Membership, table: UpstreamTable, clock: Clock
+) -> CrashGuard:
+    """Return a guard that no peer talks to."""
+    links = PeerLinks(membership=membership, secret="")
+    board = NoteBoard(clock=clock)
+    feed = MembershipFeed(
+        board=board, host=host, membership=membership, links=links, cloud=FakeCloud(), clock=clock
+    )
+    turns = SoloTurns(host=host, membership=membership, links=links, clock=clock)
+    return CrashGuard(
+        table=table,
+        feed=feed,
+        board=board,
+        turns=turns,
+        quarantines=MemoryQuarantines(),
+        clock=clock,
+    )
--- /dev/null
+++ b/src/cassiawalk/admin/history.py
@@ -0,0 +1,60 @@
+"""Finds the configuration at an earlier revision."""
+
+from cassiawalk.control import ConfigState
+from cassiawalk.control import fold
+from cassiawalk.control.commands import CONTROL_STREAM
+from cassiawalk.control.decoding import IncompatibleError
+from cassiawalk.control.decoding import decode_entry
+from cassiawalk.control.snapshots import SnapshotStore
+from cassiawalk.errors import WireError
+from cassiawalk.ids import Offset
+from cassiawalk.ids import Revision
+from cassiawalk.platform import LogEntry
+from cassiawalk.platform import LogService
+from cassiawalk.platform import ReadFailed
+
+READ_LIMIT = 512
+
+
+class History:
+    """Folds the retained part of the ``control`` stream again."""
+
+    def __init__(self, *, log: LogService) -> None:
+        self._log = log
+        self._snapshots = SnapshotStore(log=log)
+
+    async def at(self, revision: Revision) -> ConfigState | None:
+        """Return the configuration at a revision, or None if it is retained no more."""
+        entries = await self._entries()
+        if entries is None:
+            return None
+        state = await self._base(entries)
+        if state is None or state.revision > revision:
+            return None
+        for entry in entries:
+            if state.revision >= revision:
+                break
+            state = fold(state, entry.offset, decode_entry(entry).messages)
+        return state if state.revision == revision else None
+
+    async def _base(self, entries: list[LogEntry]) -> ConfigState | None:
+        """Return the state from which the entries can be folded."""
+        if not entries or entries[0].offset == 0:
+            return ConfigState()
+        found = await self._snapshots.find(usable_from=entries[0].offset)
+        try:
+            return None if found is None else found.state()
+        except (IncompatibleError, WireError):
+            return None
+
+    async def _entries(self) -> list[LogEntry] | None:
+        entries: list[LogEntry] = []
+        start = Offset(0)
+        while True:
+            batch = await self._log.read(stream=CONTROL_STREAM, start=start, limit=READ_LIMIT)
+            if isinstance(batch, ReadFailed):
+                return None
+            entries.extend(batch.entries)
+            if not batch.entries or batch.entries[-1].offset + 1 >= batch.end_offset:
+                return entries
+            start = Offset(batch.entries[-1].offset + 1)
--- a/src/cassiawalk/app.py
+++ b/src/cassiawalk/app.py
@@ -6,15 +6,25 @@
 
 import eliot
 
+from cassiawalk.metering import Meter
+from cassiawalk.metering import MeteredCoroutine
+
 
 class Component:
-    """A part with its own tasks, started and stopped by the application."""
+    """A part with its own tasks, started and stopped by the application.
+
+    The processor time of its tasks is added to ``meter``, if it has one.
+    """
 
+    meter: Meter | None = None
     _tasks: set[asyncio.Task[t.Any]]
 
     async def start(self) -> None:
         """Start the component's tasks and sockets."""
 
+    async def begin_drain(self) -> None:
+        """Refuse new work from now on; called on all components before any is drained."""
+
     async def drain(self) -> None:
         """Finish accepted work; no new work arrives any more."""
 
@@ -25,7 +35,8 @@
     def spawn(self, coro: cabc.Coroutine[t.Any, t.Any, t.Any], *, name: str) -> asyncio.Task[t.Any]:
         """Run a coroutine as a task that ends with the component."""
         tasks = self.__dict__.setdefault("_tasks", set())
-        task = asyncio.get_running_loop().create_task(coro, name=name)
+        running = coro if self.meter is None else MeteredCoroutine(coro, self.meter)
+        task = asyncio.get_running_loop().create_task(running, name=name)
         tasks.add(task)
         task.add_done_callback(lambda done: _retire(tasks, done))
         return task
@@ -67,6 +78,8 @@
 
     async def drain(self) -> None:
         """Drain all components, the last started first."""
+        for component in reversed(self._started):
+            await component.begin_drain()
         for component in reversed(self._started):
             await component.drain()
 
--- a/src/cassiawalk/node.py
+++ b/src/cassiawalk/node.py
@@ -3,8 +3,11 @@
 import random
 
 from cassiawalk.admin import AdminApp
-from cassiawalk.admin.operators import Operators
-from cassiawalk.admin.queries import Queries
+from cassiawalk.admin import ChangeService
+from cassiawalk.admin import History
+from cassiawalk.admin import Operators
+from cassiawalk.admin import QueryService
+from cassiawalk.admin import RowSource
 from cassiawalk.admission import AdmissionGate
 from cassiawalk.admission import Scheduler
 from cassiawalk.app import Application
@@ -20,14 +23,30 @@
 from cassiawalk.control.relay_messages import RelayBeat
 from cassiawalk.control.relay_messages import RelaySubscribe
 from cassiawalk.control.state import PoolType
+from cassiawalk.crashes import ControlQuarantines
+from cassiawalk.crashes import CrashGuard
+from cassiawalk.crashes import SoloCall
+from cassiawalk.crashes import SoloTurns
 from cassiawalk.dispatch import Dispatcher
 from cassiawalk.dispatch import HttpConnector
 from cassiawalk.dispatch import OutcomeRecorder
 from cassiawalk.dispatch import RetryPolicy
 from cassiawalk.dispatch import UpstreamWatcher
 from cassiawalk.dispatch.call import CallRunner
+from cassiawalk.dispatch.holder import ClaimHolder
+from cassiawalk.dispatch.lookup import OutcomeLookUp
+from cassiawalk.dispatch.mover import Mover
 from cassiawalk.dispatch.once import OnceRunner
 from cassiawalk.dispatch.stream import StreamRunner
+from cassiawalk.drains import DrainSwitch
+from cassiawalk.handover import AnnounceCall
+from cassiawalk.handover import DrainController
+from cassiawalk.handover import HandoverOffer
+from cassiawalk.handover import HandoverReceiver
+from cassiawalk.handover import HandoverSender
+from cassiawalk.handover import HandoverWithdrawal
+from cassiawalk.handover import Locator
+from cassiawalk.handover import Targets
 from cassiawalk.httpserver import HttpServer
 from cassiawalk.httpserver import bound_address
 from cassiawalk.httpserver import listen
@@ -35,15 +54,22 @@
 from cassiawalk.membership import Membership
 from cassiawalk.metrics import Metrics
 from cassiawalk.once import ClaimClient
+from cassiawalk.once import Placement
 from cassiawalk.once import SequencerPool
 from cassiawalk.orders import LeaseKeeper
 from cassiawalk.orders import OrderController
 from cassiawalk.peer import AttachCall
+from cassiawalk.peer import ClaimStatusCall
+from cassiawalk.peer import FeedCall
+from cassiawalk.peer import LocateCall
+from cassiawalk.peer import MembershipFeed
 from cassiawalk.peer import NodeStatusCall
-from cassiawalk.peer import NodeStatusReply
+from cassiawalk.peer import NoteBoard
 from cassiawalk.peer import OnceCall
 from cassiawalk.peer import PeerLinks
 from cassiawalk.peer import PeerServer
+from cassiawalk.peer import QueryCall
+from cassiawalk.peer import ShareCall
 from cassiawalk.platform.hosts_http import HttpCloudApi
 from cassiawalk.platform.hosts_http import HttpHostList
 from cassiawalk.platform.log_http import HttpLogService
@@ -52,6 +78,7 @@
 from cassiawalk.routing import UpstreamTable
 from cassiawalk.settings import Settings
 from cassiawalk.settings import read_secret
+from cassiawalk.status import StatusReporter
 
 
 class Node:
@@ -72,7 +99,9 @@
         self._build_platform()
         self._build_requests()
         self._build_orders()
+        self._build_handover()
         self._build_servers()
+        self._meter_control()
         self.app = Application(components=self._components())
 
     @property
@@ -82,12 +111,22 @@
 
     def _build_platform(self) -> None:
         cfg, clock = self._cfg, self._clock
-        self.metrics = Metrics()
-        self.log = HttpLogService(url=cfg.log_url)
-        self.cloud = HttpCloudApi(url=cfg.cloud_url)
-        host_list = HttpHostList(url=cfg.host_list_url)
+        self.metrics = Metrics(clock=clock)
+        traffic = self.metrics.control
+        self.log = HttpLogService(url=cfg.log_url, traffic=traffic)
+        self.cloud = HttpCloudApi(url=cfg.cloud_url, traffic=traffic)
+        host_list = HttpHostList(url=cfg.host_list_url, traffic=traffic)
         self.membership = Membership(host=cfg.host_id, host_list=host_list, clock=clock)
-        self.links = PeerLinks(membership=self.membership, secret=self._secret)
+        self.links = PeerLinks(membership=self.membership, secret=self._secret, traffic=traffic)
+        self.board = NoteBoard(clock=clock)
+        self.feed = MembershipFeed(
+            board=self.board,
+            host=cfg.host_id,
+            membership=self.membership,
+            links=self.links,
+            cloud=self.cloud,
+            clock=clock,
+        )
         self.control = ControlFollower(
             log=self.log,
             clock=clock,
@@ -96,13 +135,14 @@
         )
         self.publisher = CommandPublisher(log=self.log, follower=self.control, clock=clock)
         self._build_relay()
-        self.sequencers = SequencerPool(log=self.log)
+        placement = Placement(
+            host=cfg.host_id, membership=self.membership, partitions=cfg.once_partitions
+        )
+        self.sequencers = SequencerPool(
+            log=self.log, clock=clock, placement=placement, window_s=cfg.once_window_s
+        )
         self.claims = ClaimClient(
-            host=cfg.host_id,
-            membership=self.membership,
-            links=self.links,
-            pool=self.sequencers,
-            partitions=cfg.once_partitions,
+            host=cfg.host_id, placement=placement, links=self.links, pool=self.sequencers
         )
 
     def _build_relay(self) -> None:
@@ -133,11 +173,28 @@
         self.table = UpstreamTable(membership=self.membership, clock=clock)
         self.router = Router(table=self.table, rng=self._rng)
         self.scheduler = Scheduler(table=self.table, router=self.router, clock=clock)
-        self.gate = AdmissionGate(scheduler=self.scheduler, clock=clock)
-        self.connector = HttpConnector()
-        self.watcher = UpstreamWatcher(table=self.table, connector=self.connector, clock=clock)
+        self.guard = self._crash_guard()
+        self.gate = AdmissionGate(
+            scheduler=self.scheduler, clock=clock, quarantine=self.guard.refusal
+        )
+        self.connector = HttpConnector(traffic=self.metrics.control)
+        self.mover = Mover(
+            table=self.table, scheduler=self.scheduler, connector=self.connector, clock=clock
+        )
+        self.watcher = UpstreamWatcher(
+            table=self.table, connector=self.connector, clock=clock, rng=self._rng
+        )
+        self.watcher.add_death_listener(self.guard.note_death)
         self.retries = RetryPolicy(clock=clock, rng=self._rng)
         self.recorder = OutcomeRecorder(claims=self.claims, clock=clock)
+        self.holder = ClaimHolder(
+            host=self._cfg.host_id,
+            incarnation=self.incarnation,
+            links=self.links,
+            recorder=self.recorder,
+            clock=clock,
+            window_s=self._cfg.once_window_s,
+        )
         self.dispatcher = Dispatcher(
             gate=self.gate,
             runners={PoolType.ENGINE: self._stream_runner(), PoolType.PLAIN: self._call_runner()},
@@ -160,10 +217,31 @@
             clock=self._clock,
         )
 
+    def _crash_guard(self) -> CrashGuard:
+        self.turns = SoloTurns(
+            host=self._cfg.host_id,
+            membership=self.membership,
+            links=self.links,
+            clock=self._clock,
+        )
+        quarantines = ControlQuarantines(
+            publisher=self.publisher, follower=self.control, clock=self._clock, rng=self._rng
+        )
+        return CrashGuard(
+            table=self.table,
+            feed=self.feed,
+            board=self.board,
+            turns=self.turns,
+            quarantines=quarantines,
+            clock=self._clock,
+        )
+
     def _stream_runner(self) -> StreamRunner:
         return StreamRunner(
             scheduler=self.scheduler,
             connector=self.connector,
+            mover=self.mover,
+            guard=self.guard,
             retries=self.retries,
             clock=self._clock,
             metrics=self.metrics,
@@ -183,21 +261,55 @@
             host=self._cfg.host_id,
             incarnation=self.incarnation,
             claims=self.claims,
+            holder=self.holder,
             recorder=self.recorder,
+            look_up=OutcomeLookUp(
+                config=lambda: self.control.state, table=self.table, connector=self.connector
+            ),
             scheduler=self.scheduler,
             connector=self.connector,
             clock=self._clock,
+            window_s=self._cfg.once_window_s,
+        )
+
+    def _build_handover(self) -> None:
+        cfg, clock = self._cfg, self._clock
+        host, membership, links = cfg.host_id, self.membership, self.links
+        self.locator = Locator(host=host, membership=membership, links=links, clock=clock)
+        targets = Targets(host=host, membership=membership, links=links)
+        self.receiver = HandoverReceiver(
+            host=host,
+            dispatcher=self.dispatcher,
+            store=self.store,
+            locator=self.locator,
+            clock=clock,
+        )
+        sender = HandoverSender(
+            host=host, dispatcher=self.dispatcher, targets=targets, links=links, clock=clock
+        )
+        self.drain_controller = DrainController(
+            host=host,
+            membership=membership,
+            cloud=self.cloud,
+            dispatcher=self.dispatcher,
+            store=self.store,
+            sender=sender,
+            receiver=self.receiver,
+            targets=targets,
+            clock=clock,
+            limit_s=cfg.drain_limit_s,
+            notice_s=cfg.drain_notice_s,
         )
 
     def _build_servers(self) -> None:
         cfg = self._cfg
-        attachments = Attachments(host=cfg.host_id, store=self.store, links=self.links)
-        queries = Queries(
+        attachments = Attachments(
+            host=cfg.host_id, store=self.store, links=self.links, locator=self.locator
+        )
+        queries = QueryService(
             host=cfg.host_id,
-            control=self.control,
+            source=self._row_source(),
             membership=self.membership,
-            table=self.table,
-            store=self.store,
             links=self.links,
         )
         caller = CallerApp(
@@ -210,25 +322,78 @@
         )
         admin = AdminApp(
             operators=self._operators,
-            publisher=self.publisher,
+            control=self.control,
+            changes=ChangeService(publisher=self.publisher, queries=queries, clock=self._clock),
             queries=queries,
+            history=History(log=self.log),
             metrics=self.metrics,
-            clock=self._clock,
         )
-        self.caller_server = HttpServer(asgi=caller.asgi(), sock=self._sockets["caller"])
+        self.caller_server = HttpServer(
+            asgi=caller.asgi(), sock=self._sockets["caller"], close_limit_s=cfg.drain_limit_s
+        )
         self.admin_server = HttpServer(asgi=admin.asgi(), sock=self._sockets["admin"])
-        self.peer_server = PeerServer(sock=self._sockets["peer"], secret=self._secret)
+        self.peer_server = PeerServer(
+            sock=self._sockets["peer"], secret=self._secret, traffic=self.metrics.control
+        )
         self._handle_peer_calls(attachments, queries)
 
-    def _handle_peer_calls(self, attachments: Attachments, queries: Queries) -> None:
-        async def node_status(_: NodeStatusCall) -> NodeStatusReply:
-            return queries.node_status(draining=self.dispatcher.draining)
+    def _status_reporter(self) -> StatusReporter:
+        return StatusReporter(
+            host=self._cfg.host_id,
+            control=self.control,
+            dispatcher=self.dispatcher,
+            store=self.store,
+        )
+
+    def _row_source(self) -> RowSource:
+        return RowSource(
+            host=self._cfg.host_id,
+            failure_domain=self._cfg.failure_domain,
+            control=self.control,
+            table=self.table,
+            store=self.store,
+            dispatcher=self.dispatcher,
+            recorder=self.recorder,
+            refusals=self.metrics.refusals,
+            clock=self._clock,
+        )
 
+    def _handle_peer_calls(self, attachments: Attachments, queries: QueryService) -> None:
         self.peer_server.handle(OnceCall, self.claims.handle_call)
-        self.peer_server.handle(NodeStatusCall, node_status)
         self.peer_server.handle(RelayBeat, self.relay.server.beat)
         self.peer_server.handle_stream(RelaySubscribe, self.relay.server.serve)
+        self.peer_server.handle(QueryCall, queries.handle)
+        self.peer_server.handle(NodeStatusCall, self._status_reporter().handle)
+        self.peer_server.handle(ClaimStatusCall, self.holder.status)
+        self.peer_server.handle(SoloCall, self.turns.handle_call)
+        self.peer_server.handle(ShareCall, self.feed.handle_share)
+        self.peer_server.handle_stream(FeedCall, self.feed.serve)
         self.peer_server.handle_stream(AttachCall, attachments.serve)
+        self.peer_server.handle(AnnounceCall, self.locator.handle_announce)
+        self.peer_server.handle(LocateCall, self.locator.handle_locate)
+        self.peer_server.handle(HandoverOffer, self.receiver.handle_offer)
+        self.peer_server.handle(HandoverWithdrawal, self.receiver.handle_withdrawal)
+
+    def _meter_control(self) -> None:
+        """Count the processor time of the control work apart from the token path."""
+        for component in (
+            self.membership,
+            self.links,
+            self.relay,
+            self.housekeeper,
+            self.orders,
+            self.sequencers,
+            self.watcher,
+        ):
+            component.meter = self.metrics.control
+
+    def _drain_switch(self) -> DrainSwitch:
+        return DrainSwitch(
+            host=self._cfg.host_id,
+            control=self.control,
+            table=self.table,
+            dispatcher=self.dispatcher,
+        )
 
     def _components(self) -> list[Component]:
         return [
@@ -238,13 +403,20 @@
             self.housekeeper,
             self.sequencers,
             self.peer_server,
+            self.feed,
             self.connector,
             self.table,
             self.watcher,
             self.orders,
+            self.mover,
+            self.guard,
             self.recorder,
             self.scheduler,
             self.dispatcher,
+            self._drain_switch(),
+            self.locator,
+            self.receiver,
+            self.drain_controller,
             self.admin_server,
             self.caller_server,
         ]
--- a/src/cassiawalk/once/client.py
+++ b/src/cassiawalk/once/client.py
@@ -1,79 +1,74 @@
 """Finds the sequencer of a key and talks to it."""
 
+import dataclasses
+
 from cassiawalk.ids import HostId
-from cassiawalk.membership import Membership
-from cassiawalk.membership import rank
 from cassiawalk.once.decisions import ClaimDecision
 from cassiawalk.once.decisions import Unavailable
 from cassiawalk.once.decisions import decisions
+from cassiawalk.once.placement import Placement
+from cassiawalk.once.pool import SequencerPool
 from cassiawalk.once.records import Claim
 from cassiawalk.once.records import OnceRecord
-from cassiawalk.once.records import partition_of
 from cassiawalk.once.records import records
-from cassiawalk.once.sequencer import SequencerPool
 from cassiawalk.peer import OnceCall
 from cassiawalk.peer import OnceReply
 from cassiawalk.peer import PeerFailure
 from cassiawalk.peer import PeerLinks
 
-PARTITIONS = 16
-HOSTS_TRIED = 2
+HOSTS_ASKED = 2
+HOSTS_TRIED = 6
 CALL_TIMEOUT_S = 4.0
+_NOBODY = Unavailable(reason="no sequencer could be reached", appended=False)
 
 
 class ClaimClient:
-    """Claims keys and records outcomes, here or at the partition's host.
-
-    :param partitions: the number of partitions; the same on every host.
-    """
+    """Claims keys and records outcomes, here or at the partition's host."""
 
     def __init__(
-        self,
-        *,
-        host: HostId,
-        membership: Membership,
-        links: PeerLinks,
-        pool: SequencerPool,
-        partitions: int = PARTITIONS,
+        self, *, host: HostId, placement: Placement, links: PeerLinks, pool: SequencerPool
     ) -> None:
         self._host = host
-        self._membership = membership
+        self._placement = placement
         self._links = links
         self._pool = pool
-        self._partitions = partitions
 
     async def claim(self, claim: Claim) -> ClaimDecision:
         """Return the decision on a claim. The same claim may be sent again: its id decides."""
-        failure = Unavailable(reason="no sequencer could be reached")
-        for host in self._candidates(claim.key):
-            decision = await self._send(host, claim)
-            if decision is None or not isinstance(decision, Unavailable):
-                return decision or failure
-            failure = decision
-        return failure
+        decision = await self._send_to_first(claim)
+        return decision or Unavailable(reason="the sequencer's answer can't be read")
 
     async def record(self, record: OnceRecord) -> Unavailable | None:
         """Append an outcome or abandonment; None means that it is in the stream."""
-        failure: Unavailable | None = Unavailable(reason="no sequencer could be reached")
-        for host in self._candidates(record.key):
-            answer = await self._send(host, record)
-            if not isinstance(answer, Unavailable):
-                return None
-            failure = answer
-        return failure
+        answer = await self._send_to_first(record)
+        return answer if isinstance(answer, Unavailable) else None
 
-    def _candidates(self, key: str) -> list[HostId]:
-        partition = partition_of(key, partitions=self._partitions)
-        hosts = self._membership.reachable_entry_hosts() or [self._host]
-        return rank(f"once-{partition}", hosts)[:HOSTS_TRIED]
+    async def _send_to_first(self, record: OnceRecord) -> ClaimDecision | None:
+        """Ask the partition's hosts in turn, and this host if none of them can be reached."""
+        failure = _NOBODY
+        asked = 0
+        hosts = self._placement.hosts(self._placement.partition(record.key))[:HOSTS_TRIED]
+        for host in [*hosts, self._host]:
+            decision = await self._send(host, record)
+            if isinstance(decision, PeerFailure):
+                asked += decision.sent
+                decision = Unavailable(reason=decision.reason, appended=decision.sent)
+            else:
+                asked += 1
+            if not isinstance(decision, Unavailable):
+                return decision
+            failure = dataclasses.replace(decision, appended=failure.appended or decision.appended)
+            if asked >= HOSTS_ASKED:
+                break
+        return failure
 
-    async def _send(self, host: HostId, record: OnceRecord) -> ClaimDecision | None:
+    async def _send(self, host: HostId, record: OnceRecord) -> ClaimDecision | PeerFailure | None:
         if host == self._host:
             return await self.handle_local(record)
         call = OnceCall(record=records.to_plain(record))
         reply = await self._links.call(host, call, OnceReply, timeout_s=CALL_TIMEOUT_S)
         if isinstance(reply, PeerFailure):
-            return Unavailable(reason=reply.reason)
+            return reply
         if reply.decision is None:
             return None
         decision = decisions.from_plain(reply.decision)
@@ -83,8 +78,7 @@
 
     async def handle_local(self, record: OnceRecord) -> ClaimDecision | None:
         """Serve a claim or record at this host's own sequencer."""
-        partition = partition_of(record.key, partitions=self._partitions)
-        sequencer = await self._pool.sequencer(partition)
+        sequencer = await self._pool.sequencer(self._placement.partition(record.key))
         if isinstance(record, Claim):
             return await sequencer.claim(record)
         return await sequencer.record(record)
--- a/src/cassiawalk/peer/__init__.py
+++ b/src/cassiawalk/peer/__init__.py
@@ -1,8 +1,18 @@
 """The protocol between cassiawalk's own processes."""
 
+from cassiawalk.peer.board import Note as Note
+from cassiawalk.peer.board import NoteBoard as NoteBoard
+from cassiawalk.peer.board import NoteTopic as NoteTopic
+from cassiawalk.peer.feed import FeedCall as FeedCall
+from cassiawalk.peer.feed import MembershipFeed as MembershipFeed
+from cassiawalk.peer.feed import ShareCall as ShareCall
 from cassiawalk.peer.links import PeerFailure as PeerFailure
 from cassiawalk.peer.links import PeerLinks as PeerLinks
 from cassiawalk.peer.messages import AttachCall as AttachCall
+from cassiawalk.peer.messages import CancelCall as CancelCall
+from cassiawalk.peer.messages import ClaimStatusCall as ClaimStatusCall
+from cassiawalk.peer.messages import ClaimStatusReply as ClaimStatusReply
+from cassiawalk.peer.messages import HolderState as HolderState
 from cassiawalk.peer.messages import LocateCall as LocateCall
 from cassiawalk.peer.messages import LocateReply as LocateReply
 from cassiawalk.peer.messages import NodeStatusCall as NodeStatusCall
@@ -10,6 +20,8 @@
 from cassiawalk.peer.messages import OnceCall as OnceCall
 from cassiawalk.peer.messages import OnceReply as OnceReply
 from cassiawalk.peer.messages import PeerFault as PeerFault
+from cassiawalk.peer.messages import QueryCall as QueryCall
+from cassiawalk.peer.messages import QueryReply as QueryReply
 from cassiawalk.peer.messages import StreamPart as StreamPart
 from cassiawalk.peer.messages import messages as messages
 from cassiawalk.peer.server import PeerServer as PeerServer
--- a/src/cassiawalk/platform/log_http.py
+++ b/src/cassiawalk/platform/log_http.py
@@ -6,6 +6,7 @@
 import orjson
 
 from cassiawalk.ids import Offset
+from cassiawalk.metering import Meter
 from cassiawalk.platform import _http
 from cassiawalk.platform.log import Appended
 from cassiawalk.platform.log import AppendOutcome
@@ -20,28 +21,31 @@
 _DEFAULT_RETRY_S = 1.0
 _APPEND_TIMEOUT_S = 3.0
 _READ_MARGIN_S = 3.0
+_BAD_ANSWER: tuple[type[BaseException], ...] = (*_http.LOST_ANSWER, KeyError, TypeError)
 
 
 class HttpLogService(LogService):
     """Client of a log service with JSON answers and base64 payloads."""
 
-    def __init__(self, *, url: str) -> None:
+    def __init__(self, *, url: str, traffic: Meter | None = None) -> None:
+        self._traffic = traffic or Meter()
         self._url = url.rstrip("/")
         self._client = _http.new_client(answer_timeout_s=None)
 
     async def append(self, *, stream: str, payload: bytes) -> AppendOutcome:
         """Append with one POST; the client library never repeats a POST by itself."""
         url = f"{self._url}/streams/{stream}/records"
+        self._traffic.note_sent(len(payload))
         try:
             async with asyncio.timeout(_APPEND_TIMEOUT_S):
                 res = await self._client.post(url, data=payload)
-                body = await res.content()
+                body = await _http.whole_body(res)
+            if res.status_code == 201:
+                return Appended(offset=Offset(int(orjson.loads(body)["offset"])))
         except _http.NOT_SENT as exc:
             return AppendRefused(reason=repr(exc), retry_after_s=_DEFAULT_RETRY_S)
-        except _http.LOST_ANSWER as exc:
+        except _BAD_ANSWER as exc:
             return AppendUnknown(reason=repr(exc))
-        if res.status_code == 201:
-            return Appended(offset=Offset(int(orjson.loads(body)["offset"])))
         if res.status_code in (429, 503):
             retry_s = _http.header_float(res.headers, "retry-after") or _DEFAULT_RETRY_S
             return AppendRefused(reason=f"status {res.status_code}", retry_after_s=retry_s)
@@ -56,12 +60,13 @@
         try:
             async with asyncio.timeout(wait_s + _READ_MARGIN_S):
                 res = await self._client.get(url, params=params)
-                body = await res.content()
+                body = await _http.whole_body(res)
+            self._traffic.note_received(len(body))
             if res.status_code != 200:
                 outage = res.status_code == 503
                 return ReadFailed(reason=f"status {res.status_code}", service_outage=outage)
             return _read_batch(body)
-        except _http.LOST_ANSWER as exc:
+        except _BAD_ANSWER as exc:
             return ReadFailed(reason=repr(exc))
 
     async def aclose(self) -> None:
--- a/src/cassiawalk/platform/service_http.py
+++ b/src/cassiawalk/platform/service_http.py
@@ -1,8 +1,12 @@
 """Plain services over HTTP and JSON."""
 
 import asyncio
+import time
+
+import orjson
 
 from cassiawalk.platform import _http
+from cassiawalk.platform.engine import LoadReport
 from cassiawalk.platform.service import CallAnswered
 from cassiawalk.platform.service import CallFailed
 from cassiawalk.platform.service import CallOutcome
@@ -10,6 +14,8 @@
 from cassiawalk.platform.service import ServiceCall
 
 _LOOK_UP_TIMEOUT_S = 5.0
+_LOAD_TIMEOUT_S = 2.0
+_BAD_LOAD: tuple[type[BaseException], ...] = (*_http.LOST_ANSWER, KeyError, TypeError)
 
 
 class HttpPlainService(PlainService):
@@ -31,28 +37,50 @@
         }
         if call.key is not None:
             headers["idempotency-key"] = call.key
+        if call.workspace:
+            headers["x-workspace"] = call.workspace
         client = _http.new_client(answer_timeout_s=None)
         try:
             async with asyncio.timeout(call.timeout_s):
                 res = await client.post(self._url + call.path, data=call.body, headers=headers)
-                body = await res.content()
+                body = await _http.whole_body(res)
         except _http.NOT_SENT as exc:
             return CallFailed(reason=repr(exc), sent=False)
         except _http.LOST_ANSWER as exc:
             return CallFailed(reason=repr(exc), sent=True)
         finally:
             await _http.close_client(client)
-        return CallAnswered(status=res.status_code, body=bytes(body))
+        return CallAnswered(status=res.status_code, body=body)
 
-    async def look_up(self, *, path: str, key: str) -> CallOutcome:
+    async def look_up(self, *, path: str, workspace: str, key: str) -> CallOutcome:
         """Ask with one GET; a look-up may be repeated."""
         client = _http.new_client(answer_timeout_s=None)
         try:
             async with asyncio.timeout(_LOOK_UP_TIMEOUT_S):
-                res = await client.get(f"{self._url}{path}/{key}")
-                body = await res.content()
+                res = await client.get(f"{self._url}{path}/{key}", params={"workspace": workspace})
+                body = await _http.whole_body(res)
         except _http.LOST_ANSWER as exc:
             return CallFailed(reason=repr(exc), sent=True)
         finally:
             await _http.close_client(client)
-        return CallAnswered(status=res.status_code, body=bytes(body))
+        return CallAnswered(status=res.status_code, body=body)
+
+    async def load(self) -> LoadReport | None:
+        """Return the report of one GET; a report without a time counts as measured now."""
+        client = _http.new_client(answer_timeout_s=None)
+        try:
+            async with asyncio.timeout(_LOAD_TIMEOUT_S):
+                res = await client.get(f"{self._url}/load")
+                answer = orjson.loads(await res.content())
+            if res.status_code != 200:
+                return None
+            return LoadReport(
+                slots=int(answer["slots"]),
+                running=int(answer["running"]),
+                waiting=int(answer["waiting"]),
+                measured_s=float(answer.get("measured_s", time.time())),
+            )
+        except _BAD_LOAD:
+            return None
+        finally:
+            await _http.close_client(client)
