--- a/src/cassiawalk/settings.py
+++ b/src/cassiawalk/settings.py
@@ -148,7 +148,7 @@
 
 
 _SECONDS = NumberType(low=0, high=86400, unit="seconds")
-_DAYS = NumberType(low=1, high=366 * 86400, unit="seconds")
+_DAYS = NumberType(low=1, high=10_000_000, unit="seconds")
 
 SPECS: tuple[SettingSpec, ...] = (
     _spec("host", "id", NameType(), None, "Name of this host, as in the host list."),
