--- a/src/cassiawalk/admin/language.py
+++ b/src/cassiawalk/admin/language.py
@@ -29,7 +29,7 @@
 _SECONDS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0, "d": 86400.0}
 _TERMINAL_NAMES: cabc.Mapping[str, str] = {
     "VERB": "create, set, put",
-    "OBJECT": "service, workspace, kind, limit, pool",
+    "OBJECT": "service, workspace, kind, limit, pool, drain, quarantine",
     "DRAINABLE": "host, upstream",
     "SUBJECT": ", ".join(TABLES),
     "OPERATOR": "=, !=, <, <=, >, >=",
--- a/src/cassiawalk/cli/output.py
+++ b/src/cassiawalk/cli/output.py
@@ -9,6 +9,7 @@
 from cassiawalk.cli.errors import ExitStatus
 
 MAX_CELL_WIDTH = 48
+_BULKY_FIELDS = ("verdicts", "changes")
 
 
 def format_json(body: t.Any) -> str:
@@ -22,7 +23,8 @@
     if "rows" in body:
         return "\n".join(_row_lines(body))
     if "config" in body:
-        return format_json(body["config"])
+        shown = {k: v for k, v in body["config"].items() if k not in _BULKY_FIELDS}
+        return format_json(shown)
     if "detail" not in body:
         return format_json(body)
     lines = [f"{body['name']}: {body['detail']}"]
--- a/src/cassiawalk/control/publisher.py
+++ b/src/cassiawalk/control/publisher.py
@@ -21,11 +21,14 @@
 from cassiawalk.ids import new_uuid7
 from cassiawalk.ids import uuid7_time_s
 from cassiawalk.platform import Appended
+from cassiawalk.platform import AppendOutcome
 from cassiawalk.platform import AppendRefused
 from cassiawalk.platform import LogService
 from cassiawalk.results import Execution
 from cassiawalk.results import ResultCode
 
+RATE_LIMIT_WAIT_S = 2.0
+RATE_LIMIT_PAUSE_S = 0.5
 VERDICT_WAIT_S = 5.0
 REAPPEND_WAIT_S = 1.5
 APPEND_TRIES = 3
@@ -71,7 +74,7 @@
             return _decided(command, known)
         payload = records.encode([command])
         for attempt in range(APPEND_TRIES):
-            appended = await self._log.append(stream=CONTROL_STREAM, payload=payload)
+            appended = await self._append(payload)
             if isinstance(appended, AppendRefused) and attempt == 0:
                 return _not_appended(command, appended)
             certain = isinstance(appended, Appended)
@@ -108,6 +111,18 @@
         )
         return await self.publish(command)
 
+    async def _append(self, payload: bytes) -> AppendOutcome:
+        """Append, and wait out the log's rate limit; an outage is reported at once."""
+        give_up_at = self._clock.monotonic() + RATE_LIMIT_WAIT_S
+        while True:
+            appended = await self._log.append(stream=CONTROL_STREAM, payload=payload)
+            if not isinstance(appended, AppendRefused):
+                return appended
+            again_at = self._clock.monotonic() + appended.retry_after_s
+            if appended.retry_after_s > RATE_LIMIT_PAUSE_S or again_at > give_up_at:
+                return appended
+            await self._clock.sleep(appended.retry_after_s)
+
     def _refuse_id(self, command: Command) -> CommandOutcome | None:
         issued_s = uuid7_time_s(command.command_id)
         if issued_s is None:
--- a/src/cassiawalk/node.py
+++ b/src/cassiawalk/node.py
@@ -98,8 +98,8 @@
         }
         self._build_platform()
         self._build_requests()
-        self._build_orders()
         self._build_handover()
+        self._build_orders()
         self._build_servers()
         self._meter_control()
         self.app = Application(components=self._components())
@@ -204,19 +204,6 @@
             metrics=self.metrics,
         )
 
-    def _build_orders(self) -> None:
-        host = self._cfg.host_id
-        holder = f"{host}/{self.incarnation}"
-        self.orders = OrderController(
-            host=host,
-            leases=LeaseKeeper(host=host, holder=holder, log=self.log, clock=self._clock),
-            control=self.control,
-            membership=self.membership,
-            table=self.table,
-            connector=self.connector,
-            clock=self._clock,
-        )
-
     def _crash_guard(self) -> CrashGuard:
         self.turns = SoloTurns(
             host=self._cfg.host_id,
@@ -236,6 +223,19 @@
             clock=self._clock,
         )
 
+    def _build_orders(self) -> None:
+        host = self._cfg.host_id
+        holder = f"{host}/{self.incarnation}"
+        self.orders = OrderController(
+            host=host,
+            leases=LeaseKeeper(host=host, holder=holder, log=self.log, clock=self._clock),
+            control=self.control,
+            membership=self.membership,
+            table=self.table,
+            connector=self.connector,
+            clock=self._clock,
+        )
+
     def _stream_runner(self) -> StreamRunner:
         return StreamRunner(
             scheduler=self.scheduler,
@@ -360,14 +360,14 @@
 
     def _handle_peer_calls(self, attachments: Attachments, queries: QueryService) -> None:
         self.peer_server.handle(OnceCall, self.claims.handle_call)
-        self.peer_server.handle(RelayBeat, self.relay.server.beat)
-        self.peer_server.handle_stream(RelaySubscribe, self.relay.server.serve)
         self.peer_server.handle(QueryCall, queries.handle)
         self.peer_server.handle(NodeStatusCall, self._status_reporter().handle)
         self.peer_server.handle(ClaimStatusCall, self.holder.status)
         self.peer_server.handle(SoloCall, self.turns.handle_call)
         self.peer_server.handle(ShareCall, self.feed.handle_share)
         self.peer_server.handle_stream(FeedCall, self.feed.serve)
+        self.peer_server.handle(RelayBeat, self.relay.server.beat)
+        self.peer_server.handle_stream(RelaySubscribe, self.relay.server.serve)
         self.peer_server.handle_stream(AttachCall, attachments.serve)
         self.peer_server.handle(AnnounceCall, self.locator.handle_announce)
         self.peer_server.handle(LocateCall, self.locator.handle_locate)
@@ -379,10 +379,12 @@
         for component in (
             self.membership,
             self.links,
+            self.feed,
+            self.control,
             self.relay,
             self.housekeeper,
-            self.orders,
             self.sequencers,
+            self.orders,
             self.watcher,
         ):
             component.meter = self.metrics.control
@@ -407,9 +409,9 @@
             self.connector,
             self.table,
             self.watcher,
-            self.orders,
             self.mover,
             self.guard,
+            self.orders,
             self.recorder,
             self.scheduler,
             self.dispatcher,
