--- a/tests/test_contract_service.py
+++ b/tests/test_contract_service.py
@@ -18,6 +18,7 @@
 from tests.raw_http import unused_address
 
 CONCURRENT_CALLS = 60
+HANG_LIMIT_S = 10.0
 
 
 def make_call(key: str = "k", *, workspace: str = "family", timeout_s: float = 20.0) -> ServiceCall:
@@ -93,7 +94,8 @@
             asyncio.create_task(service.call(make_call(f"k{number}")))
             for number in range(CONCURRENT_CALLS)
         ]
-        assert await standin._after_run.wait_held(CONCURRENT_CALLS) == CONCURRENT_CALLS
+        async with asyncio.timeout(HANG_LIMIT_S):
+            assert await standin._after_run.wait_held(CONCURRENT_CALLS) == CONCURRENT_CALLS
         standin._after_run.set_closed(False)
         outcomes = await asyncio.gather(*calls)
     assert all(isinstance(outcome, CallAnswered) for outcome in outcomes)
--- a/tests/test_sequencer.py
+++ b/tests/test_sequencer.py
@@ -22,6 +22,7 @@
 from tests.once_fakes import outcome_of
 
 STREAM = "once-0"
+HANG_LIMIT_S = 10.0
 
 
 @contextlib.asynccontextmanager
@@ -129,7 +130,10 @@
     assert again.outcome == outcome_of(claim)
 
 
-async def test_log_that_does_not_answer_refuses_later_claims_at_once() -> None:
+async def test_log_that_does_not_answer_refuses_later_claims_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(sequencer_module, "PENDING_LIMIT_S", 3600.0)
     log, clock = FakeLog(), FakeClock()
     log.answering.clear()
     async with running(log, clock) as sequencer:
@@ -137,7 +141,8 @@
         while log.appends == 0:
             await asyncio.sleep(0)
         clock.advance(sequencer_module.STALL_S)
-        refused = await sequencer.claim(make_claim("l", 2))
+        async with asyncio.timeout(HANG_LIMIT_S):
+            refused = await sequencer.claim(make_claim("l", 2))
         assert isinstance(refused, Unavailable)
         assert refused.appended is False
         log.answering.set()
