--- a/src/cassiawalk/dispatch/once.py
+++ b/src/cassiawalk/dispatch/once.py
@@ -101,6 +101,7 @@
 
     async def _run(self, record: RequestRecord, claim: Claim) -> Refusal | None:
         begun_at = self._clock.monotonic()
+        holder: Claim | None = None
         decision = await self._claims.claim(claim)
         if isinstance(decision, Taken):
             if decision.claim.body_digest != claim.body_digest:
@@ -121,11 +122,7 @@
         if isinstance(decision, Unavailable):
             if decision.appended:
                 self._abandon(claim)
-            return Refusal(
-                code=ResultCode.CLAIM_UNAVAILABLE,
-                detail=decision.reason,
-                retry_after_s=decision.retry_after_s,
-            )
+            return _unavailable(decision, holder)
         assert isinstance(decision, Granted)
         return await self._run_claimed(record, claim, begun_at)
 
@@ -277,6 +274,18 @@
     )
 
 
+def _unavailable(decision: Unavailable, holder: Claim | None) -> Refusal:
+    """Return the refusal; the request of a key that is held may have run."""
+    if holder is not None:
+        detail = f"request {holder.request_id} held the key, and {decision.reason}"
+        return _unknown(detail, retry_after_s=decision.retry_after_s)
+    return Refusal(
+        code=ResultCode.CLAIM_UNAVAILABLE,
+        detail=decision.reason,
+        retry_after_s=decision.retry_after_s,
+    )
+
+
 def _unknown(detail: str, *, retry_after_s: float | None = None) -> Refusal:
     return Refusal(
         code=ResultCode.OUTCOME_UNKNOWN,
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -2,6 +2,9 @@
 
 import pytest
 
+from cassiawalk.once import Claim
+from cassiawalk.once import ClaimDecision
+from cassiawalk.once import Unavailable
 from cassiawalk.platform import CallAnswered
 from cassiawalk.platform import CallFailed
 from cassiawalk.requests import Result
@@ -201,6 +204,26 @@
     assert world.service.runs["k"] == 1
 
 
+async def test_key_that_is_held_is_never_called_not_run(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The log goes away between two looks at a key whose call was sent."""
+    async with World() as world:
+        await die_while_running(world)
+        claim = world.b.claims.claim
+        looks = 0
+
+        async def claim_once(wanted: Claim) -> ClaimDecision:
+            nonlocal looks
+            looks += 1
+            return await claim(wanted) if looks == 1 else Unavailable(reason="outage")
+
+        monkeypatch.setattr(world.b.claims, "claim", claim_once)
+        again = await world.b.send("k")
+    assert looks == 2
+    assert is_refusal(again, ResultCode.OUTCOME_UNKNOWN, Execution.UNKNOWN)
+    assert isinstance(again, Refusal)
+    assert again.retry_after_s is not None
+
+
 async def test_lost_gateway_and_a_service_that_can_be_asked() -> None:
     async with World(look_up="/outcomes") as world:
         await die_while_running(world)
--- a/tests/test_once_processes.py
+++ b/tests/test_once_processes.py
@@ -44,6 +44,17 @@
             status, answer = await self.fleet.statement("host-0", statement)
             assert status == 200, answer
         await self.fleet.wait_revision(len(CONFIG))
+        await self._wait_connected(hosts)
+
+    async def _wait_connected(self, hosts: int) -> None:
+        """Return once every host lists and reaches all hosts."""
+        async with asyncio.timeout(20):
+            for host in self.fleet.hosts:
+                while True:
+                    _, answer = await self.fleet.statement(host, "show nodes")
+                    if len(answer["nodes"]) == hosts:
+                        break
+                    await asyncio.sleep(0.05)
 
     async def hold(self, host: int, key: str, **options: t.Any) -> Answer:
         return await send(self.fleet, f"host-{host}", "beds/hold", {"bed": 1}, key=key, **options)
@@ -183,3 +194,19 @@
     again = await bench.until_settled(2, "outage")
     assert (again.status, again.body["recorded"]) == (200, True)
     assert await bench.runs("outage") == 1
+
+
+async def test_sequencer_paused_while_another_takes_over(bench: Bench) -> None:
+    fleet = bench.fleet
+    await bench.start(3)
+    keys = [f"taken-over-{number}" for number in range(12)]
+    await asyncio.gather(*(bench.until_settled(2, f"before-{key}") for key in keys))
+    paused = fleet.hosts["host-2"].process
+    paused.signal(signal.SIGSTOP)
+    first = await asyncio.gather(*(bench.until_settled(0, key) for key in keys))
+    paused.signal(signal.SIGCONT)
+    hosts = (0, 1, 2)
+    again = await asyncio.gather(*(bench.until_settled(h, key) for h in hosts for key in keys))
+    assert [answer.status for answer in (*first, *again)] == [200] * (4 * len(keys))
+    assert all(answer.body["recorded"] for answer in again)
+    assert [await bench.runs(key) for key in keys] == [1] * len(keys)
