Rank hosts for one partition at a time while looking after them

Cause: with 1,000 hosts, ranking 96 partitions took 1.98 ms each, 190 ms without a pause after each membership change, which every stream of the host would have felt.

--- a/src/cassiawalk/once/placement.py
+++ b/src/cassiawalk/once/placement.py
@@ -41,7 +41,6 @@
             self._ranked[partition] = rank(f"once-{partition}", reachable)
         return self._ranked[partition]
 
-    def owned(self) -> list[Partition]:
-        """Return the partitions whose first choice is this host."""
-        everything = (Partition(number) for number in range(self.partitions))
-        return [partition for partition in everything if self.hosts(partition)[0] == self._host]
+    def owns(self, partition: Partition) -> bool:
+        """Return whether this host is the first choice for a partition."""
+        return self.hosts(partition)[0] == self._host
--- a/src/cassiawalk/once/pool.py
+++ b/src/cassiawalk/once/pool.py
@@ -1,5 +1,6 @@
 """The sequencers that one host runs."""
 
+import asyncio
 import typing as t
 
 from cassiawalk.app import Component
@@ -21,8 +22,8 @@
     def partitions(self) -> int:
         """Return the number of partitions."""
 
-    def owned(self) -> list[Partition]:
-        """Return the partitions whose first choice is this host."""
+    def owns(self, partition: Partition) -> bool:
+        """Return whether this host is the first choice for a partition."""
 
 
 class SequencerPool(Component):
@@ -66,12 +67,16 @@
 
     async def maintain(self) -> None:
         """Keep up with the owned partitions and stop sequencers that are idle."""
-        owned = set(self._placement.owned())
-        for partition in owned:
-            await (await self.sequencer(partition)).keep_up()
-        unused = [p for p, seq in self._sequencers.items() if p not in owned and self._is_idle(seq)]
-        for partition in unused:
-            await self._sequencers.pop(partition).stop()
+        for number in range(self._placement.partitions):
+            partition = Partition(number)
+            sequencer = self._sequencers.get(partition)
+            if self._placement.owns(partition):
+                await (await self.sequencer(partition)).keep_up()
+            elif sequencer is not None and self._is_idle(sequencer):
+                del self._sequencers[partition]
+                await sequencer.stop()
+            # Ranking a thousand hosts takes over a millisecond; streams go on between partitions.
+            await asyncio.sleep(0)
 
     async def stop(self) -> None:
         """Stop all sequencers."""
--- a/tests/test_sequencer.py
+++ b/tests/test_sequencer.py
@@ -242,8 +242,8 @@
     def __init__(self) -> None:
         self.mine = [Partition(1)]
 
-    def owned(self) -> list[Partition]:
-        return self.mine
+    def owns(self, partition: Partition) -> bool:
+        return partition in self.mine
 
 
 async def test_pool_follows_ownership_and_stops_idle_sequencers() -> None:
