--- a/src/cassiawalk/once/reader.py
+++ b/src/cassiawalk/once/reader.py
@@ -46,6 +46,7 @@
         self._clock = clock
         self._keep_s = keep_s
         self._loaded = False
+        self._parts_seen: set[Offset] = set()
         self._gap_seen_s: float | None = None
         self._turn = asyncio.Lock()
 
@@ -78,6 +79,12 @@
                 if self.ledger.next_offset >= batch.end_offset:
                     return None
 
+    def note_part_at(self, offset: Offset, part: CheckpointPart) -> None:
+        """Note a checkpoint part at ``offset``, which need not be decoded when it is read."""
+        self._note_part(part)
+        if offset >= self.ledger.next_offset:
+            self._parts_seen.add(offset)
+
     async def _read_on(self) -> ReadBatch | Unavailable:
         if not self._loaded:
             failure = await self._load()
@@ -95,8 +102,14 @@
                 f"{self.ledger.next_offset} was read before"
             )
         for entry in batch.entries:
+            if entry.offset in self._parts_seen:
+                self._parts_seen.discard(entry.offset)
+                self.ledger.fold(entry.offset, ())
+                continue
             messages = await _decode(entry)
-            self._note_checkpoints(messages)
+            for message in messages:
+                if isinstance(message, CheckpointPart):
+                    self._note_part(message)
             self.ledger.fold(entry.offset, messages)
         return batch
 
@@ -122,6 +135,7 @@
     async def _find_checkpoint(self, head: ReadBatch) -> LedgerState | None | Unavailable:
         """Look for the newest whole checkpoint from the end of the stream backwards."""
         assembler = Assembler()
+        self._parts_seen.clear()
         end = head.end_offset
         while end > head.first_offset:
             start = Offset(max(head.first_offset, end - READ_LIMIT))
@@ -131,9 +145,10 @@
             if batch.first_offset > start or not batch.entries:
                 break
             for entry in batch.entries:
-                for message in await _decode(entry):
-                    if isinstance(message, CheckpointPart):
-                        assembler.add(message)
+                part = _only_part(await _decode(entry))
+                if part is not None:
+                    assembler.add(part)
+                    self.note_part_at(entry.offset, part)
             state = assembler.newest(first_offset=batch.first_offset)
             if state is not None:
                 return state
@@ -160,13 +175,19 @@
             return Unavailable(reason=batch.reason, retry_after_s=OUTAGE_RETRY_S)
         return batch
 
-    def _note_checkpoints(self, messages: list[object]) -> None:
-        for message in messages:
-            if isinstance(message, CheckpointPart) and message.index == message.parts - 1:
-                # A writer whose clock is ahead must not put off the next checkpoint.
-                written_s = min(message.written_s, self._clock.wall())
-                self.checkpoint_s = max(self.checkpoint_s, written_s)
-                self.checkpoint_offset = max(self.checkpoint_offset, message.through_offset)
+    def _note_part(self, part: CheckpointPart) -> None:
+        if part.index != part.parts - 1:
+            return
+        # A writer whose clock is ahead must not put off the next checkpoint.
+        written_s = min(part.written_s, self._clock.wall())
+        self.checkpoint_s = max(self.checkpoint_s, written_s)
+        self.checkpoint_offset = max(self.checkpoint_offset, part.through_offset)
+
+
+def _only_part(messages: list[object]) -> CheckpointPart | None:
+    """Return the checkpoint part of an entry that holds nothing else, or None."""
+    first = messages[0] if len(messages) == 1 else None
+    return first if isinstance(first, CheckpointPart) else None
 
 
 async def _decode(entry: LogEntry) -> list[object]:
--- a/src/cassiawalk/once/sequencer.py
+++ b/src/cassiawalk/once/sequencer.py
@@ -257,6 +257,7 @@
         if not isinstance(appended, Appended):
             await self._clock.sleep(OUTAGE_HOLD_S)
             return
+        self._reader.note_part_at(appended.offset, self._part)
         self._part = next(self._parts, None)
         if self._part is None:
             self._parts = None
