--- a/src/cassiawalk/once/checkpoint.py
+++ b/src/cassiawalk/once/checkpoint.py
@@ -25,6 +25,13 @@
     since_s: float
     outcome: Outcome | None = None
 
+    def __post_init__(self) -> None:
+        if self.outcome is None or self.outcome.claim_id != self.claim.claim_id:
+            return
+        # Equal strings become the same objects, to save memory.
+        object.__setattr__(self.outcome, "key", self.claim.key)
+        object.__setattr__(self.outcome, "claim_id", self.claim.claim_id)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class AbandonedClaim:
--- a/src/cassiawalk/once/ledger.py
+++ b/src/cassiawalk/once/ledger.py
@@ -1,6 +1,7 @@
 """The fold of one partition: which claim holds each key, and its outcome."""
 
 import collections.abc as cabc
+import dataclasses
 
 from cassiawalk.ids import ClaimId
 from cassiawalk.ids import Offset
@@ -87,11 +88,7 @@
 
     def restore(self, state: LedgerState) -> None:
         """Go on from a checkpoint."""
-        entries = (
-            entry if entry.outcome is None else _with_outcome(entry, entry.outcome)
-            for entry in state.entries
-        )
-        self._entries = {entry.claim.key: entry for entry in entries}
+        self._entries = {entry.claim.key: entry for entry in state.entries}
         self._abandoned = {item.claim_id: item.since_s for item in state.abandoned}
         self._time = LogTime(stamps=state.stamps)
         self.next_offset = Offset(state.through_offset + 1)
@@ -113,7 +110,7 @@
             return
         if entry.outcome is not None:
             return
-        self._entries[outcome.key] = _with_outcome(entry, outcome)
+        self._entries[outcome.key] = dataclasses.replace(entry, outcome=outcome)
 
     def _fold_abandon(self, abandon: Abandon) -> None:
         entry = self.entry(abandon.key)
@@ -132,12 +129,3 @@
         self._entries = {key: entry for key, entry in entries if not self._is_old(entry.since_s)}
         abandoned = self._abandoned.items()
         self._abandoned = {c: since for c, since in abandoned if not self._is_old(since)}
-
-
-def _with_outcome(entry: LedgerEntry, outcome: Outcome) -> LedgerEntry:
-    """Return the entry with an outcome that shares the claim's strings, to save memory."""
-    claim = entry.claim
-    shared = Outcome(
-        key=claim.key, claim_id=claim.claim_id, status=outcome.status, body=outcome.body
-    )
-    return LedgerEntry(claim=claim, since_s=entry.since_s, outcome=shared)
