--- a/tests/test_sequencer.py
+++ b/tests/test_sequencer.py
@@ -11,7 +11,9 @@
 from cassiawalk.once import Taken
 from cassiawalk.once import Unavailable
 from cassiawalk.once import sequencer as sequencer_module
+from cassiawalk.once.checkpoint import split
 from cassiawalk.once.pool import IDLE_LIMIT_S
+from cassiawalk.once.records import records
 from tests.once_fakes import KEEP_S
 from tests.once_fakes import Effect
 from tests.once_fakes import FakeClock
@@ -219,6 +221,22 @@
     assert taken.outcome == outcome_of(claim)
 
 
+async def test_takeover_folds_what_came_between_a_checkpoint_and_its_part() -> None:
+    log, clock = FakeLog(), FakeClock()
+    claim = make_claim("k", 1)
+    async with running(log, clock) as old:
+        await old.claim(make_claim("a", 9))
+        parts = list(split(old.ledger.state(), written_s=clock.wall()))
+        assert await old.claim(claim) == Granted()
+        for part in parts:
+            await log.append(stream=STREAM, payload=records.encode([part]))
+    log.expire(STREAM, 0)
+    async with running(log, clock) as new:
+        taken = await new.claim(make_claim("k", 2))
+    assert isinstance(taken, Taken)
+    assert taken.claim == claim
+
+
 async def test_sequencer_that_slept_through_the_retention_loads_again() -> None:
     log, clock = FakeLog(), FakeClock()
     async with running(log, clock) as slow, running(log, clock) as quick:
