--- a/tests/test_sequencer.py
+++ b/tests/test_sequencer.py
@@ -11,7 +11,9 @@
 from cassiawalk.once import Taken
 from cassiawalk.once import Unavailable
 from cassiawalk.once import sequencer as sequencer_module
+from cassiawalk.once.checkpoint import split
 from cassiawalk.once.pool import IDLE_LIMIT_S
+from cassiawalk.once.records import records
 from tests.once_fakes import KEEP_S
 from tests.once_fakes import Effect
 from tests.once_fakes import FakeClock
@@ -22,6 +24,7 @@
 from tests.once_fakes import outcome_of
 
 STREAM = "once-0"
+HANG_LIMIT_S = 10.0
 
 
 @contextlib.asynccontextmanager
@@ -129,7 +132,10 @@
     assert again.outcome == outcome_of(claim)
 
 
-async def test_log_that_does_not_answer_refuses_later_claims_at_once() -> None:
+async def test_log_that_does_not_answer_refuses_later_claims_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(sequencer_module, "PENDING_LIMIT_S", 3600.0)
     log, clock = FakeLog(), FakeClock()
     log.answering.clear()
     async with running(log, clock) as sequencer:
@@ -137,7 +143,8 @@
         while log.appends == 0:
             await asyncio.sleep(0)
         clock.advance(sequencer_module.STALL_S)
-        refused = await sequencer.claim(make_claim("l", 2))
+        async with asyncio.timeout(HANG_LIMIT_S):
+            refused = await sequencer.claim(make_claim("l", 2))
         assert isinstance(refused, Unavailable)
         assert refused.appended is False
         log.answering.set()
@@ -214,6 +221,22 @@
     assert taken.outcome == outcome_of(claim)
 
 
+async def test_takeover_folds_what_came_between_a_checkpoint_and_its_part() -> None:
+    log, clock = FakeLog(), FakeClock()
+    claim = make_claim("k", 1)
+    async with running(log, clock) as old:
+        await old.claim(make_claim("a", 9))
+        parts = list(split(old.ledger.state(), written_s=clock.wall()))
+        assert await old.claim(claim) == Granted()
+        for part in parts:
+            await log.append(stream=STREAM, payload=records.encode([part]))
+    log.expire(STREAM, 0)
+    async with running(log, clock) as new:
+        taken = await new.claim(make_claim("k", 2))
+    assert isinstance(taken, Taken)
+    assert taken.claim == claim
+
+
 async def test_sequencer_that_slept_through_the_retention_loads_again() -> None:
     log, clock = FakeLog(), FakeClock()
     async with running(log, clock) as slow, running(log, clock) as quick:
@@ -237,8 +260,8 @@
     def __init__(self) -> None:
         self.mine = [Partition(1)]
 
-    def owned(self) -> list[Partition]:
-        return self.mine
+    def owns(self, partition: Partition) -> bool:
+        return partition in self.mine
 
 
 async def test_pool_follows_ownership_and_stops_idle_sequencers() -> None:
