--- /dev/null
+++ b/tests/test_peer.py
@@ -0,0 +1,150 @@
+import asyncio
+import collections.abc as cabc
+import contextlib
+import socket
+import typing as t
+
+import cbor2
+import pytest
+from websockets.asyncio.client import connect
+
+from cassiawalk.clock import LoopClock
+from cassiawalk.ids import FailureDomain
+from cassiawalk.ids import HostId
+from cassiawalk.ids import RequestId
+from cassiawalk.ids import WorkspaceName
+from cassiawalk.membership import Membership
+from cassiawalk.peer import AttachCall
+from cassiawalk.peer import LocateCall
+from cassiawalk.peer import LocateReply
+from cassiawalk.peer import NodeStatusCall
+from cassiawalk.peer import NodeStatusReply
+from cassiawalk.peer import PeerFailure
+from cassiawalk.peer import PeerLinks
+from cassiawalk.peer import PeerServer
+from cassiawalk.peer import StreamPart
+from cassiawalk.peer import links as links_module
+from cassiawalk.peer import messages
+from cassiawalk.platform import HostEntry
+from cassiawalk.platform import HostRole
+from tests.handover_hosts import StaticHosts
+
+SECRET = "peer-secret"
+PEER = HostId("peer")
+LOCATE = LocateCall(request_id=RequestId("1.a"), workspace=WorkspaceName("family"))
+ATTACH = AttachCall(request_id=RequestId("1.a"), workspace=WorkspaceName("family"), after="0")
+
+
+class Pair:
+    """A peer server and links to it over a real connection."""
+
+    def __init__(self) -> None:
+        sock = socket.socket()
+        sock.bind(("127.0.0.1", 0))
+        sock.listen()
+        sock.setblocking(False)
+        self.address = f"127.0.0.1:{sock.getsockname()[1]}"
+        hosts = StaticHosts()
+        hosts.entries[PEER] = HostEntry(
+            host=PEER,
+            role=HostRole.ENTRY,
+            failure_domain=FailureDomain("north"),
+            address="",
+            peer_address=self.address,
+        )
+        self.server = PeerServer(sock=sock, secret=SECRET)
+        self.membership = Membership(host=HostId("own"), host_list=hosts, clock=LoopClock())
+        self.links = PeerLinks(membership=self.membership, secret=SECRET)
+        self.serving = 0
+        self.ended = asyncio.Event()
+
+    async def __aenter__(self) -> "Pair":
+        await self.membership.start()
+        self.server.handle(LocateCall, self._locate)
+        self.server.handle_stream(AttachCall, self._attach)
+        await self.server.start()
+        return self
+
+    async def __aexit__(self, *args: object) -> None:
+        await self.links.stop()
+        await self.server.stop()
+        await self.membership.stop()
+
+    async def _locate(self, call: LocateCall) -> LocateReply:
+        return LocateReply(host=PEER)
+
+    async def _attach(self, call: AttachCall) -> cabc.AsyncIterator[object]:
+        """Yield parts without end."""
+        self.serving += 1
+        number = 0
+        try:
+            while True:
+                number += 1
+                yield StreamPart(item={"number": number})
+                await asyncio.sleep(0)
+        finally:
+            self.serving -= 1
+            self.ended.set()
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        {"t": "locate"},
+        {"t": "locate", "request_id": 7, "workspace": "family"},
+        {"t": "once", "record": 5},
+        {"t": "handover-offer", "sender": "a", "fence": 1, "snapshot": {}},
+        {"t": "a message of a later version"},
+        ["not a map"],
+    ],
+)
+async def test_bad_or_unknown_message_fails_its_own_call_only(message: t.Any) -> None:
+    async with Pair() as pair:
+        headers = {"x-cassiawalk-peer": SECRET}
+        async with connect(f"ws://{pair.address}", additional_headers=headers) as conn:
+            await conn.send(cbor2.dumps([1, message]))
+            await conn.send(cbor2.dumps([2, messages.to_plain(LOCATE)]))
+            answers = {number: plain for number, plain in [cbor2.loads(await conn.recv())] * 1}
+            number, plain = cbor2.loads(await conn.recv())
+            answers[number] = plain
+        assert answers[1]["t"] == "fault"
+        assert answers[2] == {"t": "locate-reply", "host": PEER}
+
+
+async def test_call_without_a_handler_is_answered_with_a_fault() -> None:
+    async with Pair() as pair:
+        reply = await pair.links.call(PEER, NodeStatusCall(), NodeStatusReply, timeout_s=5.0)
+        assert isinstance(reply, PeerFailure) and "NodeStatusCall" in reply.reason
+
+
+async def test_wrong_secret_is_refused() -> None:
+    async with Pair() as pair:
+        pair.links = PeerLinks(membership=pair.membership, secret="other")
+        reply = await pair.links.call(PEER, LOCATE, LocateReply, timeout_s=5.0)
+        assert isinstance(reply, PeerFailure) and not reply.sent
+
+
+async def test_slow_reader_ends_its_own_stream_and_blocks_no_other_call() -> None:
+    async with Pair() as pair:
+        stream = pair.links.stream(PEER, ATTACH)
+        async with contextlib.aclosing(stream):
+            first = await anext(stream)
+            assert first == {"number": 1}
+            for _ in range(20):
+                reply = await pair.links.call(PEER, LOCATE, LocateReply, timeout_s=5.0)
+                assert isinstance(reply, LocateReply)
+            items = [item async for item in stream]
+        failure = items[-1]
+        assert isinstance(failure, PeerFailure) and failure.reason == links_module.OVERRUN_REASON
+        assert len(items) <= links_module.REPLIES_QUEUED + 1
+        await pair.ended.wait()
+        assert pair.serving == 0
+
+
+async def test_reader_that_leaves_ends_the_stream_at_the_peer() -> None:
+    async with Pair() as pair:
+        stream = pair.links.stream(PEER, ATTACH)
+        async with contextlib.aclosing(stream):
+            await anext(stream)
+        await pair.ended.wait()
+        assert pair.serving == 0
