Hand unrecorded outcomes to a host that stays

Cause: with the log down a stopping host waited for its whole limit and then lost the outcomes. Change: after two seconds the pending outcomes and abandonments are offered to another host, which goes on trying; OutcomeRecorder.release forgets them here.

--- a/src/cassiawalk/dispatch/outcomes.py
+++ b/src/cassiawalk/dispatch/outcomes.py
@@ -1,6 +1,7 @@
 """Records outcomes and abandonments of claims, however long the log is away."""
 
 import asyncio
+import collections.abc as cabc
 
 from cassiawalk.app import Component
 from cassiawalk.clock import Clock
@@ -35,6 +36,11 @@
         self._pending[record.claim_id] = record
         return self.spawn(self._record(record), name=f"record-{record.claim_id}")
 
+    def release(self, claim_ids: cabc.Iterable[str]) -> None:
+        """Forget records that another host has taken over."""
+        for claim_id in claim_ids:
+            self._pending.pop(claim_id, None)
+
     async def submit_and_wait(self, record: Outcome | Abandon) -> None:
         """Record, and wait for it for ``ANSWER_WAIT_S`` at most; recording goes on after that."""
         task = self.submit(record)
@@ -48,4 +54,6 @@
     async def _record(self, record: Outcome | Abandon) -> None:
         while await self._claims.record(record) is not None:
             await self._clock.sleep(RETRY_DELAY_S)
-        del self._pending[record.claim_id]
+            if record.claim_id not in self._pending:
+                return
+        self._pending.pop(record.claim_id, None)
--- a/src/cassiawalk/handover/drain.py
+++ b/src/cassiawalk/handover/drain.py
@@ -8,6 +8,7 @@
 from cassiawalk.clock import Clock
 from cassiawalk.control.state import KindMode
 from cassiawalk.dispatch import Dispatcher
+from cassiawalk.handover.outcomes import OutcomeHandover
 from cassiawalk.handover.plan import DrainPlan
 from cassiawalk.handover.plan import DrainWindow
 from cassiawalk.handover.plan import drain_window
@@ -27,6 +28,7 @@
 
 CHECK_INTERVAL_S = 0.05
 RETRY_INTERVAL_S = 0.5
+LOG_PATIENCE_S = 2.0
 
 
 class DrainController(Component):
@@ -47,6 +49,7 @@
         sender: HandoverSender,
         receiver: HandoverReceiver,
         targets: Targets,
+        outcomes: OutcomeHandover,
         clock: Clock,
         limit_s: float,
         notice_s: float,
@@ -59,6 +62,7 @@
         self._sender = sender
         self._receiver = receiver
         self._targets = targets
+        self._outcomes = outcomes
         self._clock = clock
         self._limit_s = limit_s
         self._notice_s = notice_s
@@ -118,6 +122,18 @@
                 self._move(record, window)
             await self._clock.sleep(CHECK_INTERVAL_S)
         await self._give_up_rest()
+        await self._hand_records_over()
+
+    async def _hand_records_over(self) -> None:
+        """Wait a little for the log, then give what is not recorded to a host that stays."""
+        patience_at = self._clock.monotonic() + LOG_PATIENCE_S
+        while self._outcomes.needed:
+            window = self._window
+            assert window is not None
+            now = self._clock.monotonic()
+            if now >= min(patience_at, window.end_at) and await self._outcomes.hand_over():
+                return
+            await self._clock.sleep(CHECK_INTERVAL_S)
 
     def _move(self, record: RequestRecord, window: DrainWindow) -> None:
         request_id = record.request_id
--- a/src/cassiawalk/node.py
+++ b/src/cassiawalk/node.py
@@ -31,6 +31,8 @@
 from cassiawalk.handover import HandoverSender
 from cassiawalk.handover import HandoverWithdrawal
 from cassiawalk.handover import Locator
+from cassiawalk.handover import OutcomeHandover
+from cassiawalk.handover import RecordsOffer
 from cassiawalk.handover import Targets
 from cassiawalk.httpserver import HttpServer
 from cassiawalk.httpserver import bound_address
@@ -168,6 +170,14 @@
         sender = HandoverSender(
             host=host, dispatcher=self.dispatcher, targets=targets, links=links, clock=clock
         )
+        self.outcome_handover = OutcomeHandover(
+            host=host,
+            dispatcher=self.dispatcher,
+            recorder=self.recorder,
+            targets=targets,
+            links=links,
+            clock=clock,
+        )
         self.drain_controller = DrainController(
             host=host,
             membership=membership,
@@ -177,6 +187,7 @@
             sender=sender,
             receiver=self.receiver,
             targets=targets,
+            outcomes=self.outcome_handover,
             clock=clock,
             limit_s=cfg.drain_limit_s,
             notice_s=cfg.drain_notice_s,
@@ -228,6 +239,7 @@
         self.peer_server.handle(LocateCall, self.locator.handle_locate)
         self.peer_server.handle(HandoverOffer, self.receiver.handle_offer)
         self.peer_server.handle(HandoverWithdrawal, self.receiver.handle_withdrawal)
+        self.peer_server.handle(RecordsOffer, self.outcome_handover.handle_offer)
 
     def _components(self) -> list[Component]:
         return [
--- a/tests/handover_hosts.py
+++ b/tests/handover_hosts.py
@@ -24,6 +24,7 @@
 from cassiawalk.handover import HandoverSender
 from cassiawalk.handover import HandoverWithdrawal
 from cassiawalk.handover import Locator
+from cassiawalk.handover import OutcomeHandover
 from cassiawalk.handover import Targets
 from cassiawalk.ids import FailureDomain
 from cassiawalk.ids import HostId
@@ -84,6 +85,12 @@
         return None
 
 
+class EmptyRecorder:
+    """Has nothing to record."""
+
+    pending: tuple[()] = ()
+
+
 class TokenRunner(Runner):
     """Adds tokens that name their index and host, so that a mixed-up answer shows."""
 
@@ -188,6 +195,7 @@
             clock=clock,
         )
         cloud: t.Any = cluster.cloud
+        recorder: t.Any = EmptyRecorder()
         self.drain = DrainController(
             host=self.host,
             membership=self.membership,
@@ -197,6 +205,14 @@
             sender=self.sender,
             receiver=self.receiver,
             targets=self.targets,
+            outcomes=OutcomeHandover(
+                host=self.host,
+                dispatcher=self.dispatcher,
+                recorder=recorder,
+                targets=self.targets,
+                links=links,
+                clock=clock,
+            ),
             clock=clock,
             limit_s=20.0,
             notice_s=4.0,
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -121,3 +121,29 @@
             await fleet.hosts[name].process.kill()
         await asyncio.gather(*callers)
         check_history(history, callers=32)
+
+
+async def test_log_outage_during_the_stop_loses_no_outcome(tmp_path: pathlib.Path) -> None:
+    async with Fleet(directory=tmp_path) as fleet:
+        await start(fleet)
+        await fleet.faults("plain-0", delay_s=1.0)
+        hold = asyncio.create_task(send(fleet, "host-0", "beds/hold", {"bed": 1}, key="hold-1"))
+        while "hold-1" not in await fleet.get(fleet.standins["plain-0"].url + "/runs"):
+            await asyncio.sleep(0.02)
+        await fleet.faults("log", outage=True)
+        process = fleet.hosts["host-0"].process
+        process.signal(signal.SIGTERM)
+        answer = await hold
+        assert answer.status == 200 and answer.body["answer"]["run"] == 1, answer
+        assert await process.handle.wait() == 0
+        moved = [line for line in process.lines if line.get("message_type") == "handover:records"]
+        assert len(moved) == 1
+        await fleet.faults("log")
+        again = await send(fleet, "host-1", "beds/hold", {"bed": 1}, key="hold-1")
+        while again.body.get("name") in ("in_progress", "claim_unavailable"):
+            await asyncio.sleep(0.05)
+            again = await send(fleet, "host-1", "beds/hold", {"bed": 1}, key="hold-1")
+        assert again.status == 200 and again.body["recorded"] is True, again
+        assert again.body["answer"]["run"] == 1
+        runs = await fleet.get(fleet.standins["plain-0"].url + "/runs")
+        assert runs["hold-1"] == 1
