--- /dev/null
+++ b/tests/test_handover_machine.py
@@ -0,0 +1,141 @@
+import asyncio
+import typing as t
+
+import looptime
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+
+from cassiawalk.handover import HandoverOffer
+from cassiawalk.ids import HostId
+from cassiawalk.membership import LeavingSource
+from cassiawalk.platform.cloud import ReclaimNotice
+from cassiawalk.requests import RequestRecord
+from tests.handover_callers import Reading
+from tests.handover_callers import check_whole
+from tests.handover_callers import read_to_the_end
+from tests.handover_hosts import Cluster
+
+DOMAINS = {"a": "1", "b": "1", "c": "2", "d": "2", "e": "3", "f": "3"}
+HOSTS_LEFT = 2
+SETTLE_S = 50.0
+HOSTS = st.sampled_from(sorted(DOMAINS))
+
+
+class HandoverMachine(RuleBasedStateMachine):
+    """Requests and callers while hosts are reclaimed and killed and acknowledgements are lost."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = looptime.new_event_loop(start=0)
+        asyncio.set_event_loop(self.loop)
+        self.cluster = Cluster(DOMAINS)
+        self.leaving: set[str] = set()
+        self.callers: dict[RequestRecord, asyncio.Task[Reading]] = {}
+        self.lost: set[RequestRecord] = set()
+        self._run(self.cluster.__aenter__())
+
+    def _run(self, coro: t.Coroutine[t.Any, t.Any, t.Any]) -> t.Any:
+        return self.loop.run_until_complete(coro)
+
+    def _staying(self) -> list[str]:
+        return [name for name in self.cluster.live() if name not in self.leaving]
+
+    def _holders(self, record: RequestRecord) -> list[str]:
+        """Return the live hosts that hold a request which has not moved on from there."""
+        holders = []
+        for name in self.cluster.live():
+            held = self.cluster.hosts[name].store.get(record.request_id)
+            if held is not None and held.answer.moved is None:
+                holders.append(name)
+        return holders
+
+    @rule(name=HOSTS, reader=HOSTS, tokens=st.sampled_from([5, 60, 300, 700]))
+    def submit(self, name: str, reader: str, tokens: int) -> None:
+        """Accept a request and read it at any host."""
+        if name not in self._staying() or reader not in self.cluster.live():
+            return
+
+        async def accept() -> None:
+            record = self.cluster.submit(name, tokens=tokens)
+            reading = read_to_the_end(self.cluster, record, Reading(), first=reader)
+            self.callers[record] = asyncio.ensure_future(reading)
+
+        self._run(accept())
+
+    @rule(delay_s=st.sampled_from([0.001, 0.05, 0.5, 3.0]))
+    def wait(self, delay_s: float) -> None:
+        """Let time pass."""
+        self._run(asyncio.sleep(delay_s))
+
+    @precondition(lambda self: len(self._staying()) > HOSTS_LEFT)
+    @rule(name=HOSTS, notice_s=st.sampled_from([9.0, 12.0]))
+    def reclaim(self, name: str, notice_s: float) -> None:
+        """Give notice to a host."""
+        if name not in self._staying():
+            return
+        self.leaving.add(name)
+        hosts = self.cluster
+
+        async def notice() -> None:
+            reclaim_s = hosts.clock.wall() + notice_s
+            seq = len(hosts.cloud.given) + 1
+            given = ReclaimNotice(seq=seq, host=HostId(name), reclaim_s=reclaim_s)
+            hosts.cloud.given.append(given)
+            for host in hosts.hosts.values():
+                host.membership.mark_leaving(HostId(name), LeavingSource.CLOUD_NOTICE)
+
+        self._run(notice())
+
+    @precondition(lambda self: len(self.cluster.live()) > HOSTS_LEFT)
+    @rule(name=HOSTS)
+    def kill(self, name: str) -> None:
+        """End a host; what only it held is lost, as for any unannounced death."""
+        staying = self._staying()
+        if name in self.cluster.faults.dead or staying in ([name], [name, *staying[1:2]]):
+            return
+        if name in staying and len(staying) <= HOSTS_LEFT:
+            return
+
+        async def end() -> None:
+            for record, caller in self.callers.items():
+                if self._holders(record) == [name] and not caller.done():
+                    self.lost.add(record)
+            self.cluster.kill(name)
+
+        self._run(end())
+
+    @rule(name=HOSTS)
+    def lose_acknowledgements(self, name: str) -> None:
+        """Lose the acknowledgements of one host from now on."""
+        self.cluster.faults.lose_replies = {(name, HandoverOffer)}
+
+    @rule()
+    def keep_acknowledgements(self) -> None:
+        """Lose nothing any more."""
+        self.cluster.faults.lose_replies = set()
+
+    def teardown(self) -> None:
+        """Check that every caller has its whole answer and that one host at most runs it."""
+        try:
+            self._run(self._check())
+        finally:
+            self._run(self.cluster.__aexit__())
+            self.loop.close()
+
+    async def _check(self) -> None:
+        for record, caller in self.callers.items():
+            if record in self.lost:
+                caller.cancel()
+        kept = [record for record in self.callers if record not in self.lost]
+        if kept:
+            await asyncio.wait([self.callers[record] for record in kept], timeout=SETTLE_S)
+        for record in kept:
+            assert len(self.cluster.running(record.request_id)) <= 1, record.request_id
+            check_whole(self.callers[record].result(), record)
+
+
+TestHandoverMachine = HandoverMachine.TestCase
+TestHandoverMachine.settings = settings(max_examples=30, stateful_step_count=20)
