Note tokens without a look-up by labels

Cause: half of the in-process token path was aioprometheus' label check and JSON key, twice a token. Change: a meter for each kind holds the histogram and counts tokens until the next scrape.

--- a/src/cassiawalk/metrics.py
+++ b/src/cassiawalk/metrics.py
@@ -1,6 +1,9 @@
 """Metrics, exposed at ``/metrics`` in the Prometheus text format."""
 
+import dataclasses
+
 from aioprometheus import collectors
+from aioprometheus import histogram
 from aioprometheus import renderer
 
 from cassiawalk.requests import RequestRecord
@@ -10,6 +13,18 @@
 INTERVAL_BUCKETS_S = [0.002, 0.005, 0.01, 0.02, 0.036, 0.05, 0.1, 0.25, 1.0, 5.0]
 
 
+@dataclasses.dataclass(kw_only=True, eq=False)
+class _TokenMeter:
+    """What is noted for each token of one kind, without a look-up by labels.
+
+    ``tokens`` counts those since the last scrape.
+    """
+
+    labels: dict[str, str]
+    between: histogram.Histogram
+    tokens: int = 0
+
+
 class Metrics:
     """Histograms and counters of one process; request metrics by workspace and kind."""
 
@@ -33,18 +48,21 @@
         self._saved = self._counter("cassiawalk_saved_tokens", "Tokens found in engine caches.")
         self._tokens = self._counter("cassiawalk_tokens", "Tokens forwarded.")
         self._handovers = self._counter("cassiawalk_handovers", "Requests moved to another host.")
+        self._meters: dict[tuple[str, str, str], _TokenMeter] = {}
         self._last_text: dict[str, float] = {}
 
     def note_tokens(self, record: RequestRecord, count: int, now: float) -> None:
         """Note that tokens came; ``now`` is in monotonic seconds."""
-        labels = _labels(record)
-        self._tokens.add(labels, count)
+        meter = self._meters.get((record.workspace, record.service, record.kind_name))
+        if meter is None:
+            meter = self._new_meter(record)
+        meter.tokens += count
         last = self._last_text.get(record.request_id)
         if record.first_text_at is None:
             record.first_text_at = now
-            self._first.observe(labels, now - record.accepted_at)
+            self._first.observe(meter.labels, now - record.accepted_at)
         elif last is not None:
-            self._between.observe(labels, (now - last) / count)
+            meter.between.observe((now - last) / count)
         self._last_text[record.request_id] = now
 
     def note_computed(self, record: RequestRecord, computed: int, cached: int) -> None:
@@ -78,8 +96,18 @@
 
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the body and headers of a scrape."""
+        for meter in self._meters.values():
+            self._tokens.add(meter.labels, meter.tokens)
+            meter.tokens = 0
         return renderer.render(self.registry, ["text/plain"])
 
+    def _new_meter(self, record: RequestRecord) -> "_TokenMeter":
+        between = histogram.Histogram(*INTERVAL_BUCKETS_S, float("inf"))
+        meter = _TokenMeter(labels=_labels(record), between=between)
+        self._between.set_value(meter.labels, between)
+        self._meters[record.workspace, record.service, record.kind_name] = meter
+        return meter
+
     def _histogram(self, name: str, doc: str, buckets: list[float]) -> collectors.Histogram:
         return collectors.Histogram(
             name, doc, registry=self.registry, buckets=[*buckets, float("inf")]
