Keep the earlier end of stop and reclaim; refuse announced large bodies unread

Cause: a reclaim's notice replaced the end of a planned stop that came before it; bodies were joined chunk by chunk as immutable bytes.

--- a/src/cassiawalk/caller/parsing.py
+++ b/src/cassiawalk/caller/parsing.py
@@ -54,13 +54,18 @@
 
 async def read_body(req: Request) -> bytes | Refusal:
     """Return the request's body, or a refusal once it exceeds the limit."""
-    body = b""
+    too_large = Refusal(
+        code=ResultCode.BODY_TOO_LARGE, detail=f"the body exceeds {MAX_BODY_BYTES} bytes"
+    )
+    announced = req.headers.get("content-length", "")
+    if announced.isdigit() and int(announced) > MAX_BODY_BYTES:
+        return too_large
+    body = bytearray()
     async for chunk in req.stream():
         body += chunk
         if len(body) > MAX_BODY_BYTES:
-            detail = f"the body exceeds {MAX_BODY_BYTES} bytes"
-            return Refusal(code=ResultCode.BODY_TOO_LARGE, detail=detail)
-    return body
+            return too_large
+    return bytes(body)
 
 
 class RecordBuilder:
--- a/src/cassiawalk/handover/drain.py
+++ b/src/cassiawalk/handover/drain.py
@@ -67,7 +67,8 @@
         self._limit_s = limit_s
         self._notice_s = notice_s
         self._plan = DrainPlan(clock=clock)
-        self._window: DrainWindow | None = None
+        self._stop_window: DrainWindow | None = None
+        self._reclaim_window: DrainWindow | None = None
         self._emptying: asyncio.Task[None] | None = None
         self._moving: set[RequestId] = set()
         self._retry_at: dict[RequestId, float] = {}
@@ -80,42 +81,50 @@
 
     async def begin_drain(self) -> None:
         """Begin a planned stop."""
-        self.begin(self._limit_s)
+        self.begin_stop(self._limit_s)
 
     async def drain(self) -> None:
         """Return once no request is left on this host."""
         if self._emptying is not None:
             await self._emptying
 
-    def begin(self, left_s: float) -> None:
-        """Empty the host within a time in seconds; an earlier end that is known stays."""
-        window = drain_window(now=self._clock.monotonic(), left_s=left_s)
-        if self._window is None or window.end_at < self._window.end_at:
-            self._window = window
+    def begin_stop(self, left_s: float) -> None:
+        """Empty the host within a time in seconds, or sooner if a reclaim says so."""
+        self._stop_window = drain_window(now=self._clock.monotonic(), left_s=left_s)
+        self._begin()
+
+    @property
+    def _window(self) -> DrainWindow:
+        """Return the window that ends first."""
+        windows = [item for item in (self._stop_window, self._reclaim_window) if item is not None]
+        return min(windows, key=lambda item: item.end_at)
+
+    def _begin(self) -> None:
         self._dispatcher.draining = True
         if self._emptying is None or self._emptying.done():
             self._emptying = self.spawn(self._empty(), name="drain")
 
     def _note_leaving(self, host: HostId, source: LeavingSource) -> None:
-        if host == self._host:
-            self._dispatcher.draining = True
-            self.spawn(self._begin_reclaim(), name="drain-reclaim")
+        if host != self._host:
+            return
+        self._reclaim_window = drain_window(now=self._clock.monotonic(), left_s=self._notice_s)
+        self._begin()
+        self.spawn(self._read_notice(), name="drain-notice")
 
-    async def _begin_reclaim(self) -> None:
-        self.begin(self._notice_s)
+    async def _read_notice(self) -> None:
+        """Ask the cloud how much time is left; the assumed notice stands if it can't tell."""
         notices = await self._cloud.notices(after=0, wait_s=0.0)
         times = [item.reclaim_s for item in notices or () if item.host == self._host]
         if not times:
             return
         left_s = max(0.0, times[-1] - self._clock.wall())
-        self._window = drain_window(now=self._clock.monotonic(), left_s=left_s)
+        self._reclaim_window = drain_window(now=self._clock.monotonic(), left_s=left_s)
         eliot.log_message(message_type="drain:reclaim", left_s=left_s)
 
     async def _empty(self) -> None:
         await self._targets.refresh()
         while records := self._store.unfinished():
             window = self._window
-            assert window is not None
             if self._clock.monotonic() >= window.end_at:
                 break
             for record in self._plan.to_move(records, window):
@@ -129,7 +138,6 @@
         patience_at = self._clock.monotonic() + LOG_PATIENCE_S
         while self._outcomes.needed:
             window = self._window
-            assert window is not None
             now = self._clock.monotonic()
             if now >= min(patience_at, window.end_at) and await self._outcomes.hand_over():
                 return
--- /dev/null
+++ b/tests/test_caller_limits.py
@@ -0,0 +1,86 @@
+import asyncio
+import collections.abc as cabc
+
+import aiosonic
+import pytest
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import PlainTextResponse
+from starlette.responses import Response
+from starlette.responses import StreamingResponse
+from starlette.routing import Route
+
+from cassiawalk.caller import parsing
+from cassiawalk.caller.parsing import read_body
+from cassiawalk.httpserver import HttpServer
+from cassiawalk.httpserver import bound_address
+from cassiawalk.httpserver import listen
+from cassiawalk.results import Refusal
+from cassiawalk.results import ResultCode
+from cassiawalk.settings import Address
+
+
+class Served:
+    """An HTTP server with one stream that ends when the test says so."""
+
+    def __init__(self) -> None:
+        self.begun = asyncio.Event()
+        self.go_on = asyncio.Event()
+        routes = [Route("/stream", self._stream), Route("/quick", self._quick)]
+        sock = listen(Address(ip="127.0.0.1", port=0))
+        self.url = f"http://{bound_address(sock)}"
+        self.server = HttpServer(asgi=Starlette(routes=routes), sock=sock, close_limit_s=1.0)
+
+    async def _stream(self, req: Request) -> Response:
+        async def parts() -> cabc.AsyncIterator[bytes]:
+            yield b"first "
+            self.begun.set()
+            await self.go_on.wait()
+            yield b"last"
+
+        return StreamingResponse(parts())
+
+    async def _quick(self, req: Request) -> Response:
+        return PlainTextResponse("quick")
+
+
+async def test_drain_waits_for_responses_however_long_they_take() -> None:
+    served = Served()
+    await served.server.start()
+    async with aiosonic.HTTPClient() as http:
+        res = asyncio.create_task(http.get(served.url + "/stream"))
+        await served.begun.wait()
+        await served.server.begin_drain()
+        stopping = asyncio.create_task(_drain_and_stop(served.server))
+        late = await http.get(served.url + "/quick")
+        assert late.headers["connection"] == "close"
+        await asyncio.wait([stopping], timeout=2.0)
+        assert not stopping.done()
+        served.go_on.set()
+        content = await (await res).content()
+        assert content == b"first last"
+        await stopping
+
+
+async def _drain_and_stop(server: HttpServer) -> None:
+    await server.drain()
+    await server.stop()
+
+
+@pytest.mark.parametrize("announced", [True, False])
+async def test_body_over_the_limit_is_refused(
+    announced: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(parsing, "MAX_BODY_BYTES", 1000)
+    taken = 0
+
+    async def receive() -> dict[str, object]:
+        nonlocal taken
+        taken += 1
+        return {"type": "http.request", "body": b"x" * 400, "more_body": True}
+
+    headers = [(b"content-length", b"2000")] if announced else []
+    scope = {"type": "http", "method": "POST", "path": "/", "headers": headers}
+    refusal = await read_body(Request(scope, receive))
+    assert isinstance(refusal, Refusal) and refusal.code is ResultCode.BODY_TOO_LARGE
+    assert taken == (0 if announced else 3)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -244,7 +244,7 @@
 
 async def test_new_requests_are_refused_as_not_run_while_draining() -> None:
     async with cluster() as hosts:
-        hosts.hosts["a"].drain.begin(10.0)
+        hosts.hosts["a"].drain.begin_stop(10.0)
         with pytest.raises(AssertionError):
             hosts.submit("a")
         assert hosts.hosts["a"].store.unfinished() == []
@@ -252,3 +252,20 @@
 
 def test_offer_limits_fit_into_a_short_notice() -> None:
     assert sender_module.OFFERS_TO_A_HOST * sender_module.OFFER_TIMEOUT_S <= 5.0
+
+
+@pytest.mark.parametrize("stop_first", [True, False])
+async def test_earlier_end_of_stop_and_reclaim_counts(stop_first: bool) -> None:
+    async with cluster() as hosts:
+        record = hosts.submit("a", tokens=2000)
+        await until(lambda: record.tokens >= 10)
+        begun = hosts.clock.monotonic()
+        if stop_first:
+            hosts.hosts["a"].drain.begin_stop(2.0)
+        reclaim(hosts, "a", notice_s=120.0)
+        if not stop_first:
+            await asyncio.sleep(0.01)
+            hosts.hosts["a"].drain.begin_stop(2.0)
+        await until(lambda: record.is_final)
+        assert record.state is RequestState.HANDED_OVER
+        assert hosts.clock.monotonic() - begun < 2.0
