Pass over silent hosts in a handover; prove frozen and thawed targets on processes

Cause: two offers of 2 s each to a frozen host used up a notice of 5 s, although another host was there. Change: an offer waits for a fifth of the time left, 1 s at most; a host that is silent on an offer or on the load question is passed over for the next requests.

--- a/src/cassiawalk/handover/sender.py
+++ b/src/cassiawalk/handover/sender.py
@@ -17,7 +17,8 @@
 from cassiawalk.peer import PeerLinks
 from cassiawalk.requests import RequestRecord
 
-OFFER_TIMEOUT_S = 2.0
+OFFER_TIMEOUT_S = 1.0
+OFFER_SHARE = 0.2
 OFFERS_AT_ONCE = 16
 OFFERS_TO_A_HOST = 2
 
@@ -86,6 +87,7 @@
                 return host
             if isinstance(reply, PeerFailure) and reply.sent:
                 unsure.append((host, offer.fence))
+                self._targets.note_silent(host)
         return None
 
     async def _offer(
@@ -97,7 +99,7 @@
             left_s = by_s - self._clock.monotonic()
             if left_s <= 0:
                 break
-            timeout_s = min(OFFER_TIMEOUT_S, left_s)
+            timeout_s = min(OFFER_TIMEOUT_S, left_s * OFFER_SHARE)
             reply = await self._links.call(host, offer, HandoverReply, timeout_s=timeout_s)
             if isinstance(reply, HandoverReply):
                 return reply
@@ -112,4 +114,4 @@
         """End runs that lost acknowledgements may have left; their fences end them too."""
         for host, fence in unsure:
             call = HandoverWithdrawal(request_id=record.request_id, fence=fence, host=goes_on_at)
-            await self._links.call(host, call, HandoverReply, timeout_s=OFFER_TIMEOUT_S / 2)
+            await self._links.call(host, call, HandoverReply, timeout_s=OFFER_TIMEOUT_S)
--- a/src/cassiawalk/handover/targets.py
+++ b/src/cassiawalk/handover/targets.py
@@ -9,6 +9,7 @@
 from cassiawalk.membership import rank
 from cassiawalk.peer import NodeStatusCall
 from cassiawalk.peer import NodeStatusReply
+from cassiawalk.peer import PeerFailure
 from cassiawalk.peer import PeerLinks
 
 HOSTS_CONSIDERED = 8
@@ -38,6 +39,10 @@
         near = [host for host in considered if self._is_near(host)]
         return self._ordered(request_id, far) + self._ordered(request_id, near)
 
+    def note_silent(self, host: HostId) -> None:
+        """Pass over a host that did not answer an offer in time."""
+        self._membership.mark_unreachable(host)
+
     def note_sent(self, host: HostId) -> None:
         """Count a request that a host has accepted."""
         self._load[host] += 1
@@ -60,7 +65,7 @@
         reply = await self._links.call(
             host, NodeStatusCall(), NodeStatusReply, timeout_s=STATUS_TIMEOUT_S
         )
-        if isinstance(reply, NodeStatusReply):
-            self._load[host] = reply.running + reply.waiting
-            if reply.draining:
-                self._membership.mark_unreachable(host)
+        if isinstance(reply, PeerFailure) or reply.draining:
+            self._membership.mark_unreachable(host)
+            return
+        self._load[host] = reply.running + reply.waiting
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -28,7 +28,9 @@
 STOP_LIMIT_S = 60
 
 
-async def start(fleet: Fleet, *, drain_limit_s: float = STOP_LIMIT_S) -> None:
+async def start(
+    fleet: Fleet, *, drain_limit_s: float = STOP_LIMIT_S, token_s: float = 0.015
+) -> None:
     """Start four hosts in two failure domains, two engines and a plain service."""
     for index in range(2):
         await fleet.start_upstream(
@@ -36,7 +38,7 @@
             role="engine",
             pool="models",
             failure_domain="core",
-            args=("--slots", "64", "--token-s", "0.015"),
+            args=("--slots", "64", "--token-s", str(token_s)),
         )
     await fleet.start_upstream("plain-0", role="plain", pool="vacancy", failure_domain="core")
     settings = f"[drain]\nlimit_s = {drain_limit_s}\n"
--- a/tests/test_handover_machine.py
+++ b/tests/test_handover_machine.py
@@ -9,6 +9,7 @@
 from hypothesis.stateful import rule
 
 from cassiawalk.handover import HandoverOffer
+from cassiawalk.handover import Targets
 from cassiawalk.ids import HostId
 from cassiawalk.membership import LeavingSource
 from cassiawalk.platform.cloud import ReclaimNotice
@@ -34,6 +35,7 @@
         self.cluster = Cluster(DOMAINS)
         self.leaving: set[str] = set()
         self.callers: dict[RequestRecord, asyncio.Task[Reading]] = {}
+        self.readings: dict[RequestRecord, Reading] = {}
         self.lost: set[RequestRecord] = set()
         self._run(self.cluster.__aenter__())
 
@@ -52,7 +54,7 @@
                 holders.append(name)
         return holders
 
-    @rule(name=HOSTS, reader=HOSTS, tokens=st.sampled_from([5, 60, 300, 700]))
+    @rule(name=HOSTS, reader=HOSTS, tokens=st.sampled_from([60, 400, 900]))
     def submit(self, name: str, reader: str, tokens: int) -> None:
         """Accept a request and read it at any host."""
         if name not in self._staying() or reader not in self.cluster.live():
@@ -60,11 +62,31 @@
 
         async def accept() -> None:
             record = self.cluster.submit(name, tokens=tokens)
-            reading = read_to_the_end(self.cluster, record, Reading(), first=reader)
-            self.callers[record] = asyncio.ensure_future(reading)
+            self.readings[record] = Reading()
+            self._read(record, reader)
 
         self._run(accept())
 
+    def _read(self, record: RequestRecord, reader: str) -> None:
+        reading = read_to_the_end(self.cluster, record, self.readings[record], first=reader)
+        self.callers[record] = asyncio.ensure_future(reading)
+
+    @rule(reader=HOSTS)
+    def reconnect(self, reader: str) -> None:
+        """Cut all callers' connections; they read on at one host."""
+        if reader not in self.cluster.live():
+            return
+
+        async def cut() -> None:
+            for record, caller in self.callers.items():
+                if caller.done() or record in self.lost:
+                    continue
+                caller.cancel()
+                await asyncio.wait([caller])
+                self._read(record, reader)
+
+        self._run(cut())
+
     @rule(delay_s=st.sampled_from([0.001, 0.05, 0.5, 3.0]))
     def wait(self, delay_s: float) -> None:
         """Let time pass."""
@@ -107,10 +129,19 @@
 
         self._run(end())
 
-    @rule(name=HOSTS)
-    def lose_acknowledgements(self, name: str) -> None:
-        """Lose the acknowledgements of one host from now on."""
-        self.cluster.faults.lose_replies = {(name, HandoverOffer)}
+    @precondition(lambda self: bool(self.callers))
+    @rule(pick=st.integers(0, 99))
+    def lose_acknowledgements(self, pick: int) -> None:
+        """Lose the acknowledgements of the host that one request would be handed to first."""
+        record = list(self.callers)[pick % len(self.callers)]
+        for holder in self._holders(record):
+            targets = self.cluster.hosts[holder].targets
+
+            async def first(targets: Targets = targets) -> list[HostId]:
+                return targets.candidates(record.request_id)[:1]
+
+            for name in self._run(first()):
+                self.cluster.faults.lose_replies = {(name, HandoverOffer)}
 
     @rule()
     def keep_acknowledgements(self) -> None:
@@ -138,4 +169,4 @@
 
 
 TestHandoverMachine = HandoverMachine.TestCase
-TestHandoverMachine.settings = settings(max_examples=30, stateful_step_count=20)
+TestHandoverMachine.settings = settings(max_examples=80, stateful_step_count=20)
--- /dev/null
+++ b/tests/test_handover_processes.py
@@ -0,0 +1,72 @@
+import asyncio
+import pathlib
+import signal
+import typing as t
+
+import pytest
+
+from standins.fleet import START_TIMEOUT_S
+from standins.fleet import Fleet
+from standins.fleet import Process
+from tests.history import History
+from tests.history import Moved
+from tests.history import check_history
+from tests.test_drain import HOSTS
+from tests.test_drain import MAX_TOKENS
+from tests.test_drain import begin_callers
+from tests.test_drain import start
+
+CALLERS = 12
+
+
+@pytest.mark.parametrize("fate", ["killed", "thawed"])
+async def test_target_frozen_in_the_middle_of_the_handover(
+    tmp_path: pathlib.Path, fate: str
+) -> None:
+    async with Fleet(directory=tmp_path) as fleet:
+        await start(fleet, token_s=0.03)
+        history = History(max_tokens=MAX_TOKENS)
+        present = {"host-0"}
+        callers = begin_callers(fleet, history, present, CALLERS)
+        while not await _all_running(fleet):
+            await asyncio.sleep(0.02)
+        frozen = fleet.hosts["host-2"].process
+        frozen.signal(signal.SIGSTOP)
+        present.update({"host-1", "host-3"})
+        present.discard("host-0")
+        notice = {"hosts": ["host-0"], "notice_s": 5}
+        await fleet.post(fleet.standins["cloud"].url + "/reclaim", notice)
+        leaving = fleet.hosts["host-0"].process
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while len(sent := _handed_over(leaving)) + _finished(leaving) < CALLERS:
+                await leaving.changed.wait()
+        if fate == "killed":
+            await frozen.kill()
+        else:
+            frozen.signal(signal.SIGCONT)
+        await leaving.kill()
+        await asyncio.gather(*callers)
+        check_history(history, callers=CALLERS)
+        assert {line["target"] for line in sent} <= set(HOSTS) - {"host-0", "host-2"}
+        assert sent and len(history.of(Moved)) >= len(sent)
+
+
+async def _all_running(fleet: Fleet) -> bool:
+    """Return whether the engines have begun all requests."""
+    runs = [await fleet.get(fleet.standins[f"engine-{index}"].url + "/runs") for index in (0, 1)]
+    return sum(len(run["runs"]) for run in runs) >= CALLERS
+
+
+def _handed_over(process: Process) -> list[dict[str, t.Any]]:
+    """Return the log lines of requests that a host has handed over."""
+    return [
+        line
+        for line in process.lines
+        if line.get("message_type") == "handover:sent" and line["target"] is not None
+    ]
+
+
+def _finished(process: Process) -> int:
+    """Return how many requests have finished in place."""
+    ended = [line for line in process.lines if line.get("action_type") == "request"]
+    return sum(1 for line in ended if line["action_status"] == "succeeded")
