--- a/src/cassiawalk/caller/events.py
+++ b/src/cassiawalk/caller/events.py
@@ -31,7 +31,7 @@
         yield NumberedEvent(cursor=cursor, event=Rewind(keep=position))
     with record.reading():
         while True:
-            await record.wait_beyond(position)
+            await record.wait_past(position)
             for numbered in record.answer.read(position):
                 position = numbered.cursor.position
                 yield numbered
--- a/src/cassiawalk/requests/record.py
+++ b/src/cassiawalk/requests/record.py
@@ -94,7 +94,7 @@
             if not waiter.done():
                 waiter.set_result(None)
 
-    async def wait_beyond(self, position: int) -> None:
+    async def wait_past(self, position: int) -> None:
         """Return once there is more than what a reader at ``position`` has."""
         while self.answer.end <= position and not self.is_final:
             waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -19,6 +19,9 @@
 from cassiawalk.results import ResultCode
 from cassiawalk.settings import Address
 
+PART_BYTES = 256 * 1024
+BUFFERS_BYTES = 64 * 1024 * 1024
+
 
 class Served:
     """An HTTP server with one stream that ends when the test says so."""
@@ -26,7 +29,9 @@
     def __init__(self) -> None:
         self.begun = asyncio.Event()
         self.go_on = asyncio.Event()
+        self.produced = 0
         routes = [Route("/stream", self._stream), Route("/quick", self._quick)]
+        routes.append(Route("/endless", self._endless))
         sock = listen(Address(ip="127.0.0.1", port=0))
         self.url = f"http://{bound_address(sock)}"
         self.server = HttpServer(asgi=Starlette(routes=routes), sock=sock, close_limit_s=1.0)
@@ -40,6 +45,15 @@
 
         return StreamingResponse(parts())
 
+    async def _endless(self, req: Request) -> Response:
+        async def parts() -> cabc.AsyncIterator[bytes]:
+            while True:
+                self.produced += PART_BYTES
+                yield b"x" * PART_BYTES
+                await asyncio.sleep(0)
+
+        return StreamingResponse(parts())
+
     async def _quick(self, req: Request) -> Response:
         return PlainTextResponse("quick")
 
@@ -62,6 +76,22 @@
         await stopping
 
 
+async def test_caller_that_stops_reading_grows_no_memory_and_blocks_nobody() -> None:
+    served = Served()
+    await served.server.start()
+    ip, port = served.url.removeprefix("http://").split(":")
+    reader, writer = await asyncio.open_connection(ip, int(port), limit=1024)
+    writer.write(b"GET /endless HTTP/1.1\r\nhost: cassiawalk\r\n\r\n")
+    await reader.readuntil(b"\r\n\r\n")
+    async with aiosonic.HTTPClient() as http:
+        for _ in range(100):
+            res = await http.get(served.url + "/quick")
+            assert await res.content() == b"quick"
+    assert served.produced < BUFFERS_BYTES
+    writer.close()
+    await _drain_and_stop(served.server)
+
+
 async def _drain_and_stop(server: HttpServer) -> None:
     await server.drain()
     await server.stop()
