Accept an offer of a request that was answered here without a second run

Cause: an offer with a higher fence replaced a finished record and ran the request again. Shown red without the change: test_offer_of_a_request_that_was_answered_already_starts_no_second_run 1 failed; with it tests/test_handover.py 17 passed in 9.0 s. An offer for a record that is just being moved is refused, so that the sender asks the next host.

--- a/src/cassiawalk/handover/receiver.py
+++ b/src/cassiawalk/handover/receiver.py
@@ -46,12 +46,17 @@
         """Accept an offer, unless this host is leaving itself."""
         request_id = offer.snapshot.request_id
         held = self._store.get(request_id)
+        if held is not None and held.answer.is_whole:
+            return HandoverReply(accepted=True, reason="answered already")
         if held is not None and held.answer.moved is None and held.fence >= offer.fence:
             return HandoverReply(accepted=held.fence == offer.fence, reason="held already")
         if self._dispatcher.draining:
             return HandoverReply(accepted=False, reason="this host is leaving")
         if held is not None and held.answer.moved is None:
             await self._leave(held, self._host)
+            if not held.is_final:
+                return HandoverReply(accepted=False, reason="the run here is being moved")
+            return await self.handle_offer(offer)
         record = restore_record(offer, host=self._host, clock=self._clock)
         self._dispatcher.adopt(record, offer.snapshot.pool_type)
         self._adopted[request_id] = record
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -269,3 +269,19 @@
         await until(lambda: record.is_final)
         assert record.state is RequestState.HANDED_OVER
         assert hosts.clock.monotonic() - begun < 2.0
+
+
+async def test_offer_of_a_request_that_was_answered_already_starts_no_second_run() -> None:
+    async with cluster() as hosts:
+        record = hosts.submit("a", tokens=60)
+        await until(lambda: record.tokens >= 50)
+        assert await hosts.hosts["a"].dispatcher.halt(record) is PoolType.ENGINE
+        snapshot = take_snapshot(record, pool_type=PoolType.ENGINE, clock=hosts.clock)
+        held = []
+        for fence in (1, 2):
+            offer = HandoverOffer(sender=HostId("a"), fence=fence, snapshot=snapshot)
+            reply = await hosts.hosts["c"].handle(offer)
+            assert getattr(reply, "accepted", False)
+            held.append(hosts.hosts["c"].store.get(record.request_id))
+            await until(lambda: held[0].is_final)
+        assert held[0] is held[1]
