--- a/benchmarks/bed.py
+++ b/benchmarks/bed.py
@@ -278,7 +278,7 @@
         if refusal is not None:
             return failed(refusal)
         while not record.is_final:
-            await record.wait_beyond(len(record.events))
+            await record.wait_past(record.answer.end)
             ask.first_text_s = ask.first_text_s or record.first_text_at
         ask.retries += record.retries
         final = record.events[-1]
--- a/src/cassiawalk/dispatch/outcomes.py
+++ b/src/cassiawalk/dispatch/outcomes.py
@@ -1,6 +1,7 @@
 """Records outcomes and abandonments of claims, however long the log is away."""
 
 import asyncio
+import collections.abc as cabc
 
 import eliot
 
@@ -44,6 +45,11 @@
         self._settled.clear()
         return self.spawn(self._record(record), name=f"record-{record.claim_id}")
 
+    def release(self, claim_ids: cabc.Iterable[str]) -> None:
+        """Forget records that another host has taken over."""
+        for claim_id in claim_ids:
+            self._forget(claim_id)
+
     async def submit_and_wait(self, record: Outcome | Abandon) -> None:
         """Record, and wait for it for ``ANSWER_WAIT_S`` at most; recording goes on after that."""
         task = self.submit(record)
@@ -71,6 +77,11 @@
         while await self._claims.record(record) is not None:
             await self._clock.sleep(delay_s)
             delay_s = min(RETRY_LIMIT_S, 2 * delay_s)
-        del self._pending[record.claim_id]
+            if record.claim_id not in self._pending:
+                return
+        self._forget(record.claim_id)
+
+    def _forget(self, claim_id: str) -> None:
+        self._pending.pop(claim_id, None)
         if not self._pending:
             self._settled.set()
--- a/src/cassiawalk/handover/drain.py
+++ b/src/cassiawalk/handover/drain.py
@@ -8,6 +8,7 @@
 from cassiawalk.clock import Clock
 from cassiawalk.control.state import KindMode
 from cassiawalk.dispatch import Dispatcher
+from cassiawalk.handover.outcomes import OutcomeHandover
 from cassiawalk.handover.plan import DrainPlan
 from cassiawalk.handover.plan import DrainWindow
 from cassiawalk.handover.plan import drain_window
@@ -27,6 +28,7 @@
 
 CHECK_INTERVAL_S = 0.05
 RETRY_INTERVAL_S = 0.5
+LOG_PATIENCE_S = 2.0
 
 
 class DrainController(Component):
@@ -47,6 +49,7 @@
         sender: HandoverSender,
         receiver: HandoverReceiver,
         targets: Targets,
+        outcomes: OutcomeHandover,
         clock: Clock,
         limit_s: float,
         notice_s: float,
@@ -59,11 +62,13 @@
         self._sender = sender
         self._receiver = receiver
         self._targets = targets
+        self._outcomes = outcomes
         self._clock = clock
         self._limit_s = limit_s
         self._notice_s = notice_s
         self._plan = DrainPlan(clock=clock)
-        self._window: DrainWindow | None = None
+        self._stop_window: DrainWindow | None = None
+        self._reclaim_window: DrainWindow | None = None
         self._emptying: asyncio.Task[None] | None = None
         self._moving: set[RequestId] = set()
         self._retry_at: dict[RequestId, float] = {}
@@ -76,48 +81,67 @@
 
     async def begin_drain(self) -> None:
         """Begin a planned stop."""
-        self.begin(self._limit_s)
+        self.begin_stop(self._limit_s)
 
     async def drain(self) -> None:
         """Return once no request is left on this host."""
         if self._emptying is not None:
             await self._emptying
 
-    def begin(self, left_s: float) -> None:
-        """Empty the host within a time in seconds; an earlier end that is known stays."""
-        window = drain_window(now=self._clock.monotonic(), left_s=left_s)
-        if self._window is None or window.end_at < self._window.end_at:
-            self._window = window
+    def begin_stop(self, left_s: float) -> None:
+        """Empty the host within a time in seconds, or sooner if a reclaim says so."""
+        self._stop_window = drain_window(now=self._clock.monotonic(), left_s=left_s)
+        self._begin()
+
+    @property
+    def _window(self) -> DrainWindow:
+        """Return the window that ends first."""
+        windows = [item for item in (self._stop_window, self._reclaim_window) if item is not None]
+        return min(windows, key=lambda item: item.end_at)
+
+    def _begin(self) -> None:
         self._dispatcher.draining = True
         if self._emptying is None or self._emptying.done():
             self._emptying = self.spawn(self._empty(), name="drain")
 
     def _note_leaving(self, host: HostId, source: LeavingSource) -> None:
-        if host == self._host:
-            self._dispatcher.draining = True
-            self.spawn(self._begin_reclaim(), name="drain-reclaim")
+        if host != self._host:
+            return
+        self._reclaim_window = drain_window(now=self._clock.monotonic(), left_s=self._notice_s)
+        self._begin()
+        self.spawn(self._read_notice(), name="drain-notice")
 
-    async def _begin_reclaim(self) -> None:
-        self.begin(self._notice_s)
+    async def _read_notice(self) -> None:
+        """Ask the cloud how much time is left; the assumed notice stands if it can't tell."""
         notices = await self._cloud.notices(after=0, wait_s=0.0)
         times = [item.reclaim_s for item in notices or () if item.host == self._host]
         if not times:
             return
         left_s = max(0.0, times[-1] - self._clock.wall())
-        self._window = drain_window(now=self._clock.monotonic(), left_s=left_s)
+        self._reclaim_window = drain_window(now=self._clock.monotonic(), left_s=left_s)
         eliot.log_message(message_type="drain:reclaim", left_s=left_s)
 
     async def _empty(self) -> None:
         await self._targets.refresh()
         while records := self._store.unfinished():
             window = self._window
-            assert window is not None
             if self._clock.monotonic() >= window.end_at:
                 break
             for record in self._plan.to_move(records, window):
                 self._move(record, window)
             await self._clock.sleep(CHECK_INTERVAL_S)
         await self._give_up_rest()
+        await self._hand_records_over()
+
+    async def _hand_records_over(self) -> None:
+        """Wait a little for the log, then give what is not recorded to a host that stays."""
+        patience_at = self._clock.monotonic() + LOG_PATIENCE_S
+        while self._outcomes.needed:
+            window = self._window
+            now = self._clock.monotonic()
+            if now >= min(patience_at, window.end_at) and await self._outcomes.hand_over():
+                return
+            await self._clock.sleep(CHECK_INTERVAL_S)
 
     def _move(self, record: RequestRecord, window: DrainWindow) -> None:
         request_id = record.request_id
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -109,7 +109,7 @@
 async def wait_tokens(record: RequestRecord, count: int) -> None:
     """Return once there are more than ``count`` tokens."""
     while record.tokens <= count:
-        await record.wait_beyond(record.answer.end)
+        await record.wait_past(record.answer.end)
 
 
 @pytest.mark.parametrize(
