Hold the engine, host list and cloud clients to their contracts

Cause: an event or answer of another shape than agreed raised KeyError, TypeError or WireError, which ended the request's or the poller's task. Change: such an answer counts as a lost one.

--- a/src/cassiawalk/platform/_http.py
+++ b/src/cassiawalk/platform/_http.py
@@ -8,6 +8,8 @@
 import aiosonic.pools
 import aiosonic.timeout
 
+from cassiawalk.errors import WireError
+
 CONNECT_TIMEOUT_S = 2.0
 ANSWER_TIMEOUT_S = 10.0
 POOL_CONNECTIONS = 512
@@ -24,6 +26,15 @@
     aiosonic.exceptions.ConnectionPoolAcquireTimeout,
     aiosonic.exceptions.HttpParsingError,
 )
+# An answer of another shape than agreed is of no more use than a lost one.
+UNUSABLE_ANSWER: tuple[type[BaseException], ...] = (
+    *LOST_ANSWER,
+    WireError,
+    AttributeError,
+    IndexError,
+    KeyError,
+    TypeError,
+)
 NOT_SENT: tuple[type[BaseException], ...] = (
     ConnectionRefusedError,
     aiosonic.exceptions.ConnectTimeout,
--- a/src/cassiawalk/platform/engine_http.py
+++ b/src/cassiawalk/platform/engine_http.py
@@ -77,7 +77,7 @@
             async for payloads in _http.sse_data(res.read_chunks()):
                 for payload in payloads:
                     yield _notice(orjson.loads(payload))
-        except _http.LOST_ANSWER:
+        except _http.UNUSABLE_ANSWER:
             return
 
     async def export_kv(self, request_id: RequestId) -> bytes | None:
@@ -96,8 +96,9 @@
             async with asyncio.timeout(_KV_TIMEOUT_S):
                 res = await self._client.post(f"{self._url}/kv/import", data=blob)
                 body = await res.content()
-            return str(orjson.loads(body)["handle"]) if res.status_code == 201 else None
-        except _http.LOST_ANSWER:
+            handle = orjson.loads(body)["handle"] if res.status_code == 201 else None
+            return handle if isinstance(handle, str) else None
+        except _http.UNUSABLE_ANSWER:
             return None
 
     async def order(self, order: EngineOrder) -> OrderOutcome:
@@ -166,7 +167,7 @@
             if ended and finished is not None:
                 yield finished
                 return
-    except _http.LOST_ANSWER as exc:
+    except _http.UNUSABLE_ANSWER as exc:
         yield _interrupted(InterruptReason.CONNECTION_LOST, exc, sent=True)
         return
     yield Interrupted(reason=InterruptReason.CONNECTION_LOST, sent=True, detail="no end marker")
@@ -190,9 +191,9 @@
     if item["type"] == "removed":
         return CacheRemoved(seq=item["seq"], blocks=tuple(item["blocks"]))
     return LoadReport(
-        slots=item["slots"],
-        running=item["running"],
-        waiting=item["waiting"],
-        measured_s=item["measured_s"],
-        token_interval_s=item.get("token_interval_s", 0.0),
+        slots=int(item["slots"]),
+        running=int(item["running"]),
+        waiting=int(item["waiting"]),
+        measured_s=float(item["measured_s"]),
+        token_interval_s=float(item.get("token_interval_s", 0.0)),
     )
--- a/src/cassiawalk/platform/hosts_http.py
+++ b/src/cassiawalk/platform/hosts_http.py
@@ -6,7 +6,6 @@
 import aiosonic
 import orjson
 
-from cassiawalk.errors import WireError
 from cassiawalk.ids import HostId
 from cassiawalk.platform import _http
 from cassiawalk.platform.cloud import CloudApi
@@ -20,6 +19,7 @@
 from cassiawalk.wire import to_plain
 
 _TIMEOUT_S = 3.0
+_T = t.TypeVar("_T")
 
 
 async def _get(client: aiosonic.HTTPClient, url: str, *, timeout_s: float) -> t.Any | None:
@@ -33,6 +33,14 @@
         return None
 
 
+def _items(answer: t.Any, name: str, schema: type[_T]) -> tuple[_T, ...] | None:
+    """Return the typed items of a list in an answer, or None if it is not of that shape."""
+    try:
+        return tuple(from_plain(schema, item) for item in answer[name])
+    except _http.UNUSABLE_ANSWER:
+        return None
+
+
 class HttpHostList(HostList):
     """Client of the host list."""
 
@@ -43,12 +51,7 @@
     async def hosts(self) -> tuple[HostEntry, ...] | None:
         """Return the list of one GET."""
         answer = await _get(self._client, f"{self._url}/hosts", timeout_s=_TIMEOUT_S)
-        if not isinstance(answer, dict):
-            return None
-        try:
-            return tuple(from_plain(HostEntry, item) for item in answer["hosts"])
-        except (WireError, KeyError):
-            return None
+        return _items(answer, "hosts", HostEntry)
 
     async def aclose(self) -> None:
         """Close pooled connections."""
@@ -66,16 +69,12 @@
         """Return notices by one long-polling GET."""
         url = f"{self._url}/notices?after={after}&wait={wait_s}"
         answer = await _get(self._client, url, timeout_s=wait_s + _TIMEOUT_S)
-        if answer is None:
-            return None
-        return tuple(from_plain(ReclaimNotice, item) for item in answer["notices"])
+        return _items(answer, "notices", ReclaimNotice)
 
     async def offers(self) -> tuple[MachineOffer, ...] | None:
         """Return the prices of one GET."""
         answer = await _get(self._client, f"{self._url}/offers", timeout_s=_TIMEOUT_S)
-        if answer is None:
-            return None
-        return tuple(from_plain(MachineOffer, item) for item in answer["offers"])
+        return _items(answer, "offers", MachineOffer)
 
     async def start_host(self, offer: MachineOffer) -> HostStarted | StartRefused | None:
         """Start a host with one POST."""
@@ -89,9 +88,18 @@
         except _http.LOST_ANSWER:
             return None
         if res.status_code == 201:
-            return HostStarted(host=HostId(orjson.loads(body)["host"]))
+            return _started(body)
         return StartRefused(reason=f"status {res.status_code}")
 
     async def aclose(self) -> None:
         """Close pooled connections."""
         await _http.close_client(self._client)
+
+
+def _started(body: bytes) -> HostStarted | None:
+    """Return the started host; None if the answer does not name it, though it exists."""
+    try:
+        host = orjson.loads(body)["host"]
+    except _http.UNUSABLE_ANSWER:
+        return None
+    return HostStarted(host=HostId(host)) if isinstance(host, str) else None
--- a/src/cassiawalk/platform/service_http.py
+++ b/src/cassiawalk/platform/service_http.py
@@ -15,7 +15,6 @@
 
 _LOOK_UP_TIMEOUT_S = 5.0
 _LOAD_TIMEOUT_S = 2.0
-_BAD_LOAD: tuple[type[BaseException], ...] = (*_http.LOST_ANSWER, KeyError, TypeError)
 
 
 class HttpPlainService(PlainService):
@@ -78,7 +77,7 @@
                 waiting=int(answer["waiting"]),
                 measured_s=float(answer.get("measured_s", time.time())),
             )
-        except _BAD_LOAD:
+        except _http.UNUSABLE_ANSWER:
             return None
         finally:
             await _http.close_client(client)
--- a/standins/cloud.py
+++ b/standins/cloud.py
@@ -49,7 +49,7 @@
         self._versions = [_Version(at_s=0.0, hosts=())]
         self._notices: list[dict[str, t.Any]] = []
         self._noticed = asyncio.Event()
-        self._offers: list[dict[str, t.Any]] = []
+        self.offers: list[dict[str, t.Any]] = []
         self._faults = Faults()
         self._frozen: _Version | None = None
         self._started = 0
@@ -83,13 +83,13 @@
         """Add or replace a host."""
         entry = orjson.loads(await req.body())
         others = [host for host in self._hosts() if host["host"] != entry["host"]]
-        self._publish([*others, entry])
+        self.publish([*others, entry])
         return Response(status_code=204)
 
     async def remove_host(self, req: Request) -> Response:
         """Remove a host from the list."""
         name = req.path_params["host"]
-        self._publish([host for host in self._hosts() if host["host"] != name])
+        self.publish([host for host in self._hosts() if host["host"] != name])
         return Response(status_code=204)
 
     async def reclaim(self, req: Request) -> Response:
@@ -101,13 +101,7 @@
             if host["failure_domain"] == body["failure_domain"]
         ]
         reclaim_s = time.time() + float(body["notice_s"])
-        hosts = [
-            {**host, "state": "leaving"} if host["host"] in names else host
-            for host in self._hosts()
-        ]
-        self._publish(hosts)
-        if not self._faults.lose_notices:
-            self._give_notice(names, reclaim_s)
+        self.give_notice(names, reclaim_s)
         return JSONResponse({"hosts": names, "reclaim_s": reclaim_s})
 
     async def notices(self, req: Request) -> Response:
@@ -122,11 +116,11 @@
 
     async def list_offers(self, req: Request) -> Response:
         """Answer with the prices."""
-        return JSONResponse({"offers": self._offers})
+        return JSONResponse({"offers": self.offers})
 
     async def set_offers(self, req: Request) -> Response:
         """Set the prices."""
-        self._offers = orjson.loads(await req.body())["offers"]
+        self.offers = orjson.loads(await req.body())["offers"]
         return Response(status_code=204)
 
     async def start_instance(self, req: Request) -> Response:
@@ -138,23 +132,37 @@
 
     async def set_faults(self, req: Request) -> Response:
         """Set the faults in force."""
-        self._faults = Faults(**orjson.loads(await req.body()))
-        self._frozen = self._versions[-1] if self._faults.list_frozen else None
+        self.set(Faults(**orjson.loads(await req.body())))
         return JSONResponse(dataclasses.asdict(self._faults))
 
     def _hosts(self) -> tuple[dict[str, t.Any], ...]:
         return self._versions[-1].hosts
 
-    def _publish(self, hosts: list[dict[str, t.Any]]) -> None:
+    def publish(self, hosts: list[dict[str, t.Any]]) -> None:
+        """Replace the true list of hosts."""
         self._versions.append(_Version(at_s=time.monotonic(), hosts=tuple(hosts)))
 
-    def _give_notice(self, names: list[str], reclaim_s: float) -> None:
+    def give_notice(self, names: list[str], reclaim_s: float) -> None:
+        """Let hosts leave, with a notice unless notices are lost."""
+        self.publish(
+            [
+                {**host, "state": "leaving"} if host["host"] in names else host
+                for host in self._hosts()
+            ]
+        )
+        if self._faults.lose_notices:
+            return
         for name in names:
             seq = len(self._notices) + 1
             self._notices.append({"seq": seq, "host": name, "reclaim_s": reclaim_s})
         noticed, self._noticed = self._noticed, asyncio.Event()
         noticed.set()
 
+    def set(self, faults: Faults) -> None:
+        """Put faults in force."""
+        self._faults = faults
+        self._frozen = self._versions[-1] if faults.list_frozen else None
+
 
 def main() -> None:
     """Run the stand-in."""
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -32,6 +32,7 @@
 
     ``cut_after_tokens`` cuts each stream after so many tokens; ``crash_on`` ends the process when
     a prompt holds the text; ``drop_cache_events`` leaves gaps in the event sequence.
+    ``export_delay_s`` holds back each KV export and ``cut_export`` cuts it in the middle.
     """
 
     cut_after_tokens: int = 0
@@ -41,6 +42,8 @@
     slow_factor: float = 1.0
     drop_cache_events: bool = False
     refuse_kv: bool = False
+    export_delay_s: float = 0.0
+    cut_export: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -75,7 +78,7 @@
 
     def __init__(self, *, spec: EngineSpec) -> None:
         self._spec = spec
-        self._faults = Faults()
+        self.faults = Faults()
         self._cache = PrefixCache(limit_blocks=spec.cache_blocks)
         self._generations: dict[str, Generation] = {}
         self._queue: asyncio.PriorityQueue[tuple[int, int, asyncio.Future[None]]] = (
@@ -109,9 +112,9 @@
     async def complete(self, req: Request) -> Response:
         """Generate a completion as server-sent events."""
         body = orjson.loads(await req.body())
-        if self._faults.leaving:
+        if self.faults.leaving:
             return Response(status_code=503, headers={"x-leaving": "1", "Retry-After": "1"})
-        if self._faults.crash_on and self._faults.crash_on in body["prompt"]:
+        if self.faults.crash_on and self.faults.crash_on in body["prompt"]:
             os._exit(CRASH_STATUS)
         generation = Generation(
             request_id=body["request_id"],
@@ -139,19 +142,26 @@
     async def export_kv(self, req: Request) -> Response:
         """Answer with the KV cache of a running generation."""
         generation = self._find(req.path_params["request_id"])
-        if generation is None or self._faults.refuse_kv:
+        if generation is None or self.faults.refuse_kv:
             return Response(status_code=404)
         tokens = len(generation.prompt.split()) + generation.done_tokens
         head = orjson.dumps({"tokens": tokens}) + b"\n"
-        return Response(head + b"\0" * (tokens * self._spec.kv_bytes_per_token))
+        blob = head + b"\0" * (tokens * self._spec.kv_bytes_per_token)
+        await asyncio.sleep(self.faults.export_delay_s)
+        if self.faults.cut_export:
+            return Response(blob[: len(blob) // 2], headers={"content-length": str(len(blob))})
+        return Response(blob)
 
     async def import_kv(self, req: Request) -> Response:
         """Take over a KV cache and answer with its handle."""
         blob = await req.body()
-        if self._faults.refuse_kv:
+        if self.faults.refuse_kv:
             return Response(status_code=507)
+        tokens = self._kv_tokens(blob)
+        if tokens is None:
+            return Response(status_code=422)
         handle = uuid.uuid4().hex
-        self._kv[handle] = int(orjson.loads(blob.split(b"\n", 1)[0])["tokens"])
+        self._kv[handle] = tokens
         return JSONResponse({"handle": handle}, status_code=201)
 
     async def order(self, req: Request) -> Response:
@@ -173,8 +183,22 @@
 
     async def set_faults(self, req: Request) -> Response:
         """Set the faults in force."""
-        self._faults = Faults(**orjson.loads(await req.body()))
-        return JSONResponse(dataclasses.asdict(self._faults))
+        self.faults = Faults(**orjson.loads(await req.body()))
+        return JSONResponse(dataclasses.asdict(self.faults))
+
+    @property
+    def running(self) -> int:
+        """Return how many generations hold a slot."""
+        return self._running
+
+    def _kv_tokens(self, blob: bytes) -> int | None:
+        """Return how many tokens a KV cache holds, or None if it is not whole."""
+        head, _, data = blob.partition(b"\n")
+        try:
+            tokens = int(orjson.loads(head)["tokens"])
+        except (ValueError, KeyError, TypeError):
+            return None
+        return tokens if len(data) == tokens * self._spec.kv_bytes_per_token else None
 
     def _find(self, request_id: str) -> Generation | None:
         for name, generation in self._generations.items():
@@ -195,7 +219,7 @@
                 generation.done_tokens = index + 1
                 yield _token_event(answer_token(generation.prompt, index))
                 sent = index + 1 - generation.resume_tokens
-                if 0 < self._faults.cut_after_tokens <= sent:
+                if 0 < self.faults.cut_after_tokens <= sent:
                     raise ConnectionResetError("cut by fault")
             yield _usage_event(total, computed, cached)
             yield b"data: [DONE]\n\n"
@@ -228,22 +252,22 @@
         if generation.kv_handle is not None:
             cached = max(cached, min(needed, self._kv.pop(generation.kv_handle, 0)))
         computed = needed - cached
-        await asyncio.sleep(computed * self._spec.prefill_token_s * self._faults.slow_factor)
+        await asyncio.sleep(computed * self._spec.prefill_token_s * self.faults.slow_factor)
         added, removed = self._cache.store(blocks)
         self._add_cache_event("stored", added)
         self._add_cache_event("removed", removed)
         return computed, cached
 
     async def _next_token(self) -> None:
-        await asyncio.sleep(self._spec.token_s * self._faults.slow_factor)
-        while self._faults.frozen:
+        await asyncio.sleep(self._spec.token_s * self.faults.slow_factor)
+        while self.faults.frozen:
             await asyncio.sleep(self._spec.token_s)
 
     def _add_cache_event(self, kind: str, blocks: list[str]) -> None:
         if not blocks:
             return
         self._seq += 1
-        if self._faults.drop_cache_events:
+        if self.faults.drop_cache_events:
             return
         self._events.append({"type": kind, "seq": self._seq, "blocks": blocks})
         added, self._event_added = self._event_added, asyncio.Event()
@@ -266,7 +290,7 @@
             "running": self._running,
             "waiting": self._queue.qsize(),
             "measured_s": time.time(),
-            "token_interval_s": self._spec.token_s * self._faults.slow_factor,
+            "token_interval_s": self._spec.token_s * self.faults.slow_factor,
         }
 
 
