Tell the truth about given-up calls and spare upstreams at the deadline

Cause: a call cut by its own deadline put its upstream under suspicion, used the retry budget, and a call that was never sent was reported as run.

--- a/src/cassiawalk/dispatch/call.py
+++ b/src/cassiawalk/dispatch/call.py
@@ -1,5 +1,8 @@
 """Runs idempotent requests on plain services."""
 
+import dataclasses
+import typing as t
+
 from cassiawalk.admission import Scheduler
 from cassiawalk.admission import SlotLease
 from cassiawalk.clock import Clock
@@ -15,10 +18,14 @@
 from cassiawalk.requests import RequestRecord
 from cassiawalk.requests import RequestState
 from cassiawalk.requests import Result
+from cassiawalk.results import Execution
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
+from cassiawalk.routing import UpstreamState
 
+RETRY_AFTER_S = 1.0
 _SERVER_ERROR = 500
+_EXPLAINED = (UpstreamState.LEAVING, UpstreamState.GONE)
 
 
 async def send_call(
@@ -39,7 +46,10 @@
 
 
 class CallRunner(Runner):
-    """Calls a plain service; a failed call is repeated within the retry budget."""
+    """Calls a plain service; a failed call is repeated within the retry budget.
+
+    A call that failed on an upstream which was leaving is repeated outside the budget.
+    """
 
     def __init__(
         self,
@@ -59,33 +69,67 @@
     async def run(self, record: RequestRecord) -> Refusal | None:
         """Run attempts until an answer, or until no attempt is left."""
         tried: frozenset[UpstreamId] = frozenset()
+        ran = record.attempt > 0
         while True:
             lease = await self._scheduler.acquire(record, exclude=tried)
             if isinstance(lease, Refusal):
-                return lease
-            try:
-                outcome = await send_call(
-                    record, lease, connector=self._connector, clock=self._clock
-                )
-            finally:
-                self._scheduler.release(lease)
-            if isinstance(outcome, CallAnswered) and outcome.status < _SERVER_ERROR:
-                self._retries.budget(record.service).note_success()
-                record.add(Result(status=outcome.status, body=outcome.body))
-                record.add(Ended(tokens=0))
+                return _with_execution(lease, ran)
+            outcome = await self._send(record, lease)
+            ran = ran or isinstance(outcome, CallAnswered) or outcome.sent
+            if _is_result(outcome):
+                self._complete(record, outcome)
                 return None
-            if not isinstance(outcome, CallAnswered):
-                lease.upstream.fire("note_failure")
+            refusal = await self._after_failure(record, lease, outcome)
+            if refusal is not None:
+                return _with_execution(refusal, ran)
             tried = tried | {lease.upstream.upstream_id}
-            record.retries += 1
-            record.state = RequestState.WAITING
-            if not await self._retries.permit(record.service, record.retries, record.deadline_s):
-                return _exhausted(outcome)
-            self._metrics.note_retry(record)
+
+    async def _send(self, record: RequestRecord, lease: SlotLease) -> CallOutcome:
+        try:
+            return await send_call(record, lease, connector=self._connector, clock=self._clock)
+        finally:
+            self._scheduler.release(lease)
+
+    def _complete(self, record: RequestRecord, answer: CallAnswered) -> None:
+        self._retries.budget(record.service).note_success()
+        record.add(Result(status=answer.status, body=answer.body))
+        record.add(Ended(tokens=0))
+
+    async def _after_failure(
+        self, record: RequestRecord, lease: SlotLease, outcome: CallOutcome
+    ) -> Refusal | None:
+        """Return None to try again, or the final answer."""
+        record.state = RequestState.WAITING
+        if self._clock.wall() >= record.deadline_s:
+            return Refusal(
+                code=ResultCode.DEADLINE_PASSED_RUNNING,
+                detail="the upstream did not answer before the deadline",
+                retry_after_s=RETRY_AFTER_S,
+            )
+        if not isinstance(outcome, CallAnswered):
+            lease.upstream.fire("note_failure")
+        if lease.upstream.state in _EXPLAINED:
+            return None
+        record.retries += 1
+        if not await self._retries.permit(record.service, record.retries, record.deadline_s):
+            return _exhausted(outcome)
+        self._metrics.note_retry(record)
+        return None
+
+
+def _is_result(outcome: CallOutcome) -> t.TypeGuard[CallAnswered]:
+    """Return whether the outcome is the service's answer and not a failure of its server."""
+    return isinstance(outcome, CallAnswered) and outcome.status < _SERVER_ERROR
+
+
+def _with_execution(refusal: Refusal, ran: bool) -> Refusal:
+    """Return the refusal with what is known of the attempts before it."""
+    execution = Execution.RAN if ran else Execution.NOT_RUN
+    return dataclasses.replace(refusal, execution=refusal.execution or execution)
 
 
 def _exhausted(outcome: CallOutcome) -> Refusal:
     answered = isinstance(outcome, CallAnswered)
     detail = f"status {outcome.status}" if isinstance(outcome, CallAnswered) else outcome.reason
     code = ResultCode.UPSTREAM_REJECTED if answered else ResultCode.RETRIES_EXHAUSTED
-    return Refusal(code=code, detail=detail, retry_after_s=1.0)
+    return Refusal(code=code, detail=detail, retry_after_s=RETRY_AFTER_S)
--- a/tests/upstream_fakes.py
+++ b/tests/upstream_fakes.py
@@ -13,6 +13,7 @@
 from cassiawalk.crashes import QuarantinePublisher
 from cassiawalk.crashes import SoloTurns
 from cassiawalk.dispatch import RetryPolicy
+from cassiawalk.dispatch.call import CallRunner
 from cassiawalk.dispatch.connector import Connector
 from cassiawalk.dispatch.mover import Mover
 from cassiawalk.dispatch.stream import StreamRunner
@@ -31,6 +32,9 @@
 from cassiawalk.peer import MembershipFeed
 from cassiawalk.peer import NoteBoard
 from cassiawalk.peer import PeerLinks
+from cassiawalk.platform import CallAnswered
+from cassiawalk.platform import CallFailed
+from cassiawalk.platform import CallOutcome
 from cassiawalk.platform import CloudApi
 from cassiawalk.platform import Engine
 from cassiawalk.platform import EngineEvent
@@ -42,6 +46,7 @@
 from cassiawalk.platform import Interrupted
 from cassiawalk.platform import PlainService
 from cassiawalk.platform import ReclaimNotice
+from cassiawalk.platform import ServiceCall
 from cassiawalk.platform import Tokens
 from cassiawalk.platform.cloud import HostStarted
 from cassiawalk.platform.cloud import MachineOffer
@@ -154,17 +159,39 @@
         return OrderOutcome.DONE
 
 
+class FakePlain(PlainService):
+    """Gives its outcomes in turn, the last again and again; ``delay_s`` comes before each."""
+
+    def __init__(self) -> None:
+        self.outcomes: list[CallOutcome] = [CallAnswered(status=200, body=b"{}")]
+        self.delay_s = 0.0
+        self.calls = 0
+
+    async def call(self, call: ServiceCall) -> CallOutcome:
+        self.calls += 1
+        try:
+            async with asyncio.timeout(call.timeout_s):
+                await asyncio.sleep(self.delay_s)
+        except TimeoutError:
+            return CallFailed(reason="timeout", sent=True)
+        return self.outcomes.pop(0) if len(self.outcomes) > 1 else self.outcomes[0]
+
+    async def look_up(self, *, path: str, key: str) -> CallOutcome:
+        return CallFailed(reason="fake", sent=False)
+
+
 class FakeConnector(Connector):
-    """Returns the engines of a dictionary."""
+    """Returns the engines and plain services of dictionaries."""
 
-    def __init__(self, engines: dict[str, FakeEngine]) -> None:
+    def __init__(self, engines: dict[str, FakeEngine], plains: dict[str, FakePlain]) -> None:
         self._engines = engines
+        self._plains = plains
 
     def engine(self, upstream: UpstreamView) -> Engine:
         return self._engines[upstream.upstream_id]
 
     def plain(self, upstream: UpstreamView) -> PlainService:
-        raise NotImplementedError
+        return self._plains[upstream.upstream_id]
 
 
 class FakeQuarantines(QuarantinePublisher):
@@ -199,7 +226,8 @@
         self.scheduler = Scheduler(
             table=self.table, router=Router(table=self.table, rng=rng), clock=self.clock
         )
-        self.connector = FakeConnector(self.engines)
+        self.plains: dict[str, FakePlain] = {}
+        self.connector = FakeConnector(self.engines, self.plains)
         self.mover = Mover(
             table=self.table,
             scheduler=self.scheduler,
@@ -219,6 +247,13 @@
             clock=self.clock,
             metrics=self.metrics,
         )
+        self.call_runner = CallRunner(
+            scheduler=self.scheduler,
+            connector=self.connector,
+            retries=self.retries,
+            clock=self.clock,
+            metrics=self.metrics,
+        )
         self._requests = 0
         for index, name in enumerate(upstreams):
             self.join(name, domain=domains[index : index + 1] or "north")
@@ -247,6 +282,7 @@
     def join(self, name: str, *, domain: str = "north") -> None:
         """Add an engine to the list."""
         self.engines[name] = FakeEngine()
+        self.plains[name] = FakePlain()
         entries = self.membership.all_entries()
         entries[HostId(name)] = entry(name, domain=domain)
         self.membership.replace_entries(entries)
