Keep the crash guard and the membership feed cheap

Cause: the guard hashed the body on each look and copied all notes; a poller compared the whole list for each follower on each heartbeat. Change: one fingerprint for each record; heartbeats are constant; updates are found by identity; the granting host tells a waiting twin of a conviction.

--- a/src/cassiawalk/crashes/guard.py
+++ b/src/cassiawalk/crashes/guard.py
@@ -4,7 +4,9 @@
 import asyncio
 import collections.abc as cabc
 import contextlib
+import dataclasses
 import typing as t
+import weakref
 
 import eliot
 
@@ -87,6 +89,9 @@
         self._log = DeathLog()
         self._running: dict[RequestId, tuple[UpstreamView, Fingerprint]] = {}
         self._solo: dict[Fingerprint, UpstreamId] = {}
+        self._fingerprints: weakref.WeakKeyDictionary[RequestRecord, Fingerprint] = (
+            weakref.WeakKeyDictionary()
+        )
         self._solo_slot = asyncio.Semaphore(1)
         self._settling: dict[UpstreamView, asyncio.Task[None]] = {}
         self._changed = asyncio.Event()
@@ -96,7 +101,7 @@
     @contextlib.contextmanager
     def running(self, record: RequestRecord, view: UpstreamView) -> cabc.Iterator[None]:
         """Count the request as running on an upstream for the body's time."""
-        self._running[record.request_id] = (view, fingerprint_of(record))
+        self._running[record.request_id] = (view, self._fingerprint(record))
         try:
             yield
         finally:
@@ -104,9 +109,9 @@
 
     def refusal(self, record: RequestRecord) -> Refusal | None:
         """Return the final answer of a quarantined request, or None."""
-        if self._quarantines.is_empty() and not self._board.notes():
+        if self._quarantines.is_empty() and self._board.is_empty():
             return None
-        fingerprint = fingerprint_of(record)
+        fingerprint = self._fingerprint(record)
         if not self._is_quarantined(fingerprint):
             return None
         crashed = record.attempt > 0
@@ -122,9 +127,9 @@
         A suspect request waits here for its turn until its deadline.
         """
         refusal = self.refusal(record)
-        if refusal is not None or not self._board.notes():
+        if refusal is not None or self._board.is_empty():
             return refusal
-        fingerprint = fingerprint_of(record)
+        fingerprint = self._fingerprint(record)
         while self.is_suspect(fingerprint):
             if self._clock.wall() >= record.deadline_s:
                 return Refusal(
@@ -138,7 +143,10 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(TURN_CHECK_S):
                     await changed.wait()
-        return self.refusal(record)
+            refusal = self.refusal(record)
+            if refusal is not None:
+                return refusal
+        return None
 
     async def _take_turn(self, call: SoloCall) -> bool:
         """Take this host's only slot for suspects and the request's turn, or neither."""
@@ -147,7 +155,10 @@
         await self._solo_slot.acquire()
         granted = False
         try:
-            granted = await self._turns.ask(call)
+            reply = await self._turns.ask(call)
+            granted = reply.granted
+            if reply.convicted:
+                self._board.take_over(self._note(NoteTopic.QUARANTINE, call.fingerprint))
         finally:
             if not granted:
                 self._solo_slot.release()
@@ -164,7 +175,7 @@
 
     def note_completed(self, record: RequestRecord) -> None:
         """Clear a request that ran to its end."""
-        fingerprint = fingerprint_of(record)
+        fingerprint = self._fingerprint(record)
         if self.is_suspect(fingerprint):
             self.spawn(self._hold(fingerprint, ()), name=f"clear-{fingerprint}")
 
@@ -197,6 +208,12 @@
         if task is not None:
             await asyncio.wait([task])
 
+    def _fingerprint(self, record: RequestRecord) -> Fingerprint:
+        """Return a record's fingerprint, which is computed once."""
+        if record not in self._fingerprints:
+            self._fingerprints[record] = fingerprint_of(record)
+        return self._fingerprints[record]
+
     def _is_quarantined(self, fingerprint: Fingerprint) -> bool:
         until_s = self._quarantines.until_s(fingerprint)
         if until_s is not None:
@@ -266,9 +283,17 @@
     async def _share(
         self, topic: NoteTopic, name: str, keep_s: float, items: tuple[str, ...] = ()
     ) -> None:
+        await self._feed.share(self._note(topic, name, keep_s, items))
+
+    def _note(
+        self,
+        topic: NoteTopic,
+        name: str,
+        keep_s: float = QUARANTINE_S,
+        items: tuple[str, ...] = (),
+    ) -> Note:
         now_s = self._clock.wall()
-        note = Note(topic=topic, name=name, at_s=now_s, until_s=now_s + keep_s, items=items)
-        await self._feed.share(note)
+        return Note(topic=topic, name=name, at_s=now_s, until_s=now_s + keep_s, items=items)
 
     def _wake(self) -> None:
         changed, self._changed = self._changed, asyncio.Event()
@@ -294,9 +319,8 @@
         self._renewal.cancel()
         self._guard._solo_slot.release()
         await self._leave()
-        release = SoloCall(
-            fingerprint=self._call.fingerprint, request_id=self._call.request_id, release=True
-        )
+        convicted = self._guard.refusal(self._record) is not None
+        release = dataclasses.replace(self._call, release=True, convicted=convicted)
         await self._guard._turns.ask(release)
         self._guard._wake()
 
--- a/src/cassiawalk/crashes/turns.py
+++ b/src/cassiawalk/crashes/turns.py
@@ -1,6 +1,7 @@
 """Gives suspect requests their turns, so that each runs on one upstream at a time."""
 
 import dataclasses
+import typing as t
 
 from cassiawalk.clock import Clock
 from cassiawalk.ids import Fingerprint
@@ -16,24 +17,30 @@
 TURN_RENEWAL_S = 2.0
 CALL_TIMEOUT_S = 2.0
 TURNS_KEPT = 4096
+CONVICTION_S = 60.0
 
 
 @messages.register("solo")
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SoloCall:
-    """Asks for, renews or ends the turn of a suspect request."""
+    """Asks for, renews or ends the turn of a suspect request.
+
+    ``convicted`` tells, with the end of the turn, that the request killed its upstream.
+    """
 
     fingerprint: Fingerprint
     request_id: RequestId
     release: bool = False
+    convicted: bool = False
 
 
 @messages.register("solo-reply")
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SoloReply:
-    """Whether the request has the turn."""
+    """Whether the request has the turn, or was convicted in an earlier one."""
 
     granted: bool
+    convicted: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -55,23 +62,30 @@
         self._links = links
         self._clock = clock
         self._turns: dict[Fingerprint, _Turn] = {}
+        self._convicted: dict[Fingerprint, float] = {}
 
-    async def ask(self, call: SoloCall) -> bool:
-        """Return whether the request has the turn; False too if no host could be asked."""
+    async def ask(self, call: SoloCall) -> SoloReply:
+        """Return the granting host's reply; no turn if that host can't be reached."""
         hosts = self._membership.reachable_entry_hosts()
         granter = rank(call.fingerprint, hosts)[0] if hosts else self._host
         if granter == self._host:
-            return (await self.handle_call(call)).granted
+            return await self.handle_call(call)
         reply = await self._links.call(granter, call, SoloReply, timeout_s=CALL_TIMEOUT_S)
         if isinstance(reply, PeerFailure):
             self._membership.mark_unreachable(granter)
-            return False
-        return reply.granted
+            return SoloReply(granted=False)
+        return reply
 
     async def handle_call(self, call: SoloCall) -> SoloReply:
         """Grant, renew or end a turn at this host."""
         turn = self._turns.get(call.fingerprint)
         now = self._clock.monotonic()
+        if call.convicted:
+            self._convicted[call.fingerprint] = now + CONVICTION_S
+            _bound(self._convicted)
+        if self._convicted.get(call.fingerprint, 0.0) > now:
+            self._turns.pop(call.fingerprint, None)
+            return SoloReply(granted=False, convicted=True)
         held = turn is not None and turn.until > now and turn.request_id != call.request_id
         if held:
             return SoloReply(granted=False)
@@ -79,6 +93,11 @@
         if call.release:
             return SoloReply(granted=False)
         self._turns[call.fingerprint] = _Turn(request_id=call.request_id, until=now + TURN_S)
-        while len(self._turns) > TURNS_KEPT:
-            del self._turns[next(iter(self._turns))]
+        _bound(self._turns)
         return SoloReply(granted=True)
+
+
+def _bound(kept: dict[Fingerprint, t.Any]) -> None:
+    """Drop the oldest items beyond the limit."""
+    while len(kept) > TURNS_KEPT:
+        del kept[next(iter(kept))]
--- a/src/cassiawalk/membership/hosts.py
+++ b/src/cassiawalk/membership/hosts.py
@@ -22,7 +22,7 @@
 POLL_INTERVAL_S = 1.0
 UNREACHABLE_HOLD_S = 5.0
 POLLERS = 3
-FEED_SILENCE_S = 3.0
+FEED_SILENCE_S = 5.0
 _POLLER_KEY = "membership pollers"
 
 LeavingListener = cabc.Callable[[HostId, LeavingSource], None]
@@ -43,6 +43,7 @@
         self._leaving: dict[HostId, LeavingMark] = {}
         self._unreachable_until: dict[HostId, float] = {}
         self._feed_heard_at: float | None = None
+        self._ranking: list[HostId] = []
         self._listeners: list[cabc.Callable[[], None]] = []
         self._leaving_listeners: list[LeavingListener] = []
 
@@ -86,23 +87,23 @@
 
     def reachable_entry_hosts(self) -> list[HostId]:
         """Return entry hosts that are neither leaving nor known to be unreachable."""
-        now = self._clock.monotonic()
         return [
-            entry.host
-            for entry in self.entries(HostRole.ENTRY)
-            if not self.is_leaving(entry.host) and self._unreachable_until.get(entry.host, 0) <= now
+            entry.host for entry in self.entries(HostRole.ENTRY) if self._is_reachable(entry.host)
         ]
 
     def pollers(self) -> list[HostId]:
         """Return the hosts that read the platform, each of another failure domain if possible."""
-        ranked = rank(_POLLER_KEY, self.reachable_entry_hosts())
         domains: set[FailureDomain] = set()
         first: list[HostId] = []
         others: list[HostId] = []
-        for host in ranked:
+        for host in self._ranking:
+            if not self._is_reachable(host):
+                continue
             domain = self._entries[host].failure_domain
             (others if domain in domains else first).append(host)
             domains.add(domain)
+            if len(first) == POLLERS:
+                break
         return [*first, *others][:POLLERS]
 
     @property
@@ -177,7 +178,15 @@
     def replace_entries(self, entries: cabc.Mapping[HostId, HostEntry]) -> None:
         """Take over a whole list."""
         changed = entries != self._entries
-        self._entries = dict(entries)
+        # Entries that stay as they were stay the same objects, so that followers' updates are
+        # found by identity.
+        known = self._entries
+        self._entries = {
+            host: known[host] if known.get(host) == entry else entry
+            for host, entry in entries.items()
+        }
+        if changed:
+            self._ranking = rank(_POLLER_KEY, [e.host for e in self.entries(HostRole.ENTRY)])
         self._leaving = {
             host: kept for host, mark in self._leaving.items() if (kept := self._still(mark))
         }
@@ -199,6 +208,11 @@
             return None
         return mark if mark.address else dataclasses.replace(mark, address=entry.address)
 
+    def _is_reachable(self, host: HostId) -> bool:
+        if self.is_leaving(host):
+            return False
+        return self._unreachable_until.get(host, 0.0) <= self._clock.monotonic()
+
     def _notify(self) -> None:
         for listener in self._listeners:
             listener()
--- a/src/cassiawalk/peer/board.py
+++ b/src/cassiawalk/peer/board.py
@@ -68,11 +68,16 @@
         self._notes = {key: note for key, note in self._notes.items() if note.until_s > now_s}
         return dict(self._notes)
 
+    def is_empty(self) -> bool:
+        """Return whether there is no note, not even one that has expired since the last change."""
+        return not self._notes
+
     def take_over(self, note: Note) -> None:
         """Keep a note, unless a later one is known."""
         known = self._notes.get(note.key)
         if known is not None and (known.at_s, known.items) >= (note.at_s, note.items):
             return
+        self._notes = self.notes()
         self._notes.pop(note.key, None)
         self._notes[note.key] = note
         while len(self._notes) > self._limit:
--- a/src/cassiawalk/peer/feed.py
+++ b/src/cassiawalk/peer/feed.py
@@ -28,7 +28,8 @@
 NOTICE_WAIT_S = 10.0
 NOTICE_PAUSE_S = 0.05
 ROLE_CHECK_S = 1.0
-HEARTBEAT_S = 1.0
+HEARTBEAT_S = 2.0
+HEARTBEAT_LIMIT_S = 5.0
 OUTAGE_DELAY_S = 0.5
 CALL_TIMEOUT_S = 2.0
 _OWN_SOURCES = frozenset(LeavingSource) - {LeavingSource.PEER}
@@ -65,6 +66,9 @@
     notes: tuple[Note, ...] = ()
 
 
+_HEARTBEAT = StreamPart(item={})
+
+
 class MembershipFeed(Component):
     """Polls the cloud's notices or follows a host that does.
 
@@ -125,16 +129,22 @@
             marks = set(self._membership.leaving_marks())
             notes = self._board.notes()
             update = FeedUpdate(
-                entries=tuple(e for h, e in entries.items() if sent.get(h) != e),
+                entries=tuple(e for h, e in entries.items() if sent.get(h) is not e),
                 removed=tuple(h for h in sent if h not in entries),
                 marks=tuple(marks - marked),
                 notes=tuple(n for key, n in notes.items() if noted.get(key) != n),
             )
             yield StreamPart(item=to_plain(update))
             sent, marked, noted = entries, marks, notes
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(HEARTBEAT_S):
-                    await changed.wait()
+            while not await self._is_set_within(changed, HEARTBEAT_S):
+                yield _HEARTBEAT
+
+    @staticmethod
+    async def _is_set_within(event: asyncio.Event, limit_s: float) -> bool:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                await event.wait()
+        return event.is_set()
 
     def _wake(self) -> None:
         changed, self._changed = self._changed, asyncio.Event()
@@ -148,9 +158,7 @@
         while True:
             changed = self._changed
             await self._tell_pollers()
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(ROLE_CHECK_S):
-                    await changed.wait()
+            await self._is_set_within(changed, ROLE_CHECK_S)
 
     async def _tell_pollers(self) -> None:
         now_s = self._clock.wall()
@@ -208,7 +216,7 @@
         with contextlib.suppress(TimeoutError, StopAsyncIteration, WireError):
             async with contextlib.aclosing(items):
                 while poller in self._membership.pollers():
-                    async with asyncio.timeout(3 * HEARTBEAT_S):
+                    async with asyncio.timeout(HEARTBEAT_LIMIT_S):
                         item = await anext(items)
                     if isinstance(item, PeerFailure):
                         break
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 import random
 
 import pytest
@@ -6,12 +7,15 @@
 from cassiawalk.crashes import Death
 from cassiawalk.crashes import DeathLog
 from cassiawalk.crashes import SoloCall
+from cassiawalk.crashes import SoloTurns
 from cassiawalk.crashes import fingerprint_of
 from cassiawalk.ids import FailureDomain
 from cassiawalk.ids import Fingerprint
+from cassiawalk.ids import HostId
 from cassiawalk.ids import KindName
 from cassiawalk.ids import RequestId
 from cassiawalk.ids import UpstreamId
+from cassiawalk.peer import PeerLinks
 from cassiawalk.requests import RequestRecord
 from cassiawalk.results import Execution
 from cassiawalk.results import Refusal
@@ -202,18 +206,46 @@
 
 async def test_turn_is_held_by_one_request_at_a_time() -> None:
     harness = Harness(upstreams=("a",), rng=random.Random(1))
-    turns = harness.guard._turns
-    fingerprint = Fingerprint("f")
-    first = SoloCall(fingerprint=fingerprint, request_id=RequestId("1"))
-    second = SoloCall(fingerprint=fingerprint, request_id=RequestId("2"))
-    assert await turns.ask(first)
-    assert not await turns.ask(second)
-    assert await turns.ask(first)
+    turns = SoloTurns(
+        host=HostId("host-0"),
+        membership=harness.membership,
+        links=PeerLinks(membership=harness.membership, secret="secret"),
+        clock=harness.clock,
+    )
+    first = SoloCall(fingerprint=Fingerprint("f"), request_id=RequestId("1"))
+    second = dataclasses.replace(first, request_id=RequestId("2"))
+
+    async def granted(call: SoloCall) -> bool:
+        return (await turns.ask(call)).granted
+
+    assert await granted(first)
+    assert not await granted(second)
+    assert await granted(first)
     await asyncio.sleep(9.0)
-    assert not await turns.ask(second)
-    await turns.ask(SoloCall(fingerprint=fingerprint, request_id=RequestId("2"), release=True))
-    assert not await turns.ask(second)
-    await turns.ask(SoloCall(fingerprint=fingerprint, request_id=RequestId("1"), release=True))
-    assert await turns.ask(second)
+    assert not await granted(second)
+    await turns.ask(dataclasses.replace(second, release=True))
+    assert not await granted(second)
+    await turns.ask(dataclasses.replace(first, release=True))
+    assert await granted(second)
     await asyncio.sleep(11.0)
-    assert await turns.ask(first)
+    assert await granted(first)
+    await turns.ask(dataclasses.replace(first, release=True, convicted=True))
+    reply = await turns.ask(second)
+    assert (reply.granted, reply.convicted) == (False, True)
+
+
+async def test_request_that_waits_for_its_turn_is_refused_once_its_twin_is_convicted() -> None:
+    harness = Harness(upstreams=("a", "b", "c", "d"), rng=random.Random(1), domains="nsns")
+    twins = [harness.record(max_tokens=1000) for _ in range(2)]
+    harness.only("a")
+    runs = [_start(harness, record) for record in twins]
+    await asyncio.sleep(0.5)
+    harness.open_all()
+    harness.kill("a")
+    await asyncio.sleep(0.5)
+    solo = [view for view in harness.table.all() if view.reserved_for is not None]
+    assert len(solo) == 1
+    harness.kill(solo[0].upstream_id)
+    refusals = await asyncio.gather(*runs)
+    assert [r.code for r in refusals if r is not None] == [ResultCode.CRASHED_UPSTREAM] * 2
+    assert sum(len(engine.requests) for engine in harness.engines.values()) == 3
