--- a/src/cassiawalk/crashes/guard.py
+++ b/src/cassiawalk/crashes/guard.py
@@ -4,8 +4,6 @@
 import asyncio
 import collections.abc as cabc
 import contextlib
-import dataclasses
-import typing as t
 import weakref
 
 import eliot
@@ -16,15 +14,15 @@
 from cassiawalk.crashes.deaths import DeathLog
 from cassiawalk.crashes.deaths import upstreams_of
 from cassiawalk.crashes.fingerprint import fingerprint_of
-from cassiawalk.crashes.turns import TURN_RENEWAL_S
-from cassiawalk.crashes.turns import SoloCall
+from cassiawalk.crashes.notes import QUARANTINE_S
+from cassiawalk.crashes.notes import NoteWriter
+from cassiawalk.crashes.solo import SoloRuns
+from cassiawalk.crashes.solo import SoloTicket
 from cassiawalk.crashes.turns import SoloTurns
 from cassiawalk.ids import Fingerprint
-from cassiawalk.ids import PoolName
 from cassiawalk.ids import RequestId
 from cassiawalk.ids import UpstreamId
 from cassiawalk.peer import MembershipFeed
-from cassiawalk.peer import Note
 from cassiawalk.peer import NoteBoard
 from cassiawalk.peer import NoteTopic
 from cassiawalk.requests import RequestRecord
@@ -39,7 +37,6 @@
 SETTLE_S = 0.2
 JUDGE_S = 1.0
 SUSPICION_S = 600.0
-QUARANTINE_S = 3600.0
 TURN_CHECK_S = 0.25
 
 
@@ -81,23 +78,32 @@
         clock: Clock,
     ) -> None:
         self._table = table
-        self._feed = feed
         self._board = board
-        self._turns = turns
         self._quarantines = quarantines
         self._clock = clock
         self._log = DeathLog()
         self._running: dict[RequestId, tuple[UpstreamView, Fingerprint]] = {}
-        self._solo: dict[Fingerprint, UpstreamId] = {}
+        self._notes = NoteWriter(board=board, feed=feed, clock=clock)
+        self._solo = SoloRuns(
+            table=table,
+            notes=self._notes,
+            turns=turns,
+            clock=clock,
+            is_convicted=lambda record: self.refusal(record) is not None,
+        )
         self._fingerprints: weakref.WeakKeyDictionary[RequestRecord, Fingerprint] = (
             weakref.WeakKeyDictionary()
         )
-        self._solo_slot = asyncio.Semaphore(1)
         self._settling: dict[UpstreamView, asyncio.Task[None]] = {}
         self._changed = asyncio.Event()
         table.add_leaving_listener(self._note_leaving)
         board.add_listener(lambda _: self._wake())
 
+    async def stop(self) -> None:
+        """End all tasks."""
+        await self._solo.stop()
+        await super().stop()
+
     @contextlib.contextmanager
     def running(self, record: RequestRecord, view: UpstreamView) -> cabc.Iterator[None]:
         """Count the request as running on an upstream for the body's time."""
@@ -121,7 +127,7 @@
             execution=Execution.RAN if crashed else Execution.NOT_RUN,
         )
 
-    async def screen(self, record: RequestRecord) -> "SoloTicket | Refusal | None":
+    async def screen(self, record: RequestRecord) -> SoloTicket | Refusal | None:
         """Return None if the request may run, a ticket if only alone, or why it may not.
 
         A suspect request waits here for its turn until its deadline.
@@ -137,9 +143,9 @@
                     detail="the request is suspect and had no turn to run alone",
                 )
             changed = self._changed
-            call = SoloCall(fingerprint=fingerprint, request_id=record.request_id)
-            if await self._take_turn(call):
-                return SoloTicket(guard=self, record=record, call=call)
+            ticket = await self._solo.take(record, fingerprint)
+            if ticket is not None:
+                return ticket
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(TURN_CHECK_S):
                     await changed.wait()
@@ -148,31 +154,10 @@
                 return refusal
         return None
 
-    async def _take_turn(self, call: SoloCall) -> bool:
-        """Take this host's only slot for suspects and the request's turn, or neither."""
-        if self._solo_slot.locked():
-            return False
-        await self._solo_slot.acquire()
-        granted = False
-        try:
-            reply = await self._turns.ask(call)
-            granted = reply.granted
-            if reply.convicted:
-                self._board.take_over(self._note(NoteTopic.QUARANTINE, call.fingerprint))
-        finally:
-            if not granted:
-                self._solo_slot.release()
-        return granted
-
     def is_suspect(self, fingerprint: Fingerprint) -> bool:
         """Return whether an upstream's death is held against the fingerprint."""
         return bool(self._deaths_held(fingerprint))
 
-    def solo_run(self, upstream: UpstreamId) -> tuple[str, ...]:
-        """Return the fingerprint that some host announced as running alone on an upstream."""
-        note = self._board.get(NoteTopic.SOLO_RUN, upstream)
-        return () if note is None else note.items
-
     def note_completed(self, record: RequestRecord) -> None:
         """Clear a request that ran to its end."""
         fingerprint = self._fingerprint(record)
@@ -221,19 +206,18 @@
         return self._board.get(NoteTopic.QUARANTINE, fingerprint) is not None
 
     def _deaths_held(self, fingerprint: Fingerprint) -> tuple[str, ...]:
-        note = self._board.get(NoteTopic.SUSPECT_REQUEST, fingerprint)
-        return () if note is None else note.items
+        return self._notes.items(NoteTopic.SUSPECT_REQUEST, fingerprint)
 
     async def _settle(self, view: UpstreamView, death: Death) -> None:
         """Find out who is to blame for a death."""
         await self._clock.sleep(SETTLE_S)
         if self._explained(view, death):
             return
-        solo = self.solo_run(death.upstream)
+        solo = self._solo.announced(death.upstream)
         for fingerprint in death.running:
             if not solo:
                 await self._suspect(fingerprint, death)
-            elif fingerprint in solo and self._solo.get(fingerprint) == death.upstream:
+            elif self._solo.runs_here(fingerprint, death.upstream):
                 await self._convict(fingerprint, view, death)
 
     def _explained(self, view: UpstreamView, death: Death) -> bool:
@@ -258,7 +242,7 @@
             return
         reason = f"died of it: {', '.join((*self._deaths_held(fingerprint), death.upstream))}"
         until_s = self._clock.wall() + QUARANTINE_S
-        await self._share(NoteTopic.QUARANTINE, fingerprint, QUARANTINE_S)
+        await self._notes.share(NoteTopic.QUARANTINE, fingerprint, keep_s=QUARANTINE_S)
         await self._hold(fingerprint, ())
         eliot.log_message(message_type="crash:quarantined", fingerprint=fingerprint, reason=reason)
         publish = self._quarantines.publish(fingerprint, until_s=until_s, reason=reason)
@@ -278,82 +262,10 @@
     async def _hold(self, fingerprint: Fingerprint, deaths: tuple[str, ...]) -> None:
         """Replace the deaths that are held against a fingerprint, on all hosts."""
         eliot.log_message(message_type="crash:suspect", fingerprint=fingerprint, deaths=deaths)
-        await self._share(NoteTopic.SUSPECT_REQUEST, fingerprint, SUSPICION_S, deaths)
-
-    async def _share(
-        self, topic: NoteTopic, name: str, keep_s: float, items: tuple[str, ...] = ()
-    ) -> None:
-        await self._feed.share(self._note(topic, name, keep_s, items))
-
-    def _note(
-        self,
-        topic: NoteTopic,
-        name: str,
-        keep_s: float = QUARANTINE_S,
-        items: tuple[str, ...] = (),
-    ) -> Note:
-        now_s = self._clock.wall()
-        return Note(topic=topic, name=name, at_s=now_s, until_s=now_s + keep_s, items=items)
+        await self._notes.share(
+            NoteTopic.SUSPECT_REQUEST, fingerprint, keep_s=SUSPICION_S, items=deaths
+        )
 
     def _wake(self) -> None:
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
-
-
-class SoloTicket:
-    """The right to run one suspect request alone; an asynchronous context manager."""
-
-    def __init__(self, *, guard: CrashGuard, record: RequestRecord, call: SoloCall) -> None:
-        self._guard = guard
-        self._record = record
-        self._call = call
-        self._view: UpstreamView | None = None
-        self._renewal: asyncio.Task[None] | None = None
-
-    async def __aenter__(self) -> "SoloTicket":
-        self._renewal = self._guard.spawn(self._renew(), name=f"solo-{self._record.request_id}")
-        return self
-
-    async def __aexit__(self, *args: object) -> None:
-        assert self._renewal is not None
-        self._renewal.cancel()
-        self._guard._solo_slot.release()
-        await self._leave()
-        convicted = self._guard.refusal(self._record) is not None
-        release = dataclasses.replace(self._call, release=True, convicted=convicted)
-        await self._guard._turns.ask(release)
-        self._guard._wake()
-
-    def occupied(self, pool: PoolName) -> frozenset[UpstreamId]:
-        """Return the upstreams of a pool that run something already, as far as this host knows."""
-        guard = self._guard
-        return frozenset(
-            view.upstream_id
-            for view in guard._table.in_pool(pool)
-            if view.own_running or guard.solo_run(view.upstream_id)
-        )
-
-    async def reserve(self, view: UpstreamView) -> None:
-        """Keep other requests of this host from an upstream, and announce the run to all hosts."""
-        await self._leave()
-        self._view = view
-        view.reserved_for = self._record.request_id
-        self._guard._solo[self._call.fingerprint] = view.upstream_id
-        left_s = max(0.0, self._record.deadline_s - self._guard._clock.wall())
-        await self._guard._share(
-            NoteTopic.SOLO_RUN, view.upstream_id, left_s, (self._call.fingerprint,)
-        )
-
-    async def _leave(self) -> None:
-        view, self._view = self._view, None
-        if view is None:
-            return
-        view.reserved_for = None
-        self._guard._solo.pop(self._call.fingerprint, None)
-        await self._guard._share(NoteTopic.SOLO_RUN, view.upstream_id, SUSPICION_S)
-        self._guard._table.notify()
-
-    async def _renew(self) -> t.NoReturn:
-        while True:
-            await self._guard._clock.sleep(TURN_RENEWAL_S)
-            await self._guard._turns.ask(self._call)
--- /dev/null
+++ b/src/cassiawalk/crashes/notes.py
@@ -0,0 +1,43 @@
+"""Writes the notes that hosts share about crashing requests."""
+
+from cassiawalk.clock import Clock
+from cassiawalk.peer import MembershipFeed
+from cassiawalk.peer import Note
+from cassiawalk.peer import NoteBoard
+from cassiawalk.peer import NoteTopic
+
+QUARANTINE_S = 3600.0
+
+
+class NoteWriter:
+    """Reads the board and shares new notes with all hosts."""
+
+    def __init__(self, *, board: NoteBoard, feed: MembershipFeed, clock: Clock) -> None:
+        self._board = board
+        self._feed = feed
+        self._clock = clock
+
+    def items(self, topic: NoteTopic, name: str) -> tuple[str, ...]:
+        """Return a note's content, which is empty if there is no such note."""
+        note = self._board.get(topic, name)
+        return () if note is None else note.items
+
+    def put(self, topic: NoteTopic, name: str, *, keep_s: float = QUARANTINE_S) -> None:
+        """Put a note on this host's board only.
+
+        :param keep_s: how long the note holds, in seconds.
+        """
+        self._board.take_over(self._note(topic, name, keep_s, ()))
+
+    async def share(
+        self, topic: NoteTopic, name: str, *, keep_s: float, items: tuple[str, ...] = ()
+    ) -> None:
+        """Share a note and return once the reachable pollers have it.
+
+        :param keep_s: how long the note holds, in seconds.
+        """
+        await self._feed.share(self._note(topic, name, keep_s, items))
+
+    def _note(self, topic: NoteTopic, name: str, keep_s: float, items: tuple[str, ...]) -> Note:
+        now_s = self._clock.wall()
+        return Note(topic=topic, name=name, at_s=now_s, until_s=now_s + keep_s, items=items)
--- /dev/null
+++ b/src/cassiawalk/crashes/solo.py
@@ -0,0 +1,146 @@
+"""Runs of suspect requests alone on an upstream."""
+
+import asyncio
+import collections.abc as cabc
+import dataclasses
+import typing as t
+
+from cassiawalk.app import Component
+from cassiawalk.clock import Clock
+from cassiawalk.crashes.notes import NoteWriter
+from cassiawalk.crashes.turns import TURN_RENEWAL_S
+from cassiawalk.crashes.turns import SoloCall
+from cassiawalk.crashes.turns import SoloTurns
+from cassiawalk.ids import Fingerprint
+from cassiawalk.ids import PoolName
+from cassiawalk.ids import UpstreamId
+from cassiawalk.peer import NoteTopic
+from cassiawalk.requests import RequestRecord
+from cassiawalk.routing import UpstreamTable
+from cassiawalk.routing import UpstreamView
+
+ENDED_RUN_KEPT_S = 600.0
+
+
+class SoloRuns(Component):
+    """The suspect request that this host runs alone; there is at most one at a time.
+
+    :param is_convicted: returns whether a request is quarantined.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: UpstreamTable,
+        notes: NoteWriter,
+        turns: SoloTurns,
+        clock: Clock,
+        is_convicted: cabc.Callable[[RequestRecord], bool],
+    ) -> None:
+        self._table = table
+        self._notes = notes
+        self._turns = turns
+        self._clock = clock
+        self._is_convicted = is_convicted
+        self._slot = asyncio.Semaphore(1)
+        self._here: dict[Fingerprint, UpstreamId] = {}
+
+    async def take(self, record: RequestRecord, fingerprint: Fingerprint) -> "SoloTicket | None":
+        """Return the right to run the request alone now, or None."""
+        if self._slot.locked():
+            return None
+        await self._slot.acquire()
+        call = SoloCall(fingerprint=fingerprint, request_id=record.request_id)
+        granted = False
+        try:
+            reply = await self._turns.ask(call)
+            granted = reply.granted
+            if reply.convicted:
+                self._notes.put(NoteTopic.QUARANTINE, fingerprint)
+        finally:
+            if not granted:
+                self._slot.release()
+        return SoloTicket(runs=self, record=record, call=call) if granted else None
+
+    def runs_here(self, fingerprint: Fingerprint, upstream: UpstreamId) -> bool:
+        """Return whether this host runs the request alone on the upstream."""
+        return self._here.get(fingerprint) == upstream
+
+    def announced(self, upstream: UpstreamId) -> tuple[str, ...]:
+        """Return the fingerprint that some host announced as running alone on an upstream."""
+        return self._notes.items(NoteTopic.SOLO_RUN, upstream)
+
+    def occupied(self, pool: PoolName) -> frozenset[UpstreamId]:
+        """Return the upstreams of a pool that run something already, as far as this host knows."""
+        return frozenset(
+            view.upstream_id
+            for view in self._table.in_pool(pool)
+            if view.own_running or self.announced(view.upstream_id)
+        )
+
+    async def begin(self, record: RequestRecord, call: SoloCall, view: UpstreamView) -> None:
+        """Keep other requests of this host from an upstream, and announce the run to all hosts."""
+        view.reserved_for = record.request_id
+        self._here[call.fingerprint] = view.upstream_id
+        left_s = max(0.0, record.deadline_s - self._clock.wall())
+        await self._notes.share(
+            NoteTopic.SOLO_RUN, view.upstream_id, keep_s=left_s, items=(call.fingerprint,)
+        )
+
+    async def end(self, call: SoloCall, view: UpstreamView) -> None:
+        """Let other requests use the upstream again."""
+        view.reserved_for = None
+        self._here.pop(call.fingerprint, None)
+        await self._notes.share(NoteTopic.SOLO_RUN, view.upstream_id, keep_s=ENDED_RUN_KEPT_S)
+        self._table.notify()
+
+    async def give_back(self, record: RequestRecord, call: SoloCall) -> None:
+        """End the turn, and tell the granting host if the request was convicted in it."""
+        self._slot.release()
+        convicted = self._is_convicted(record)
+        await self._turns.ask(dataclasses.replace(call, release=True, convicted=convicted))
+
+    async def renew(self, call: SoloCall) -> t.NoReturn:
+        """Renew the turn until the task is cancelled."""
+        while True:
+            await self._clock.sleep(TURN_RENEWAL_S)
+            await self._turns.ask(call)
+
+
+class SoloTicket:
+    """The right to run one suspect request alone; an asynchronous context manager."""
+
+    def __init__(self, *, runs: SoloRuns, record: RequestRecord, call: SoloCall) -> None:
+        self._runs = runs
+        self._record = record
+        self._call = call
+        self._view: UpstreamView | None = None
+        self._renewal: asyncio.Task[t.NoReturn] | None = None
+
+    async def __aenter__(self) -> "SoloTicket":
+        name = f"solo-{self._record.request_id}"
+        self._renewal = self._runs.spawn(self._runs.renew(self._call), name=name)
+        return self
+
+    async def __aexit__(self, *args: object) -> None:
+        if self._renewal is not None:
+            self._renewal.cancel()
+        try:
+            await self._leave()
+        finally:
+            await self._runs.give_back(self._record, self._call)
+
+    def occupied(self, pool: PoolName) -> frozenset[UpstreamId]:
+        """Return the upstreams of a pool that the request had better not share."""
+        return self._runs.occupied(pool)
+
+    async def reserve(self, view: UpstreamView) -> None:
+        """Take an upstream for the request alone, in place of the one before."""
+        await self._leave()
+        self._view = view
+        await self._runs.begin(self._record, self._call, view)
+
+    async def _leave(self) -> None:
+        view, self._view = self._view, None
+        if view is not None:
+            await self._runs.end(self._call, view)
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -7,6 +7,7 @@
 from standins.answers import whole_answer
 from standins.fleet import Fleet
 from tests.support import send
+from tests.upstream_fleet import ENGINES
 from tests.upstream_fleet import HOSTS
 from tests.upstream_fleet import QUICK_TOKENS
 from tests.upstream_fleet import assert_whole
@@ -106,3 +107,26 @@
         ]
         await _wait_leaving(fleet, "engine-0")
         assert_whole(prompts, await asyncio.gather(*tasks))
+
+
+@pytest.mark.parametrize("refused", [False, True], ids=["kv-moves", "kv-refused"])
+async def test_long_prompts_move_with_their_cache(tmp_path: pathlib.Path, refused: bool) -> None:
+    prompt_tokens = 400
+    async with new_fleet(tmp_path) as fleet:
+        await start_fleet(fleet)
+        await fleet.faults("engine-0", refuse_kv=refused)
+        prompts = long_prompts(8, tokens=prompt_tokens)
+        tasks = start_dossiers(fleet, prompts)
+        await wait_runs(fleet, 8)
+        await wait_runs(fleet, 1, "engine-0")
+        notice = {"hosts": ["engine-0"], "notice_s": 1.5}
+        await fleet.post(fleet.standins["cloud"].url + "/reclaim", notice)
+        answers = await asyncio.gather(*tasks)
+        assert_whole(prompts, answers)
+        moved = sum([len(await runs(fleet, name)) for name in ENGINES]) - len(prompts)
+        recomputed = [await metric(fleet, host, "cassiawalk_recomputed_tokens") for host in HOSTS]
+        assert moved > 0
+        if refused:
+            assert sum(recomputed) >= moved * prompt_tokens
+        else:
+            assert sum(recomputed) < moved * prompt_tokens / 4
--- a/tests/upstream_fleet.py
+++ b/tests/upstream_fleet.py
@@ -95,9 +95,14 @@
     await wait_until(begun)
 
 
-def long_prompts(count: int) -> list[str]:
-    """Return prompts whose answers have more than two thirds of the most tokens allowed."""
-    texts = (f"review the dossier of family {index}" for index in range(1000))
+def long_prompts(count: int, *, tokens: int = 0) -> list[str]:
+    """Return prompts whose answers have more than two thirds of the most tokens allowed.
+
+    :param tokens: words added to each, in which no two prompts share a prefix.
+    """
+    texts = (
+        f"review the dossier of family {index}" + f" {index}" * tokens for index in range(1000)
+    )
     found = [text for text in texts if answer_length(text, LONG_TOKENS) > LONG_TOKENS * 2 / 3]
     return found[:count]
 
