Tell a crashing request's second death from a failing domain

Cause: each host knows its own requests only. Ruled out: a lost notice of the death; a lost turn. Change: a death under an announced solo run tells nothing about its domain; two suspects never run alone on one upstream at once; deaths that one suspect's note names together are no domain failure.

--- a/src/cassiawalk/crashes/deaths.py
+++ b/src/cassiawalk/crashes/deaths.py
@@ -1,6 +1,5 @@
 """Deaths of upstreams and what explains them."""
 
-import collections.abc as cabc
 import dataclasses
 
 from cassiawalk.ids import FailureDomain
@@ -27,8 +26,10 @@
 class DeathLog:
     """The latest deaths.
 
-    Several deaths in one failure domain within seconds are a failure of the domain, unless one
-    request was running on all of them: then the request may be what they have in common.
+    Several deaths in one failure domain within seconds are a failure of the domain, unless a
+    request that ran on all of them may be what they have in common. Each host knows only its own
+    requests, so a death under an announced solo run tells nothing about its domain: it may be the
+    second death of a request that other hosts ran before.
     """
 
     def __init__(self, *, window_s: float = DOMAIN_WINDOW_S) -> None:
@@ -39,13 +40,13 @@
         """Keep a death."""
         self._deaths = [*self._deaths, death][-DEATHS_KEPT:]
 
-    def of_domain(self, death: Death) -> list[Death]:
-        """Return the deaths that a failure of the domain explains together with ``death``.
+    def forget(self, death: Death) -> None:
+        """Drop a death that tells nothing about its domain."""
+        self._deaths = [other for other in self._deaths if other is not death]
 
-        The list is empty if ``death`` is alone.
-        """
-        near = [other for other in self._deaths if self._is_near(death, other)]
-        return [death, *near] if near else []
+    def near(self, death: Death) -> list[Death]:
+        """Return the deaths that may have the cause of ``death``, which lies in their domain."""
+        return [other for other in self._deaths if self._is_near(death, other)]
 
     def _is_near(self, death: Death, other: Death) -> bool:
         return (
@@ -54,8 +55,3 @@
             and abs(other.at - death.at) <= self._window_s
             and not (other.running & death.running)
         )
-
-
-def upstreams_of(deaths: cabc.Iterable[Death]) -> frozenset[UpstreamId]:
-    """Return the upstreams that died."""
-    return frozenset(death.upstream for death in deaths)
--- a/src/cassiawalk/crashes/guard.py
+++ b/src/cassiawalk/crashes/guard.py
@@ -12,7 +12,6 @@
 from cassiawalk.clock import Clock
 from cassiawalk.crashes.deaths import Death
 from cassiawalk.crashes.deaths import DeathLog
-from cassiawalk.crashes.deaths import upstreams_of
 from cassiawalk.crashes.fingerprint import fingerprint_of
 from cassiawalk.crashes.notes import QUARANTINE_S
 from cassiawalk.crashes.notes import NoteWriter
@@ -211,23 +210,36 @@
     async def _settle(self, view: UpstreamView, death: Death) -> None:
         """Find out who is to blame for a death."""
         await self._clock.sleep(SETTLE_S)
-        if self._explained(view, death):
+        if view.state is UpstreamState.LEAVING:
+            return
+        if self._solo.announced(death.upstream):
+            self._log.forget(death)
+            for fingerprint in death.running:
+                if self._solo.runs_here(fingerprint, death.upstream):
+                    await self._convict(fingerprint, view, death)
+            return
+        together = self._domain_deaths(death)
+        for other in together:
+            self._withdraw(other.upstream)
+        if together:
             return
-        solo = self._solo.announced(death.upstream)
         for fingerprint in death.running:
-            if not solo:
-                await self._suspect(fingerprint, death)
-            elif self._solo.runs_here(fingerprint, death.upstream):
-                await self._convict(fingerprint, view, death)
-
-    def _explained(self, view: UpstreamView, death: Death) -> bool:
-        """Return whether a notice or a domain's failure explains a death; undo what it caused."""
-        if view.state is UpstreamState.LEAVING:
-            return True
-        together = self._log.of_domain(death)
-        for upstream in upstreams_of(together):
-            self._withdraw(upstream)
-        return bool(together)
+            await self._suspect(fingerprint, death)
+
+    def _domain_deaths(self, death: Death) -> list[Death]:
+        """Return the other deaths that make this one a failure of the domain."""
+        return [
+            other
+            for other in self._log.near(death)
+            if not self._solo.announced(other.upstream) and not self._shares_suspect(death, other)
+        ]
+
+    def _shares_suspect(self, death: Death, other: Death) -> bool:
+        """Return whether some host reported one request for both deaths."""
+        return any(
+            topic is NoteTopic.SUSPECT_REQUEST and {death.upstream, other.upstream} <= {*note.items}
+            for (topic, _), note in self._board.notes().items()
+        )
 
     async def _suspect(self, fingerprint: Fingerprint, death: Death) -> None:
         held = self._deaths_held(fingerprint)
@@ -238,9 +250,12 @@
         """Quarantine a request whose upstream died while it ran alone."""
         # The rest of a failing domain and late notices need a moment to become known.
         await self._clock.sleep(JUDGE_S)
-        if self._explained(view, death) or not self.is_suspect(fingerprint):
+        if view.state is UpstreamState.LEAVING or not self.is_suspect(fingerprint):
+            return
+        held = self._deaths_held(fingerprint)
+        if any(other.upstream not in held for other in self._domain_deaths(death)):
             return
-        reason = f"died of it: {', '.join((*self._deaths_held(fingerprint), death.upstream))}"
+        reason = f"died of it: {', '.join((*held, death.upstream))}"
         until_s = self._clock.wall() + QUARANTINE_S
         await self._notes.share(NoteTopic.QUARANTINE, fingerprint, keep_s=QUARANTINE_S)
         await self._hold(fingerprint, ())
--- a/src/cassiawalk/crashes/solo.py
+++ b/src/cassiawalk/crashes/solo.py
@@ -78,20 +78,32 @@
             if view.own_running or self.announced(view.upstream_id)
         )
 
-    async def begin(self, record: RequestRecord, call: SoloCall, view: UpstreamView) -> None:
-        """Keep other requests of this host from an upstream, and announce the run to all hosts."""
+    async def begin(self, record: RequestRecord, call: SoloCall, view: UpstreamView) -> bool:
+        """Keep other requests of this host from an upstream, and announce the run to all hosts.
+
+        Return False if another host runs a suspect there: a death would tell nothing about either.
+        """
+        if not (await self._turns.ask(_upstream_call(call, view))).granted:
+            return False
         view.reserved_for = record.request_id
         self._here[call.fingerprint] = view.upstream_id
         left_s = max(0.0, record.deadline_s - self._clock.wall())
-        await self._notes.share(
-            NoteTopic.SOLO_RUN, view.upstream_id, keep_s=left_s, items=(call.fingerprint,)
-        )
+        try:
+            await self._notes.share(
+                NoteTopic.SOLO_RUN, view.upstream_id, keep_s=left_s, items=(call.fingerprint,)
+            )
+        except asyncio.CancelledError:
+            view.reserved_for = None
+            self._here.pop(call.fingerprint, None)
+            raise
+        return True
 
     async def end(self, call: SoloCall, view: UpstreamView) -> None:
         """Let other requests use the upstream again."""
         view.reserved_for = None
         self._here.pop(call.fingerprint, None)
         await self._notes.share(NoteTopic.SOLO_RUN, view.upstream_id, keep_s=ENDED_RUN_KEPT_S)
+        await self._turns.ask(dataclasses.replace(_upstream_call(call, view), release=True))
         self._table.notify()
 
     async def give_back(self, record: RequestRecord, call: SoloCall) -> None:
@@ -100,11 +112,18 @@
         convicted = self._is_convicted(record)
         await self._turns.ask(dataclasses.replace(call, release=True, convicted=convicted))
 
-    async def renew(self, call: SoloCall) -> t.NoReturn:
-        """Renew the turn until the task is cancelled."""
+    async def renew(self, ticket: "SoloTicket") -> t.NoReturn:
+        """Renew a ticket's turns until the task is cancelled."""
         while True:
             await self._clock.sleep(TURN_RENEWAL_S)
-            await self._turns.ask(call)
+            await self._turns.ask(ticket.call)
+            if ticket.view is not None:
+                await self._turns.ask(_upstream_call(ticket.call, ticket.view))
+
+
+def _upstream_call(call: SoloCall, view: UpstreamView) -> SoloCall:
+    """Return the call for the turn on an upstream."""
+    return dataclasses.replace(call, fingerprint=Fingerprint(f"upstream {view.upstream_id}"))
 
 
 class SoloTicket:
@@ -113,13 +132,13 @@
     def __init__(self, *, runs: SoloRuns, record: RequestRecord, call: SoloCall) -> None:
         self._runs = runs
         self._record = record
-        self._call = call
-        self._view: UpstreamView | None = None
+        self.call = call
+        self.view: UpstreamView | None = None
         self._renewal: asyncio.Task[t.NoReturn] | None = None
 
     async def __aenter__(self) -> "SoloTicket":
         name = f"solo-{self._record.request_id}"
-        self._renewal = self._runs.spawn(self._runs.renew(self._call), name=name)
+        self._renewal = self._runs.spawn(self._runs.renew(self), name=name)
         return self
 
     async def __aexit__(self, *args: object) -> None:
@@ -128,19 +147,26 @@
         try:
             await self._leave()
         finally:
-            await self._runs.give_back(self._record, self._call)
+            await self._runs.give_back(self._record, self.call)
 
     def occupied(self, pool: PoolName) -> frozenset[UpstreamId]:
         """Return the upstreams of a pool that the request had better not share."""
         return self._runs.occupied(pool)
 
-    async def reserve(self, view: UpstreamView) -> None:
-        """Take an upstream for the request alone, in place of the one before."""
+    async def reserve(self, view: UpstreamView) -> bool:
+        """Take an upstream for the request alone, in place of the one before.
+
+        Return False if another suspect request runs there.
+        """
+        if self.view is view:
+            return True
         await self._leave()
-        self._view = view
-        await self._runs.begin(self._record, self._call, view)
+        if not await self._runs.begin(self._record, self.call, view):
+            return False
+        self.view = view
+        return True
 
     async def _leave(self) -> None:
-        view, self._view = self._view, None
+        view, self.view = self.view, None
         if view is not None:
-            await self._runs.end(self._call, view)
+            await self._runs.end(self.call, view)
--- a/src/cassiawalk/dispatch/stream.py
+++ b/src/cassiawalk/dispatch/stream.py
@@ -33,6 +33,7 @@
 from cassiawalk.routing import UpstreamView
 
 RETRY_AFTER_S = 1.0
+SOLO_WAIT_S = 0.25
 _EXPLAINED = (UpstreamState.LEAVING, UpstreamState.GONE)
 _Ending = Finished | Interrupted | Placement | Refusal
 
@@ -106,16 +107,36 @@
         self, record: RequestRecord, progress: _Progress, solo: SoloTicket | None
     ) -> Finished | Interrupted | Refusal:
         """Run one attempt and those that follow it by moves."""
-        busy = solo.occupied(record.pool) if solo is not None else frozenset()
-        place = await self._scheduler.acquire(record, exclude=progress.tried | busy)
+        place = await self._place(record, progress, solo)
         if isinstance(place, Refusal):
             return place
-        ending: _Ending = Placement(lease=place)
+        ending: _Ending = place
         while isinstance(ending, Placement):
             ending = await self._attempt(record, ending, solo)
             progress.note(record, ending)
         return ending
 
+    async def _place(
+        self, record: RequestRecord, progress: _Progress, solo: SoloTicket | None
+    ) -> Placement | Refusal:
+        """Return a slot; for a suspect request on an upstream where no other suspect runs."""
+        while True:
+            busy = frozenset() if solo is None else solo.occupied(record.pool)
+            lease = await self._scheduler.acquire(record, exclude=progress.tried | busy)
+            if isinstance(lease, Refusal):
+                return lease
+            if solo is None:
+                return Placement(lease=lease)
+            reserved = False
+            try:
+                reserved = await solo.reserve(lease.upstream)
+            finally:
+                if not reserved:
+                    self._scheduler.release(lease)
+            if reserved:
+                return Placement(lease=lease)
+            await self._clock.sleep(SOLO_WAIT_S)
+
     async def _attempt(
         self, record: RequestRecord, place: Placement, solo: SoloTicket | None
     ) -> _Ending:
--- a/tests/upstream_fakes.py
+++ b/tests/upstream_fakes.py
@@ -30,7 +30,9 @@
 from cassiawalk.membership import Membership
 from cassiawalk.metrics import Metrics
 from cassiawalk.peer import MembershipFeed
+from cassiawalk.peer import Note
 from cassiawalk.peer import NoteBoard
+from cassiawalk.peer import NoteTopic
 from cassiawalk.peer import PeerLinks
 from cassiawalk.platform import CallAnswered
 from cassiawalk.platform import CallFailed
@@ -320,6 +322,12 @@
         view.fire("note_failure")
         self.guard.note_death(view)
 
+    def share(self, topic: NoteTopic, name: str, items: tuple[str, ...]) -> None:
+        """Take over a note that another host shared just now."""
+        now_s = self.clock.wall()
+        note = Note(topic=topic, name=name, at_s=now_s, until_s=now_s + 600.0, items=items)
+        self.board.take_over(note)
+
     def record(
         self,
         *,
--- a/tests/upstream_fleet.py
+++ b/tests/upstream_fleet.py
@@ -80,6 +80,14 @@
     await wait_until(holds)
 
 
+async def wait_leaving(fleet: Fleet, *names: str) -> None:
+    """Return once all hosts hold the engines for leaving."""
+    for host in HOSTS:
+        await wait_upstreams(
+            fleet, host, lambda views: all(views.get(name) == "leaving" for name in names)
+        )
+
+
 async def runs(fleet: Fleet, engine: str) -> list[str]:
     """Return the ids of all attempts that began on an engine."""
     answer: dict[str, t.Any] = await fleet.get(fleet.standins[engine].url + "/runs")
@@ -95,6 +103,12 @@
     await wait_until(begun)
 
 
+async def busiest_engine(fleet: Fleet) -> str:
+    """Return the engine that has begun the most attempts."""
+    counts = [(len(await runs(fleet, name)), name) for name in ENGINES]
+    return max(counts)[1]
+
+
 def long_prompts(count: int, *, tokens: int = 0) -> list[str]:
     """Return prompts whose answers have more than two thirds of the most tokens allowed.
 
