--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -172,3 +172,15 @@
     run.cancel()
     await asyncio.gather(run, return_exceptions=True)
     assert [view.own_running for view in harness.table.all()] == [set(), set()]
+
+
+async def test_slot_granted_in_the_moment_its_waiter_gives_up_is_not_lost() -> None:
+    harness = Harness(upstreams=("a",), rng=random.Random(1))
+    harness.view("a").reserved_for = RequestId("other")
+    waiting = asyncio.create_task(harness.scheduler.acquire(harness.record()))
+    await asyncio.sleep(0.1)
+    harness.open_all()
+    assert harness.view("a").own_running
+    waiting.cancel()
+    await asyncio.gather(waiting, return_exceptions=True)
+    assert not harness.view("a").own_running
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -31,15 +31,17 @@
 async def test_engine_that_says_it_is_leaving_to_one_host_is_left_by_all(
     tmp_path: pathlib.Path,
 ) -> None:
+    # Three of the hosts poll; the other two learn it from them.
+    hosts = tuple(f"host-{index}" for index in range(5))
     async with new_fleet(tmp_path) as fleet:
-        await start_fleet(fleet)
+        await start_fleet(fleet, hosts=hosts)
         await fleet.faults("engine-0", leaving=True)
         prompts = long_prompts(12)
         tasks = [
             asyncio.create_task(send(fleet, "host-0", "enquiries/dossier", {"prompt": prompt}))
             for prompt in prompts
         ]
-        await wait_leaving(fleet, "engine-0")
+        await wait_leaving(fleet, "engine-0", hosts=hosts)
         assert_whole(prompts, await asyncio.gather(*tasks))
 
 
--- a/tests/upstream_fleet.py
+++ b/tests/upstream_fleet.py
@@ -30,9 +30,12 @@
 
 
 async def start_fleet(
-    fleet: Fleet, *, engine_args: cabc.Sequence[str] = ("--report-lag-s", "0.1")
+    fleet: Fleet,
+    *,
+    hosts: cabc.Sequence[str] = HOSTS,
+    engine_args: cabc.Sequence[str] = ("--report-lag-s", "0.1"),
 ) -> None:
-    """Start engines 0 and 2 in the north, 1 and 3 in the south, and three hosts."""
+    """Start engines 0 and 2 in the north, 1 and 3 in the south, and the hosts."""
     await asyncio.gather(
         *(
             fleet.start_upstream(
@@ -45,13 +48,13 @@
             for index, name in enumerate(ENGINES)
         )
     )
-    await asyncio.gather(*(fleet.start_host(name, failure_domain=f"own-{name}") for name in HOSTS))
+    await asyncio.gather(*(fleet.start_host(name, failure_domain=f"own-{name}") for name in hosts))
     await fleet.wait_ready()
     for statement in CONFIG:
         status, answer = await fleet.statement("host-0", statement)
         assert status == 200, answer
     await fleet.wait_revision(len(CONFIG))
-    for host in HOSTS:
+    for host in hosts:
         await wait_upstreams(fleet, host, lambda views: len(views) == len(ENGINES))
         await wait_upstreams(fleet, host, lambda views: set(views.values()) == {"serving"})
 
@@ -80,9 +83,9 @@
     await wait_until(holds)
 
 
-async def wait_leaving(fleet: Fleet, *names: str) -> None:
-    """Return once all hosts hold the engines for leaving."""
-    for host in HOSTS:
+async def wait_leaving(fleet: Fleet, *names: str, hosts: cabc.Sequence[str] = HOSTS) -> None:
+    """Return once the hosts hold the engines for leaving."""
+    for host in hosts:
         await wait_upstreams(
             fleet, host, lambda views: all(views.get(name) == "leaving" for name in names)
         )
