Let an upstream whose leaving mark has ended take work again

Cause: leaving is final for a view, so a host whose notice was withdrawn stayed closed for good, also after its mark had ended. Change: the table makes a new view, and an ended mark counts as a change. Red: with the table before, tests/test_membership.py fails 1 of 25; green: 25 passed.

--- a/src/cassiawalk/membership/hosts.py
+++ b/src/cassiawalk/membership/hosts.py
@@ -187,9 +187,9 @@
         }
         if changed:
             self._ranking = rank(_POLLER_KEY, [e.host for e in self.entries(HostRole.ENTRY)])
-        self._leaving = {
-            host: kept for host, mark in self._leaving.items() if (kept := self._still(mark))
-        }
+        marks = {host: kept for host, mark in self._leaving.items() if (kept := self._still(mark))}
+        changed = changed or marks.keys() != self._leaving.keys()
+        self._leaving = marks
         for entry in entries.values():
             if entry.state is HostState.LEAVING:
                 self.mark_leaving(entry.host, LeavingSource.HOST_LIST)
--- a/src/cassiawalk/routing/table.py
+++ b/src/cassiawalk/routing/table.py
@@ -78,8 +78,7 @@
 
     def _take_over(self, upstream_id: UpstreamId, entry: HostEntry) -> None:
         view = self._views.get(upstream_id)
-        if view is not None and view.entry.address != entry.address:
-            # The id came back with a new address, so it names a new host.
+        if view is not None and self._is_over(view, entry):
             view.fire("note_gone")
             view = None
         if view is None:
@@ -94,6 +93,12 @@
         if self._membership.is_leaving(entry.host):
             view.fire("note_leaving")
 
+    def _is_over(self, view: UpstreamView, entry: HostEntry) -> bool:
+        """Return whether the listed host is a new one, or one whose leaving mark has ended."""
+        if view.entry.address != entry.address:
+            return True
+        return view.state is UpstreamState.LEAVING and not self._membership.is_leaving(entry.host)
+
     def _note_leaving(self, host: HostId, source: LeavingSource) -> None:
         view = self._views.get(UpstreamId(host))
         if view is not None:
