--- a/src/cassiawalk/dispatch/holder.py
+++ b/src/cassiawalk/dispatch/holder.py
@@ -63,7 +63,13 @@
         self._running.discard(claim.claim_id)
 
     async def ask(self, claim: Claim) -> ClaimStatusReply:
-        """Ask the claim's gateway what became of it."""
+        """Ask the claim's gateway what became of it.
+
+        An outcome that a stopping gateway has handed over to this host answers at once.
+        """
+        pending = self._recorder.pending_record(claim.claim_id)
+        if isinstance(pending, Outcome):
+            return _answered(pending)
         call = ClaimStatusCall(
             key=claim.key,
             claim_id=claim.claim_id,
@@ -85,9 +91,7 @@
             return ClaimStatusReply(state=HolderState.LOST)
         pending = self._recorder.pending_record(call.claim_id)
         if isinstance(pending, Outcome):
-            return ClaimStatusReply(
-                state=HolderState.ANSWERED, status=pending.status, body=pending.body
-            )
+            return _answered(pending)
         if call.claim_id in self._running:
             return ClaimStatusReply(state=HolderState.RUNNING)
         if call.claim_id in self._sent:
@@ -96,3 +100,7 @@
             abandon = Abandon(key=call.key, claim_id=call.claim_id, claimed_s=call.claimed_s)
             self._recorder.submit(abandon)
         return ClaimStatusReply(state=HolderState.RELEASED)
+
+
+def _answered(outcome: Outcome) -> ClaimStatusReply:
+    return ClaimStatusReply(state=HolderState.ANSWERED, status=outcome.status, body=outcome.body)
