Look again for a request whose first host is gone

Ruled out: announcing more often (load on all hosts for a rare moment). Change: the look-up is repeated for 7 s if the host that accepted the request can't be reached.

--- a/src/cassiawalk/caller/attach.py
+++ b/src/cassiawalk/caller/attach.py
@@ -23,7 +23,8 @@
 from cassiawalk.requests import parse_cursor
 from cassiawalk.requests.answer import FINAL_EVENTS
 
-HOPS_LIMIT = 16
+LOOKS_LIMIT = 14
+HOPS_LIMIT = 64
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -88,28 +89,38 @@
         hosts: list[HostId],
     ) -> cabc.AsyncGenerator[NumberedEvent | Unknown, None]:
         """Go from host to host until the final event; the reader's place goes along."""
-        asked = False
-        for _ in range(HOPS_LIMIT):
-            if not hosts and asked:
-                break
+        looks, hops = 0, 0
+        while hops < HOPS_LIMIT and (hosts or self._may_look(request_id, looks)):
             if not hosts:
-                asked = True
+                await self._locator.pause(looks)
+                looks += 1
                 hosts = await self._locator.find(request_id, workspace)
                 continue
+            hops += 1
             host, hosts = hosts[0], hosts[1:]
             call = AttachCall(request_id=request_id, workspace=workspace, after=str(cursor))
             async with contextlib.aclosing(self._read(host, call)) as events:
                 async for numbered in events:
                     if isinstance(numbered.event, HandedOver):
-                        hosts, asked = [numbered.event.host], False
+                        hosts = [numbered.event.host]
                         break
+                    looks, hops = 0, 0
                     cursor = numbered.cursor
-                    asked = False
                     yield numbered
                     if isinstance(numbered.event, FINAL_EVENTS):
                         return
         yield Unknown(detail=f"no live host knows request {request_id!r}")
 
+    def _may_look(self, request_id: RequestId, looks: int) -> bool:
+        """Return whether another look-up may find the request.
+
+        After the first one only if its first host is gone: the announcement of the host that took
+        it over may still be on its way.
+        """
+        if looks == 0:
+            return True
+        return looks < LOOKS_LIMIT and self._locator.may_have_moved(request_id)
+
     async def _read(
         self, host: HostId, call: AttachCall
     ) -> cabc.AsyncGenerator[NumberedEvent, None]:
--- a/src/cassiawalk/handover/locations.py
+++ b/src/cassiawalk/handover/locations.py
@@ -19,6 +19,7 @@
 from cassiawalk.peer import PeerLinks
 
 LOCATORS = 2
+LOOK_INTERVAL_S = 0.5
 LOCATORS_ASKED = 3
 CALL_TIMEOUT_S = 1.0
 LOCATION_KEPT_S = 600.0
@@ -85,6 +86,7 @@
         self._host = host
         self._membership = membership
         self._links = links
+        self._clock = clock
         self.book = LocationBook(clock=clock)
 
     async def announce(self, call: AnnounceCall) -> AnnounceReply:
@@ -109,6 +111,16 @@
             found.append(origin)
         return [host for host in dict.fromkeys(found) if host != self._host]
 
+    def may_have_moved(self, request_id: RequestId) -> bool:
+        """Return whether the host that accepted a request is gone."""
+        origin = request_origin(request_id)
+        return origin is not None and origin not in self._membership.reachable_entry_hosts()
+
+    async def pause(self, looks: int) -> None:
+        """Wait before another look-up; not before the first."""
+        if looks > 0:
+            await self._clock.sleep(LOOK_INTERVAL_S)
+
     async def handle_announce(self, call: AnnounceCall) -> AnnounceReply:
         """Serve a holder's announcement."""
         location = self.book.note(call)
