Learn and weigh by pool, from the operators' configuration

Cause: Pool.cost_weight and recompute_weight had no effect, and calls of plain services taught the engines' pool that requests take 50 ms. Change: a Scorer for each pool, its weights taken from the configured pool; wired in node.py.

--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -4,12 +4,16 @@
 import dataclasses
 import random
 
+from benchmarks.workloads import ENGINE_POOL
 from benchmarks.workloads import Deployment
 from cassiawalk.admission import AdmissionGate
 from cassiawalk.admission import Scheduler
 from cassiawalk.admission.gate import LOOSE_SLACK
 from cassiawalk.admission.gate import TIGHT_SLACK
 from cassiawalk.clock import Clock
+from cassiawalk.control.state import Pool
+from cassiawalk.control.state import PoolType
+from cassiawalk.ids import PoolName
 from cassiawalk.ids import UpstreamId
 from cassiawalk.requests import RequestRecord
 from cassiawalk.results import Refusal
@@ -146,15 +150,16 @@
     def build(
         self, *, table: UpstreamTable, clock: Clock, rng: random.Random, deployment: Deployment
     ) -> Decisions:
-        weights = dataclasses.replace(
-            self._weights,
-            price=self._weights.price * deployment.cost_weight,
-            recompute=self._weights.recompute * deployment.recompute_weight,
+        pool = Pool(
+            type=PoolType.ENGINE,
+            cost_weight=deployment.cost_weight,
+            recompute_weight=deployment.recompute_weight,
         )
         router = Router(
             table=table,
             rng=rng,
-            weights=weights,
+            weights=self._weights,
+            pools=lambda: {PoolName(ENGINE_POOL): pool},
             choices=self._choices,
             lead_share=self._lead_share,
             held_share=self._held_share,
--- a/src/cassiawalk/node.py
+++ b/src/cassiawalk/node.py
@@ -100,7 +100,9 @@
         clock = self._clock
         self.store = RequestStore(clock=clock)
         self.table = UpstreamTable(membership=self.membership, clock=clock)
-        self.router = Router(table=self.table, rng=self._rng)
+        self.router = Router(
+            table=self.table, rng=self._rng, pools=lambda: self.control.state.pools
+        )
         self.scheduler = Scheduler(
             table=self.table, router=self.router, clock=clock, metrics=self.metrics
         )
--- a/src/cassiawalk/routing/router.py
+++ b/src/cassiawalk/routing/router.py
@@ -1,10 +1,13 @@
 """Chooses the upstream for a request."""
 
+import collections.abc as cabc
 import dataclasses
 import random
 import weakref
 
 from cassiawalk.control.state import KindMode
+from cassiawalk.control.state import Pool
+from cassiawalk.ids import PoolName
 from cassiawalk.ids import UpstreamId
 from cassiawalk.requests.record import RequestRecord
 from cassiawalk.routing.score import TOKEN_INTERVAL_S
@@ -21,6 +24,9 @@
 HELD_SHARE = 0.85
 
 
+Pools = cabc.Callable[[], cabc.Mapping[PoolName, Pool]]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Choice:
     """The chosen upstream and what is to be expected of it."""
@@ -32,6 +38,7 @@
 class Router:
     """Takes the best score among a few random candidates and the best cached one.
 
+    :param pools: returns the configured pools, whose weights apply on top of ``weights``.
     :param choices: how many upstreams are compared, so that hosts with the same old reports do
         not all send to the same one.
     :param lead_share: requests that may wait in an upstream's own queue, as a share of its slots.
@@ -46,13 +53,16 @@
         choices: int = CHOICES,
         lead_share: float = LEAD_SHARE,
         held_share: float = HELD_SHARE,
+        pools: Pools | None = None,
     ) -> None:
         self._table = table
         self._rng = rng
         self._choices = choices
         self._lead_share = lead_share
         self._held_share = held_share
-        self.scorer = Scorer(weights=weights)
+        self._weights = weights or ScoreWeights()
+        self._pools = pools
+        self._scorers: dict[PoolName, Scorer] = {}
         self._demands: weakref.WeakKeyDictionary[RequestRecord, Demand] = (
             weakref.WeakKeyDictionary()
         )
@@ -69,7 +79,8 @@
         candidates = self._candidates(usable, demand, mean)
         if not candidates:
             return None
-        estimates = [self.scorer.estimate(view, record, demand, mean) for view in candidates]
+        scorer = self._scorer(record.pool)
+        estimates = [scorer.estimate(view, record, demand, mean) for view in candidates]
         best = min(range(len(candidates)), key=lambda index: estimates[index].score)
         return Choice(upstream=candidates[best], estimate=estimates[best])
 
@@ -84,12 +95,13 @@
         cached = _best_cached(usable, demand)
         if cached is not None:
             candidates.append(cached)
-        estimates = [self.scorer.estimate(view, record, demand, mean) for view in candidates]
+        scorer = self._scorer(record.pool)
+        estimates = [scorer.estimate(view, record, demand, mean) for view in candidates]
         return min(estimates, key=lambda estimate: estimate.first_s)
 
     def hold_s(self, record: RequestRecord) -> float:
         """Return how long a request is expected to hold its slot, in seconds."""
-        return self.scorer.holds.of(record)
+        return self._scorer(record.pool).holds.of(record)
 
     def note_sent(self, choice: Choice, record: RequestRecord) -> None:
         """Note that a request goes to an upstream."""
@@ -101,11 +113,11 @@
     def note_first(self, record: RequestRecord, expected: Estimate, first_s: float) -> None:
         """Compare an estimate with the time that the first token really took."""
         waited_s = first_s - expected.prefill_s - TOKEN_INTERVAL_S
-        self.scorer.waits.note(engine_priority(record), expected.wait_s, waited_s)
+        self._scorer(record.pool).waits.note(engine_priority(record), expected.wait_s, waited_s)
 
     def wait_factor(self, record: RequestRecord) -> float:
         """Return by what the expected wait in an upstream is to be multiplied."""
-        return self.scorer.waits.factor(engine_priority(record))
+        return self._scorer(record.pool).waits.factor(engine_priority(record))
 
     def note_ended(self, view: UpstreamView, record: RequestRecord) -> None:
         """Note that an attempt ended."""
@@ -114,7 +126,23 @@
 
     def note_hold(self, record: RequestRecord, hold_s: float) -> None:
         """Learn how long a request held its slot, in seconds."""
-        self.scorer.holds.note(record, hold_s)
+        self._scorer(record.pool).holds.note(record, hold_s)
+
+    def _scorer(self, pool: PoolName) -> Scorer:
+        """Return the pool's scorer, with the weights that are configured for the pool now."""
+        scorer = self._scorers.get(pool)
+        if scorer is None:
+            scorer = Scorer(weights=self._weights)
+            self._scorers[pool] = scorer
+        config = self._pools().get(pool) if self._pools is not None else None
+        if config is not None and config is not scorer.config:
+            scorer.config = config
+            scorer.weights = dataclasses.replace(
+                self._weights,
+                price=self._weights.price * config.cost_weight,
+                recompute=self._weights.recompute * config.recompute_weight,
+            )
+        return scorer
 
     def _usable(self, record: RequestRecord, exclude: frozenset[UpstreamId]) -> list[UpstreamView]:
         usable = [view for view in self._table.in_pool(record.pool) if view.takes_work]
@@ -147,7 +175,10 @@
         return self._rng.sample(views, min(self._choices, len(views)))
 
     def _has_room(self, view: UpstreamView, mean_others: float) -> bool:
-        return self.scorer.occupancy(view, mean_others) < (1.0 + self._lead_share) * view.slots
+        return (
+            self._scorer(view.pool).occupancy(view, mean_others)
+            < (1.0 + self._lead_share) * view.slots
+        )
 
     def _demand(self, record: RequestRecord) -> Demand:
         demand = self._demands.get(record)
--- a/src/cassiawalk/routing/score.py
+++ b/src/cassiawalk/routing/score.py
@@ -4,6 +4,7 @@
 import math
 
 from cassiawalk.control.state import KindMode
+from cassiawalk.control.state import Pool
 from cassiawalk.requests.record import RequestRecord
 from cassiawalk.routing.prefix import prompt_blocks
 from cassiawalk.routing.upstream import UpstreamView
@@ -130,6 +131,7 @@
 
     def __init__(self, *, weights: ScoreWeights | None = None) -> None:
         self.weights = weights or ScoreWeights()
+        self.config: Pool | None = None
         self.holds = HoldTimes()
         self.waits = WaitError()
 
--- a/src/cassiawalk/routing/subset.py
+++ b/src/cassiawalk/routing/subset.py
@@ -72,7 +72,7 @@
 
     def deal_rest(self) -> None:
         """Deal what is left, whatever the distance: most owed first, to keep shares equal."""
-        for host in self._hosts:
+        for host in sorted(self._hosts, key=lambda place: place.name):
             have = self.found[host.name]
             missing = self._size - len(have)
             if missing <= 0:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -3,6 +3,8 @@
 import pytest
 
 from cassiawalk.control.state import KindMode
+from cassiawalk.control.state import Pool
+from cassiawalk.control.state import PoolType
 from cassiawalk.ids import FailureDomain
 from cassiawalk.ids import HostId
 from cassiawalk.ids import PoolName
@@ -140,7 +142,8 @@
 def test_weights_decide_where_long_requests_go(recompute: float, expected: str) -> None:
     clock = FakeClock()
     views = [_view(clock, "cheap"), _view(clock, "stable", reclaimable=False, price=2.5)]
-    router = _router(views, weights=ScoreWeights(price=1.0, recompute=recompute))
+    pools = {PoolName("models"): Pool(type=PoolType.ENGINE, recompute_weight=recompute)}
+    router = _router(views, weights=ScoreWeights(price=1.0), pools=lambda: pools)
     record = make_record(mode=KindMode.MUST_ARRIVE, max_tokens=800, prompt=" ".join(["w"] * 4000))
     choice = router.choose(record)
     assert choice is not None
@@ -186,3 +189,15 @@
     assert waits.factor(0) == pytest.approx(0.24, abs=0.02)
     assert waits.factor(1) == pytest.approx(2.9, abs=0.1)
     assert waits.factor(7) == 1.0
+
+
+def test_what_one_pool_learns_does_not_count_in_another() -> None:
+    clock = FakeClock()
+    router = _router([_view(clock, "a")])
+    call = make_record(prompt="")
+    call.pool = PoolName("records")
+    record = make_record()
+    before = router.hold_s(record)
+    for _ in range(200):
+        router.note_hold(call, 0.001)
+    assert router.hold_s(record) == before
