--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -1,7 +1,17 @@
 import random
 
+import looptime
 import pytest
 
+from benchmarks.bed import Bed
+from benchmarks.experiment import NOOP_CYCLES
+from benchmarks.policies import POLICIES
+from benchmarks.scenarios import FAULT_AT_S
+from benchmarks.scenarios import OUTAGE_S
+from benchmarks.scenarios import SCENARIOS
+from benchmarks.workloads import CARE
+from benchmarks.workloads import arrivals
+from cassiawalk.control.state import KindMode
 from cassiawalk.dispatch import RetryBudget
 from cassiawalk.dispatch import RetryPolicy
 from cassiawalk.dispatch.retry import BACKOFF_LIMIT_S
@@ -83,3 +93,48 @@
     while await policy.permit(SERVICE, 9, deadline_s, waits=waits):
         assert clock.now < deadline_s
     assert clock.now < deadline_s
+
+
+@pytest.fixture(scope="module")
+def outage() -> Bed:
+    """Eight hosts on virtual time; all engines refuse for 8 s of 40 s."""
+    scenario = next(item for item in SCENARIOS if item.name == "outage")
+    rng = random.Random("outage")
+    found = arrivals(CARE, rng, duration_s=scenario.duration_s, load=scenario.load)
+    beds = []
+
+    async def play() -> None:
+        bed = Bed(deployment=CARE, spec=scenario.spec, policy=POLICIES["product"], seed=1)
+        beds.append(bed)
+        await bed.run(found, scenario.script)
+
+    loop = looptime.new_event_loop(start=0.0, noop_cycles=NOOP_CYCLES)
+    try:
+        loop.run_until_complete(play())
+    finally:
+        loop.close()
+    return beds[0]
+
+
+def test_answers_come_in_time_again_after_an_outage(outage: Bed) -> None:
+    begin = outage.asks[0].arrival.at_s
+    settled = begin + FAULT_AT_S + OUTAGE_S + 8.0
+    after = [ask for ask in outage.asks if ask.arrival.at_s >= settled]
+    assert sum(ask.in_target for ask in after) >= 0.9 * len(after)
+
+
+def test_all_accepted_work_that_must_arrive_does(outage: Bed) -> None:
+    must = [ask for ask in outage.asks if ask.arrival.spec.kind.mode is KindMode.MUST_ARRIVE]
+    assert must
+    assert all(ask.complete for ask in must)
+
+
+def test_retries_in_an_outage_stay_within_the_budget(outage: Bed) -> None:
+    asks = [ask for ask in outage.asks if not ask.arrival.spec.plain]
+    span_s = asks[-1].arrival.at_s - asks[0].arrival.at_s + 60.0
+    successes = sum(ask.complete for ask in asks)
+    budget = len(outage.gateways) * (RETRY_RESERVE + TRICKLE_PER_S * span_s)
+    budget += RETRY_SHARE * successes
+    # The last failure of a request that is given up counts as a retry without being one.
+    given_up = sum(ask.given_up for ask in asks)
+    assert sum(ask.retries for ask in asks) - given_up <= budget
