--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -204,6 +204,8 @@
         ProductPolicy(name="choices-all", choices=99),
         ProductPolicy(name="no-affinity", weights=ScoreWeights(prefill=0.0)),
         ProductPolicy(name="trust-reports", weights=ScoreWeights(trust_s=1000.0)),
+        ProductPolicy(name="busy-1", weights=ScoreWeights(busy=1.0)),
+        ProductPolicy(name="prefill-0.5", weights=ScoreWeights(prefill=0.5)),
         ProductPolicy(name="trust-none", weights=ScoreWeights(trust_s=0.01)),
     )
 }
