Split the wiring of a host by concern

Cause: node.py had grown to 455 lines in which every part could reach every other. Ruled out: a container library (the order of construction is worth reading). Change: a package with the base, the requests, the handover and the servers; each names what it stands on. Limits and locator count on the control meter as well.

--- /dev/null
+++ b/src/cassiawalk/node/context.py
@@ -0,0 +1,25 @@
+"""What all parts of a host are built from."""
+
+import dataclasses
+import random
+import socket
+
+from cassiawalk.admin import Operators
+from cassiawalk.clock import Clock
+from cassiawalk.settings import Settings
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NodeContext:
+    """Settings, time, random numbers, secrets and sockets of one host.
+
+    ``incarnation`` names this process, so that a restarted one is not taken for it.
+    """
+
+    cfg: Settings
+    clock: Clock
+    rng: random.Random
+    incarnation: str
+    secret: str = dataclasses.field(repr=False)
+    operators: Operators = dataclasses.field(repr=False)
+    sockets: dict[str, socket.socket]
--- /dev/null
+++ b/src/cassiawalk/node/handover.py
@@ -0,0 +1,53 @@
+"""A host's handover: how its requests go on elsewhere when it leaves."""
+
+from cassiawalk.handover import DrainController
+from cassiawalk.handover import HandoverReceiver
+from cassiawalk.handover import HandoverSender
+from cassiawalk.handover import Locator
+from cassiawalk.handover import OutcomeHandover
+from cassiawalk.handover import Targets
+from cassiawalk.node.base import BaseParts
+from cassiawalk.node.context import NodeContext
+from cassiawalk.node.requests import RequestParts
+
+
+class HandoverParts:
+    """What empties a host and takes over from others."""
+
+    def __init__(self, *, ctx: NodeContext, base: BaseParts, requests: RequestParts) -> None:
+        cfg, clock = ctx.cfg, ctx.clock
+        host, membership, links = cfg.host_id, base.membership, base.links
+        self.locator = Locator(host=host, membership=membership, links=links, clock=clock)
+        targets = Targets(host=host, membership=membership, links=links)
+        self.receiver = HandoverReceiver(
+            host=host,
+            dispatcher=requests.dispatcher,
+            store=requests.store,
+            locator=self.locator,
+            clock=clock,
+        )
+        sender = HandoverSender(
+            host=host, dispatcher=requests.dispatcher, targets=targets, links=links, clock=clock
+        )
+        self.outcome_handover = OutcomeHandover(
+            host=host,
+            dispatcher=requests.dispatcher,
+            recorder=requests.recorder,
+            targets=targets,
+            links=links,
+            clock=clock,
+        )
+        self.drain_controller = DrainController(
+            host=host,
+            membership=membership,
+            cloud=base.cloud,
+            dispatcher=requests.dispatcher,
+            store=requests.store,
+            sender=sender,
+            receiver=self.receiver,
+            targets=targets,
+            outcomes=self.outcome_handover,
+            clock=clock,
+            limit_s=cfg.drain_limit_s,
+            notice_s=cfg.drain_notice_s,
+        )
--- /dev/null
+++ b/src/cassiawalk/node/host.py
@@ -0,0 +1,109 @@
+"""Puts one host's parts together."""
+
+import random
+
+from cassiawalk.admin import Operators
+from cassiawalk.app import Application
+from cassiawalk.app import Component
+from cassiawalk.clock import Clock
+from cassiawalk.drains import DrainSwitch
+from cassiawalk.httpserver import bound_address
+from cassiawalk.httpserver import listen
+from cassiawalk.ids import new_uuid7
+from cassiawalk.node.base import BaseParts
+from cassiawalk.node.context import NodeContext
+from cassiawalk.node.handover import HandoverParts
+from cassiawalk.node.requests import RequestParts
+from cassiawalk.node.servers import Servers
+from cassiawalk.requests import RequestStore
+from cassiawalk.settings import Settings
+from cassiawalk.settings import read_secret
+
+
+class Node:
+    """One host: all roles in one process."""
+
+    def __init__(self, *, cfg: Settings, clock: Clock, rng: random.Random) -> None:
+        self._ctx = NodeContext(
+            cfg=cfg,
+            clock=clock,
+            rng=rng,
+            incarnation=new_uuid7(),
+            secret=read_secret(cfg.peer_secret),
+            operators=Operators(text=read_secret(cfg.operator_tokens)),
+            sockets={
+                "caller": listen(cfg.caller_address),
+                "peer": listen(cfg.peer_address),
+                "admin": listen(cfg.admin_address),
+            },
+        )
+        self._base = BaseParts(ctx=self._ctx)
+        self._requests = RequestParts(ctx=self._ctx, base=self._base)
+        self._handover = HandoverParts(ctx=self._ctx, base=self._base, requests=self._requests)
+        self._servers = Servers(
+            ctx=self._ctx, base=self._base, requests=self._requests, handover=self._handover
+        )
+        self._meter_control()
+        self.app = Application(components=self._components())
+
+    @property
+    def addresses(self) -> dict[str, str]:
+        """Return the addresses in use, by purpose."""
+        return {purpose: bound_address(sock) for purpose, sock in self._ctx.sockets.items()}
+
+    @property
+    def store(self) -> RequestStore:
+        """Return the requests that this host holds."""
+        return self._requests.store
+
+    def _meter_control(self) -> None:
+        """Count the processor time of the control work apart from the token path."""
+        for component in (
+            self._base.membership,
+            self._base.links,
+            self._base.feed,
+            self._base.control,
+            self._base.relay,
+            self._base.housekeeper,
+            self._base.sequencers,
+            self._requests.limits,
+            self._handover.locator,
+            self._requests.orders,
+            self._requests.watcher,
+        ):
+            component.meter = self._base.metrics.control
+
+    def _drain_switch(self) -> DrainSwitch:
+        return DrainSwitch(
+            host=self._ctx.cfg.host_id,
+            control=self._base.control,
+            table=self._requests.table,
+            dispatcher=self._requests.dispatcher,
+        )
+
+    def _components(self) -> list[Component]:
+        return [
+            self._base.membership,
+            self._base.links,
+            self._base.relay,
+            self._base.housekeeper,
+            self._base.sequencers,
+            self._servers.peer,
+            self._base.feed,
+            self._requests.connector,
+            self._requests.table,
+            self._requests.watcher,
+            self._requests.mover,
+            self._requests.guard,
+            self._requests.orders,
+            self._requests.recorder,
+            self._requests.scheduler,
+            self._requests.limits,
+            self._requests.dispatcher,
+            self._drain_switch(),
+            self._handover.locator,
+            self._handover.receiver,
+            self._handover.drain_controller,
+            self._servers.admin,
+            self._servers.caller,
+        ]
--- /dev/null
+++ b/src/cassiawalk/node/servers.py
@@ -0,0 +1,137 @@
+"""A host's servers for callers, operators and peers."""
+
+from cassiawalk.admin import AdminApp
+from cassiawalk.admin import ChangeService
+from cassiawalk.admin import History
+from cassiawalk.admin import QueryService
+from cassiawalk.admin import RowSource
+from cassiawalk.caller import CallerApp
+from cassiawalk.caller.attach import Attachments
+from cassiawalk.caller.parsing import RecordBuilder
+from cassiawalk.control.relay_messages import RelayBeat
+from cassiawalk.control.relay_messages import RelaySubscribe
+from cassiawalk.crashes import SoloCall
+from cassiawalk.handover import AnnounceCall
+from cassiawalk.handover import HandoverOffer
+from cassiawalk.handover import HandoverWithdrawal
+from cassiawalk.handover import RecordsOffer
+from cassiawalk.httpserver import HttpServer
+from cassiawalk.node.base import BaseParts
+from cassiawalk.node.context import NodeContext
+from cassiawalk.node.handover import HandoverParts
+from cassiawalk.node.requests import RequestParts
+from cassiawalk.peer import AttachCall
+from cassiawalk.peer import ClaimStatusCall
+from cassiawalk.peer import FeedCall
+from cassiawalk.peer import LimitShareCall
+from cassiawalk.peer import LocateCall
+from cassiawalk.peer import NodeStatusCall
+from cassiawalk.peer import OnceCall
+from cassiawalk.peer import PeerServer
+from cassiawalk.peer import QueryCall
+from cassiawalk.peer import ShareCall
+from cassiawalk.status import StatusReporter
+
+
+class Servers:
+    """The three listening servers and what answers on them."""
+
+    def __init__(
+        self,
+        *,
+        ctx: NodeContext,
+        base: BaseParts,
+        requests: RequestParts,
+        handover: HandoverParts,
+    ) -> None:
+        self._ctx = ctx
+        self._base = base
+        self._requests = requests
+        self._handover = handover
+        self._attachments = Attachments(
+            host=ctx.cfg.host_id,
+            store=self._requests.store,
+            links=self._base.links,
+            locator=self._handover.locator,
+        )
+        self._queries = QueryService(
+            host=ctx.cfg.host_id,
+            source=self._row_source(),
+            membership=self._base.membership,
+            links=self._base.links,
+        )
+        self.caller = self._caller_server()
+        self.admin = self._admin_server()
+        self.peer = PeerServer(
+            sock=ctx.sockets["peer"], secret=ctx.secret, traffic=self._base.metrics.control
+        )
+        self._handle_control_calls()
+        self._handle_request_calls()
+
+    def _caller_server(self) -> HttpServer:
+        cfg = self._ctx.cfg
+        caller = CallerApp(
+            builder=RecordBuilder(
+                host=cfg.host_id, clock=self._ctx.clock, once_window_s=cfg.once_window_s
+            ),
+            control=self._base.control,
+            dispatcher=self._requests.dispatcher,
+            attachments=self._attachments,
+        )
+        return HttpServer(
+            asgi=caller.asgi(), sock=self._ctx.sockets["caller"], close_limit_s=cfg.drain_limit_s
+        )
+
+    def _admin_server(self) -> HttpServer:
+        admin = AdminApp(
+            operators=self._ctx.operators,
+            control=self._base.control,
+            changes=ChangeService(
+                publisher=self._base.publisher, queries=self._queries, clock=self._ctx.clock
+            ),
+            queries=self._queries,
+            history=History(log=self._base.log),
+            metrics=self._base.metrics,
+        )
+        return HttpServer(asgi=admin.asgi(), sock=self._ctx.sockets["admin"])
+
+    def _handle_control_calls(self) -> None:
+        self.peer.handle(LimitShareCall, self._requests.limits.serve)
+        self.peer.handle(OnceCall, self._base.claims.handle_call)
+        self.peer.handle(QueryCall, self._queries.handle)
+        self.peer.handle(NodeStatusCall, self._status_reporter().handle)
+        self.peer.handle(ClaimStatusCall, self._requests.holder.status)
+        self.peer.handle(SoloCall, self._requests.turns.handle_call)
+        self.peer.handle(ShareCall, self._base.feed.handle_share)
+        self.peer.handle_stream(FeedCall, self._base.feed.serve)
+        self.peer.handle(RelayBeat, self._base.relay.server.beat)
+        self.peer.handle_stream(RelaySubscribe, self._base.relay.server.serve)
+
+    def _handle_request_calls(self) -> None:
+        self.peer.handle_stream(AttachCall, self._attachments.serve)
+        self.peer.handle(AnnounceCall, self._handover.locator.handle_announce)
+        self.peer.handle(LocateCall, self._handover.locator.handle_locate)
+        self.peer.handle(HandoverOffer, self._handover.receiver.handle_offer)
+        self.peer.handle(HandoverWithdrawal, self._handover.receiver.handle_withdrawal)
+        self.peer.handle(RecordsOffer, self._handover.outcome_handover.handle_offer)
+
+    def _status_reporter(self) -> StatusReporter:
+        return StatusReporter(
+            host=self._ctx.cfg.host_id,
+            control=self._base.control,
+            dispatcher=self._requests.dispatcher,
+            store=self._requests.store,
+        )
+
+    def _row_source(self) -> RowSource:
+        return RowSource(
+            host=self._ctx.cfg.host_id,
+            failure_domain=self._ctx.cfg.failure_domain,
+            control=self._base.control,
+            table=self._requests.table,
+            store=self._requests.store,
+            dispatcher=self._requests.dispatcher,
+            recorder=self._requests.recorder,
+            refusals=self._base.metrics.refusals,
+            clock=self._ctx.clock,
+        )
