--- a/src/cassiawalk/admin/changes.py
+++ b/src/cassiawalk/admin/changes.py
@@ -3,16 +3,15 @@
 import asyncio
 import dataclasses
 
-from cassiawalk.admin.fanout import QueryService
 from cassiawalk.admin.operators import Operator
 from cassiawalk.admin.statements import Change
-from cassiawalk.admin.statements import Show
 from cassiawalk.clock import Clock
 from cassiawalk.control import Command
 from cassiawalk.control import CommandPublisher
+from cassiawalk.control import Confirmations
 from cassiawalk.control.publisher import CommandOutcome
 from cassiawalk.ids import CommandId
-from cassiawalk.ids import Revision
+from cassiawalk.ids import HostId
 from cassiawalk.results import ResultCode
 
 FORCE_WAIT_S = 10.0
@@ -24,15 +23,17 @@
     """Whether all live hosts have a revision, and which have not confirmed it."""
 
     everywhere: bool
-    not_confirmed: list[str]
+    not_confirmed: list[HostId]
 
 
 class ChangeService:
     """Publishes changes and waits until they are in force."""
 
-    def __init__(self, *, publisher: CommandPublisher, queries: QueryService, clock: Clock) -> None:
+    def __init__(
+        self, *, publisher: CommandPublisher, confirmations: Confirmations, clock: Clock
+    ) -> None:
         self._publisher = publisher
-        self._queries = queries
+        self._confirmations = confirmations
         self._clock = clock
 
     async def publish(
@@ -55,12 +56,7 @@
             return None
         give_up_at = self._clock.monotonic() + FORCE_WAIT_S
         while True:
-            missing = await self._not_confirmed(outcome.revision)
+            missing = (await self._confirmations.of(outcome.revision)).unconfirmed
             if not missing or self._clock.monotonic() > give_up_at:
-                return InForce(everywhere=not missing, not_confirmed=missing)
+                return InForce(everywhere=not missing, not_confirmed=list(missing))
             await asyncio.sleep(FORCE_POLL_S)
-
-    async def _not_confirmed(self, revision: Revision) -> list[str]:
-        answer = await self._queries.answer(Show(subject="nodes", limit=100_000), "show nodes")
-        behind = [str(row["host"]) for row in answer.rows if int(row["revision"] or 0) < revision]
-        return sorted([*behind, *answer.not_answering])
--- a/src/cassiawalk/control/confirmation.py
+++ b/src/cassiawalk/control/confirmation.py
@@ -36,12 +36,7 @@
         self._membership = membership
         self._links = links
 
-    async def confirmed_revision(self) -> Revision:
-        """Return the lowest revision in force on the hosts that answer, this one included."""
-        revisions = (await self._revisions()).values()
-        return min(found for found in revisions if found is not None)
-
-    async def unconfirmed_hosts(self, revision: Revision) -> Confirmation:
+    async def of(self, revision: Revision) -> Confirmation:
         """Return which hosts confirmed a revision; a silent host did not."""
         confirmed: list[HostId] = []
         unconfirmed: list[HostId] = []
--- a/src/cassiawalk/node/servers.py
+++ b/src/cassiawalk/node/servers.py
@@ -8,6 +8,7 @@
 from cassiawalk.caller import CallerApp
 from cassiawalk.caller.attach import Attachments
 from cassiawalk.caller.parsing import RecordBuilder
+from cassiawalk.control import Confirmations
 from cassiawalk.control.relay_messages import RelayBeat
 from cassiawalk.control.relay_messages import RelaySubscribe
 from cassiawalk.crashes import SoloCall
@@ -86,15 +87,25 @@
         admin = AdminApp(
             operators=self._ctx.operators,
             control=self._base.control,
-            changes=ChangeService(
-                publisher=self._base.publisher, queries=self._queries, clock=self._ctx.clock
-            ),
+            changes=self._changes(),
             queries=self._queries,
             history=History(log=self._base.log),
             metrics=self._base.metrics,
         )
         return HttpServer(asgi=admin.asgi(), sock=self._ctx.sockets["admin"])
 
+    def _changes(self) -> ChangeService:
+        base = self._base
+        confirmations = Confirmations(
+            host=self._ctx.cfg.host_id,
+            follower=base.control,
+            membership=base.membership,
+            links=base.links,
+        )
+        return ChangeService(
+            publisher=base.publisher, confirmations=confirmations, clock=self._ctx.clock
+        )
+
     def _handle_control_calls(self) -> None:
         self.peer.handle(LimitShareCall, self._requests.limits.serve)
         self.peer.handle(OnceCall, self._base.claims.handle_call)
