Free the key of a request that is given up before its dispatch; limit the request's head

Cause: at the end of a drain a waiting at-most-once request was told 'not run' while its claim held the key, so a repeat could get 'unknown'; only the body's size was limited. Ruled out: leaving it to the claim's window. Change: a run that is cancelled before anything was sent abandons its claim; paths over 2 KiB and headers over 32 KiB are refused with 2014 (431).

--- a/src/cassiawalk/caller/app.py
+++ b/src/cassiawalk/caller/app.py
@@ -17,6 +17,7 @@
 from cassiawalk.caller.events import sse_frame
 from cassiawalk.caller.parsing import RecordBuilder
 from cassiawalk.caller.parsing import authenticate
+from cassiawalk.caller.parsing import check_head
 from cassiawalk.caller.parsing import read_body
 from cassiawalk.caller.problem import problem_response
 from cassiawalk.control import ControlFollower
@@ -71,6 +72,9 @@
 
     async def create(self, req: Request) -> Response:
         """Accept a new request and answer it, streamed or whole."""
+        too_large = check_head(req)
+        if too_large is not None:
+            return _refuse(too_large)
         if self._control.freshness is not Freshness.FRESH:
             return _refuse(
                 Refusal(
@@ -97,6 +101,9 @@
 
     async def attach(self, req: Request) -> Response:
         """Answer with the events of an accepted request."""
+        too_large = check_head(req)
+        if too_large is not None:
+            return _refuse(too_large)
         identity = authenticate(req, self._control.state)
         if isinstance(identity, Refusal):
             return _refuse(identity)
--- a/src/cassiawalk/caller/parsing.py
+++ b/src/cassiawalk/caller/parsing.py
@@ -25,6 +25,8 @@
 from cassiawalk.results import ResultCode
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_PATH_BYTES = 2048
+MAX_HEADER_BYTES = 32 * 1024
 MAX_KEY_LENGTH = 128
 MAX_DEADLINE_S = 24 * 3600.0
 DEADLINE_HEADER = "x-deadline-seconds"
@@ -52,6 +54,19 @@
     return found or Refusal(code=ResultCode.WRONG_TOKEN, detail="the token is not known")
 
 
+def check_head(req: Request) -> Refusal | None:
+    """Return why the request's path or headers are refused, or None."""
+    path_bytes = len(req.url.path)
+    if path_bytes > MAX_PATH_BYTES:
+        detail = f"the path has {path_bytes} bytes; allowed: {MAX_PATH_BYTES}"
+        return Refusal(code=ResultCode.HEAD_TOO_LARGE, detail=detail)
+    header_bytes = sum(len(name) + len(value) for name, value in req.headers.raw)
+    if header_bytes > MAX_HEADER_BYTES:
+        detail = f"the headers have {header_bytes} bytes; allowed: {MAX_HEADER_BYTES}"
+        return Refusal(code=ResultCode.HEAD_TOO_LARGE, detail=detail)
+    return None
+
+
 async def read_body(req: Request) -> bytes | Refusal:
     """Return the request's body, or a refusal once it exceeds the limit."""
     too_large = Refusal(
--- a/src/cassiawalk/dispatch/holder.py
+++ b/src/cassiawalk/dispatch/holder.py
@@ -54,6 +54,10 @@
             del self._sent[next(iter(self._sent))]
         self._sent[claim.claim_id] = now
 
+    def was_sent(self, claim: Claim) -> bool:
+        """Return whether the request was, or may have been, sent."""
+        return claim.claim_id in self._sent
+
     def note_not_sent(self, claim: Claim) -> None:
         """Note that certainly no byte of the request was sent."""
         self._sent.pop(claim.claim_id, None)
--- a/src/cassiawalk/dispatch/once.py
+++ b/src/cassiawalk/dispatch/once.py
@@ -89,6 +89,9 @@
         try:
             return await self._run(record, claim)
         except asyncio.CancelledError:
+            # The host gives the request up, as at the end of a drain.
+            if not self._holder.was_sent(claim):
+                self._abandon(claim)
             eliot.log_message(
                 message_type="once:cut",
                 key=claim.key,
--- a/src/cassiawalk/httpserver.py
+++ b/src/cassiawalk/httpserver.py
@@ -12,7 +12,6 @@
 from cassiawalk.settings import Address
 
 BACKLOG = 2048
-HEADER_LIMIT_BYTES = 32 * 1024
 STARTED_CHECK_S = 0.01
 IDLE_CHECK_S = 0.02
 LINGER_S = 0.5
--- a/src/cassiawalk/results.py
+++ b/src/cassiawalk/results.py
@@ -32,6 +32,7 @@
     BODY_TOO_LARGE = 2011
     BAD_DEADLINE = 2012
     SERVICE_FORBIDDEN = 2013
+    HEAD_TOO_LARGE = 2014
     OVER_LIMIT = 3000
     DEADLINE_UNREACHABLE = 3001
     QUEUE_FULL = 3002
@@ -125,6 +126,9 @@
     ResultCode.SERVICE_FORBIDDEN: _info(
         403, _NOT_RUN, False, "The workspace may not use this service.", "Change the workspace."
     ),
+    ResultCode.HEAD_TOO_LARGE: _info(
+        431, _NOT_RUN, False, "The path or the headers exceed the limit.", "Tell the caller."
+    ),
     ResultCode.OVER_LIMIT: _info(
         429, _NOT_RUN, True, "The workspace is over its limit.", "Raise the limit if it is meant."
     ),
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -15,6 +15,7 @@
 from cassiawalk.httpserver import HttpServer
 from cassiawalk.httpserver import bound_address
 from cassiawalk.httpserver import listen
+from cassiawalk.results import Execution
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
 from cassiawalk.settings import Address
@@ -114,3 +115,23 @@
     refusal = await read_body(Request(scope, receive))
     assert isinstance(refusal, Refusal) and refusal.code is ResultCode.BODY_TOO_LARGE
     assert taken == (0 if announced else 3)
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "refused"),
+    [
+        ("/v1/requests/x", [(b"a", b"x" * 1000)], False),
+        ("/v1/requests/x", [(b"a", b"x" * parsing.MAX_HEADER_BYTES)], True),
+        ("/v1/requests/x", [(b"a", b"x" * 100)] * 400, True),
+        ("/v1/requests/" + "x" * parsing.MAX_PATH_BYTES, [], True),
+    ],
+)
+def test_large_path_or_headers_are_refused(
+    path: str, headers: list[tuple[bytes, bytes]], refused: bool
+) -> None:
+    scope = {"type": "http", "method": "GET", "path": path, "headers": headers, "server": None}
+    refusal = parsing.check_head(Request({**scope, "query_string": b"", "scheme": "http"}))
+    assert (refusal is not None) is refused
+    if refusal is not None:
+        assert refusal.code is ResultCode.HEAD_TOO_LARGE
+        assert refusal.ran is Execution.NOT_RUN
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -351,3 +351,22 @@
     """Claim one key in every partition, so that the log time moves on."""
     for number in range(200):
         await gateway.send(f"{tag}-{gateway.host}-{number}")
+
+
+async def test_request_given_up_before_its_dispatch_frees_the_key() -> None:
+    async with World() as world:
+        waiting = asyncio.Event()
+
+        async def wait() -> None:
+            waiting.set()
+            await asyncio.Event().wait()
+
+        world.a.scheduler.before_slot = wait
+        run = asyncio.create_task(world.a.send("k"))
+        await waiting.wait()
+        run.cancel()
+        await asyncio.gather(run, return_exceptions=True)
+        await world.a.recorder.drain()
+        again = await world.b.send("k")
+    assert isinstance(again, Result)
+    assert world.service.runs["k"] == 1
