--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	touch $(READY)
 
 test: $(READY)
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest $(PYTEST_ARGS)
 
 check: $(READY)
 	$(BIN)/black --check --quiet .
