Count what attempts cost

Cause: the metrics had no cost units, so cost at the latency target could not be read off a host. Ruled out: counting at the engine (plain services have none). Change: the price of the upstream's host, divided by its slots, for the time of each attempt.

--- a/src/cassiawalk/admission/scheduler.py
+++ b/src/cassiawalk/admission/scheduler.py
@@ -21,6 +21,7 @@
 from cassiawalk.routing.score import Estimate
 
 QUEUE_LIMIT = 2000
+SECONDS_PER_HOUR = 3600.0
 QUEUE_FULL_RETRY_S = 2.0
 MISS_RATE = 0.1
 
@@ -158,6 +159,7 @@
     def release(self, lease: SlotLease) -> None:
         """Give a slot back and serve the queue."""
         self._learn(lease)
+        self._note_cost(lease)
         self._running[lease.record.pool] -= 1
         self._router.note_ended(lease.upstream, lease.record)
         self._pump(lease.record.pool)
@@ -190,6 +192,15 @@
         if served or not lease.record.prompt:
             self._router.note_hold(lease.record, self._clock.monotonic() - lease.granted_at)
 
+    def _note_cost(self, lease: SlotLease) -> None:
+        """Count the upstream's price for the time and the slot that the attempt took."""
+        if self._metrics is None:
+            return
+        view = lease.upstream
+        hold_s = self._clock.monotonic() - lease.granted_at
+        slot_price = view.price / max(1, view.slots)
+        self._metrics.note_cost(lease.record, slot_price * hold_s / SECONDS_PER_HOUR)
+
     def _note_target(self, record: RequestRecord, first_s: float) -> None:
         if record.kind.mode is KindMode.MUST_ARRIVE:
             return
--- a/src/cassiawalk/metrics.py
+++ b/src/cassiawalk/metrics.py
@@ -57,6 +57,9 @@
         self._recomputed = self._counter("cassiawalk_recomputed_tokens", "Tokens computed again.")
         self._saved = self._counter("cassiawalk_saved_tokens", "Tokens found in engine caches.")
         self._tokens = self._counter("cassiawalk_tokens", "Tokens forwarded.")
+        self._cost = self._counter(
+            "cassiawalk_cost_units", "Upstreams' price for the slots and time of all attempts."
+        )
         self._handovers = self._counter("cassiawalk_handovers", "Requests moved to another host.")
         self._last_text: dict[str, float] = {}
         self._handles: dict[tuple[str, str, str], _Handles] = {}
@@ -95,6 +98,10 @@
         if record.attempt > 1:
             self._recomputed.add(_labels(record), computed)
 
+    def note_cost(self, record: RequestRecord, units: float) -> None:
+        """Note what an attempt cost, in cost units."""
+        self._cost.add(_labels(record), units)
+
     def note_queue_wait(self, record: RequestRecord, wait_s: float) -> None:
         """Note how long a request waited for a slot, in seconds."""
         self._handles_of(record).queue.observe(wait_s)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -50,6 +50,8 @@
     record = new_record()
     metrics.note_tokens(record, 1, 11.0)
     metrics.note_tokens(record, 3, 11.04)
+    metrics.note_cost(record, 0.25)
+    metrics.note_cost(record, 0.5)
     metrics.note_refusal(record, Refusal(code=ResultCode.OVER_LIMIT, detail="x"))
     text = metrics.render()[0].decode()
     labels = 'kind="enquiries/quick",workspace="family"'
@@ -58,4 +60,5 @@
     assert [line.endswith(" 2.0") for line in between if 'le="0.036"' in line] == [True]
     assert [line.endswith(" 3.0") for line in between if 'le="0.05"' in line] == [True]
     assert f"cassiawalk_tokens{{{labels}}} 4" in text
+    assert f"cassiawalk_cost_units{{{labels}}} 0.75" in text
     assert 'code="3000"' in text
