Name in one place whether a host takes new requests

Ruled out: one flag for both (a drain by operators can be taken back, a stop can't). Change: Dispatcher.takes_work.

--- a/src/cassiawalk/admin/tables.py
+++ b/src/cassiawalk/admin/tables.py
@@ -60,7 +60,7 @@
             "failure_domain": "failure domain of the host",
             "revision": "configuration revision in force",
             "freshness": "starting, fresh or stale",
-            "draining": "whether it is stopping",
+            "draining": "whether it takes no new requests",
             "running": "requests that run",
             "waiting": "requests that wait",
             "pending_outcomes": "outcomes that are not on the log yet",
--- a/src/cassiawalk/caller/app.py
+++ b/src/cassiawalk/caller/app.py
@@ -122,12 +122,12 @@
     async def readyz(self, req: Request) -> Response:
         """Answer whether new requests should be sent here."""
         freshness = self._control.freshness
-        open_ = not self._dispatcher.draining and not self._dispatcher.closed
-        ready = freshness is Freshness.FRESH and open_
+        takes_work = self._dispatcher.takes_work
+        ready = freshness is Freshness.FRESH and takes_work
         body = {
             "ready": ready,
             "configuration": freshness.value,
-            "draining": not open_,
+            "draining": not takes_work,
             "revision": self._control.state.revision,
         }
         return JSONResponse(body, status_code=200 if ready else 503)
--- a/src/cassiawalk/dispatch/dispatcher.py
+++ b/src/cassiawalk/dispatch/dispatcher.py
@@ -60,6 +60,11 @@
         self.draining = False
         self.closed = False
 
+    @property
+    def takes_work(self) -> bool:
+        """Return whether new requests are accepted: neither draining nor closed by operators."""
+        return not self.draining and not self.closed
+
     def submit(self, record: RequestRecord, pool_type: PoolType) -> Refusal | None:
         """Accept the request and start it, or return why it is refused."""
         refusal = self._refusal(record)
@@ -115,7 +120,7 @@
             await self._clock.sleep(DRAIN_CHECK_S)
 
     def _refusal(self, record: RequestRecord) -> Refusal | None:
-        if self.draining or self.closed:
+        if not self.takes_work:
             return Refusal(
                 code=ResultCode.DRAINING, detail="this host is stopping", retry_after_s=0.0
             )
--- a/src/cassiawalk/handover/receiver.py
+++ b/src/cassiawalk/handover/receiver.py
@@ -50,7 +50,7 @@
             return HandoverReply(accepted=True, reason="answered already")
         if held is not None and held.answer.moved is None and held.fence >= offer.fence:
             return HandoverReply(accepted=held.fence == offer.fence, reason="held already")
-        if self._dispatcher.draining or self._dispatcher.closed:
+        if not self._dispatcher.takes_work:
             return HandoverReply(accepted=False, reason="this host is leaving")
         if held is not None and held.answer.moved is None:
             await self._leave(held, self._host)
--- a/src/cassiawalk/status.py
+++ b/src/cassiawalk/status.py
@@ -31,7 +31,7 @@
             host=self._host,
             revision=self._control.state.revision,
             freshness=self._control.freshness.value,
-            draining=self._dispatcher.draining or self._dispatcher.closed,
+            draining=not self._dispatcher.takes_work,
             running=self._store.count(RequestState.RUNNING),
             waiting=self._store.count(RequestState.WAITING),
         )
