Refuse an idempotency window that refuses every call

Cause: [once] window_s = 0 was accepted and made every at-most-once call fail. Ruled out: treating 0 as no window (a ledger would grow without end). Change: at least 60 s; the meaning names the retention that the log needs.

--- a/src/cassiawalk/settings.py
+++ b/src/cassiawalk/settings.py
@@ -176,7 +176,13 @@
         "20",
         "Time left after a reclaim notice that names no time, in seconds.",
     ),
-    _spec("once", "window_s", _SECONDS, "3600", "Idempotency window, in seconds."),
+    _spec(
+        "once",
+        "window_s",
+        NumberType(low=60, high=86400, unit="seconds"),
+        "3600",
+        "Idempotency window, in seconds; the log must retain twice as much and 10 min more.",
+    ),
     _spec(
         "once",
         "partitions",
