--- a/benchmarks/guards.py
+++ b/benchmarks/guards.py
@@ -1,6 +1,7 @@
 """The product's crash guard for experiments, with quarantines kept in memory."""
 
 import asyncio
+import dataclasses
 
 from benchmarks.fakes import FakeCloud
 from cassiawalk.clock import Clock
@@ -36,12 +37,25 @@
         return not self.published
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SharedFindings:
+    """What the hosts of an experiment know together, as if peers and the log had no delay."""
+
+    quarantines: MemoryQuarantines
+    board: NoteBoard
+
+
 def build_guard(
-    *, host: HostId, membership: Membership, table: UpstreamTable, clock: Clock
+    *,
+    host: HostId,
+    membership: Membership,
+    table: UpstreamTable,
+    clock: Clock,
+    findings: SharedFindings,
 ) -> CrashGuard:
-    """Return a guard that no peer talks to."""
+    """Return a guard that shares its findings with those of the other hosts."""
     links = PeerLinks(membership=membership, secret="")
-    board = NoteBoard(clock=clock)
+    board = findings.board
     feed = MembershipFeed(
         board=board, host=host, membership=membership, links=links, cloud=FakeCloud(), clock=clock
     )
@@ -51,6 +65,6 @@
         feed=feed,
         board=board,
         turns=turns,
-        quarantines=MemoryQuarantines(),
+        quarantines=findings.quarantines,
         clock=clock,
     )
