--- a/benchmarks/bed.py
+++ b/benchmarks/bed.py
@@ -10,8 +10,6 @@
 from benchmarks.fakes import FakeEngine
 from benchmarks.fakes import FakeHosts
 from benchmarks.fakes import FakePlain
-from benchmarks.guards import MemoryQuarantines
-from benchmarks.guards import SharedFindings
 from benchmarks.guards import build_guard
 from benchmarks.policies import Policy
 from benchmarks.workloads import ENGINE_POOL
@@ -35,7 +33,6 @@
 from cassiawalk.ids import WorkspaceName
 from cassiawalk.membership import Membership
 from cassiawalk.metrics import Metrics
-from cassiawalk.peer import NoteBoard
 from cassiawalk.platform import HostEntry
 from cassiawalk.platform import HostRole
 from cassiawalk.platform import HostState
@@ -95,7 +92,6 @@
         policy: Policy,
         deployment: Deployment,
         rng: random.Random,
-        findings: SharedFindings,
     ) -> None:
         clock = LoopClock()
         self.clock = clock
@@ -113,14 +109,8 @@
             "metrics": metrics,
         }
         guard = build_guard(
-            host=HostId(name),
-            membership=self.membership,
-            table=self.table,
-            clock=clock,
-            findings=findings,
+            host=HostId(name), membership=self.membership, table=self.table, clock=clock
         )
-        self.guard = guard
-        self.watcher.add_death_listener(guard.note_death)
         mover = Mover(
             table=self.table, scheduler=self.decisions.scheduler, connector=connector, clock=clock
         )
@@ -166,9 +156,6 @@
             self.add_engine(deployment.domains[index % 4], on_demand=index % 5 == 4)
         for index in range(deployment.plains):
             self._add_plain(f"plain-{index}", deployment.domains[index % 4])
-        findings = SharedFindings(
-            quarantines=MemoryQuarantines(), board=NoteBoard(clock=LoopClock())
-        )
         self.gateways = [
             Gateway(
                 name=f"host-{index}",
@@ -177,7 +164,6 @@
                 policy=policy,
                 deployment=deployment,
                 rng=random.Random(f"host-{index}-{seed}"),
-                findings=findings,
             )
             for index in range(deployment.gateways)
         ]
--- a/benchmarks/guards.py
+++ b/benchmarks/guards.py
@@ -1,7 +1,6 @@
 """The product's crash guard for experiments, with quarantines kept in memory."""
 
 import asyncio
-import dataclasses
 
 from benchmarks.fakes import FakeCloud
 from cassiawalk.clock import Clock
@@ -37,25 +36,12 @@
         return not self.published
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class SharedFindings:
-    """What the hosts of an experiment know together, as if peers and the log had no delay."""
-
-    quarantines: MemoryQuarantines
-    board: NoteBoard
-
-
 def build_guard(
-    *,
-    host: HostId,
-    membership: Membership,
-    table: UpstreamTable,
-    clock: Clock,
-    findings: SharedFindings,
+    *, host: HostId, membership: Membership, table: UpstreamTable, clock: Clock
 ) -> CrashGuard:
-    """Return a guard that shares its findings with those of the other hosts."""
+    """Return a guard that no peer talks to."""
     links = PeerLinks(membership=membership, secret="")
-    board = findings.board
+    board = NoteBoard(clock=clock)
     feed = MembershipFeed(
         board=board, host=host, membership=membership, links=links, cloud=FakeCloud(), clock=clock
     )
@@ -65,6 +51,6 @@
         feed=feed,
         board=board,
         turns=turns,
-        quarantines=findings.quarantines,
+        quarantines=MemoryQuarantines(),
         clock=clock,
     )
