Kill the host that gave the orders in the takeover test

Cause: the test took the first of the ranking for the holder of the lease. A host that starts first ranks itself first until it hears the other, and takes the lease. Then the test killed the other host, the holder went on under its fencing number, and no second number came in 60 s. In the debug run that failed, host-0 gave all orders under fence 0 while host-1 was the first of the ranking.

Change: the test kills the host whose log says that it gave the orders, and checks that one host did.

--- a/tests/test_orders_processes.py
+++ b/tests/test_orders_processes.py
@@ -4,8 +4,6 @@
 import pathlib
 import typing as t
 
-from cassiawalk.ids import HostId
-from cassiawalk.membership import rank
 from standins.fleet import Fleet
 
 HOSTS = ("host-0", "host-1")
@@ -41,10 +39,25 @@
 
     first = await wait_orders(1)
     assert first[0]["argument"] == "m1"
-    holder = rank("orders-models", [HostId(host) for host in HOSTS])[0]
+    holder = _giver(hosts)
     await hosts.hosts[holder].process.kill()
     await hosts.post(f"{hosts.standins['cloud'].url}/hosts/{holder}/remove")
     orders = await wait_orders(2)
     assert [order["fence"] for order in orders] == sorted(order["fence"] for order in orders)
     stale = {"fence": first[0]["fence"], "action": "load_model", "argument": "old"}
     assert (await hosts.post(f"{engine.url}/orders", stale))[0] == 409
+
+
+def _giver(hosts: Fleet) -> str:
+    """Return the host that gave the orders: it holds the lease, whatever the ranking says.
+
+    A host that starts first ranks itself first until it hears the other.
+    """
+    given = [
+        name
+        for name, host in hosts.hosts.items()
+        for line in host.process.lines
+        if line.get("message_type") == "orders:given"
+    ]
+    assert len(set(given)) == 1, f"orders were given by {given}, not by one host"
+    return given[0]
