--- a/src/cassiawalk/ingress/attempt.py
+++ b/src/cassiawalk/ingress/attempt.py
@@ -87,12 +87,14 @@
     def _send(self, conn: UpstreamConnection) -> None:
         job = self._job
         exchange = job.exchange
+        holder = self._placement.holder
         order = SendOrder(
             upstream_id=self._upstream.upstream_id,
             left_s=max(0.001, job.ends_at - self._clock.monotonic()),
             workspace=job.workspace_name,
             urgency=min(URGENCY_LEVELS - 1, job.rank) if job.route.rule.is_stream else None,
             last_event=job.events.last_id if self._resumes else None,
+            holder_address=None if holder is None else holder.registration.address,
         )
         job.sends += 1
         self._upstream.load.note_parts(job.demand.parts)
--- a/src/cassiawalk/ingress/config.py
+++ b/src/cassiawalk/ingress/config.py
@@ -155,17 +155,19 @@
     def __init__(self) -> None:
         self.current: IngressConfig | None = None
         self.checked_at: float | None = None
-        self.hint: cabc.Callable[[IngressConfig], None] | None = None
 
     def offer(self, config: IngressConfig) -> bool:
         """Take a revision over; return False if one as new is in force."""
         if self.current is not None and config.revision <= self.current.revision:
             return False
         self.current = config
-        if self.hint is not None:
-            self.hint(config)
         return True
 
+    def fetches(self, service: ServiceName) -> bool:
+        """Return whether a service's engines fetch prompt parts from one another."""
+        found = None if self.current is None else self.current.services.get(service)
+        return found is not None and found.engine is not None and found.engine.moves
+
     def limits(self) -> CallerLimits:
         """Return what callers may send now."""
         return CallerLimits() if self.current is None else self.current.limits
--- a/src/cassiawalk/ingress/demand.py
+++ b/src/cassiawalk/ingress/demand.py
@@ -56,6 +56,7 @@
 
     :param urgency: 0 is the most urgent of 10 levels.
     :param last_event: where an interrupted stream goes on, if not at its start.
+    :param holder_address: an engine that may hold prompt parts which this one lacks.
     """
 
     upstream_id: UpstreamId
@@ -63,6 +64,7 @@
     workspace: WorkspaceName | None
     urgency: int | None = None
     last_event: bytes | None = None
+    holder_address: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/cassiawalk/ingress/node.py
+++ b/src/cassiawalk/ingress/node.py
@@ -184,7 +184,12 @@
             clock=self._clock,
             rng=self._rng,
         )
-        placer = Placer(directory=self.directory, failure_domain=self._profile.failure_domain)
+        placer = Placer(
+            directory=self.directory,
+            failure_domain=self._profile.failure_domain,
+            fetches=self.config.fetches,
+            now=self.time.now,
+        )
         self.forwarder = Forwarder(
             intake=intake,
             placer=placer,
--- a/src/cassiawalk/ingress/placing.py
+++ b/src/cassiawalk/ingress/placing.py
@@ -10,49 +10,73 @@
 from cassiawalk.ids import FailureDomain
 from cassiawalk.ids import ServiceName
 from cassiawalk.ids import UpstreamId
-from cassiawalk.ingress.demand import PromptPart
 from cassiawalk.ingress.directory import Directory
 from cassiawalk.ingress.directory import Upstream
+from cassiawalk.ingress.holders import home_order
+from cassiawalk.ingress.holders import likely_holder
 from cassiawalk.ingress.job import Job
-from cassiawalk.membership.rendezvous import rank
 
 READ_TOKENS_PER_S = 50_000.0
 SLOWER_PER_REQUEST_S = 0.002  # what each running request adds to another's first token
 FAR_S = 0.002
 PAUSED_S = 5.0
-HOMES = 2  # upstreams that a shared prompt part is sent to while they have room
 LEAD_SHARE = 1.5  # requests at an upstream, as a share of its slots, before it counts as full
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Placement:
-    """A chosen upstream with the inputs that decided it."""
+    """A chosen upstream with the inputs that decided it.
+
+    :param holder: another one that it may fetch the prompt's shared parts from.
+    """
 
     upstream: Upstream
     first_s: float
     unread_tokens: int
     candidates: int
+    holder: Upstream | None = None
 
 
 class Placer:
-    """Compares the service's upstreams; hosts agree on a prompt's homes by rendezvous order."""
-
-    def __init__(self, *, directory: Directory, failure_domain: FailureDomain) -> None:
+    """Compares the service's upstreams; hosts agree on a prompt's homes by rendezvous order.
+
+    :param fetches: returns whether a service's engines fetch prompt parts from one another.
+    :param now: returns the true time in seconds since the epoch.
+    """
+
+    def __init__(
+        self,
+        *,
+        directory: Directory,
+        failure_domain: FailureDomain,
+        fetches: cabc.Callable[[ServiceName], bool],
+        now: cabc.Callable[[], float],
+    ) -> None:
         self._directory = directory
         self._failure_domain = failure_domain
+        self._fetches = fetches
+        self._now = now
 
     def place(self, job: Job) -> Placement | None:
         """Return the cheapest upstream that was not tried yet, or None if none takes work."""
         usable = self._usable(job.service, job.tried)
         if not usable:
             return None
-        homes = _homes(job.demand.shared_parts, usable)
+        homes = home_order(job.demand.shared_parts, usable)
         best: Placement | None = None
         for upstream in usable:
             found = self._estimate(upstream, job, homes, len(usable))
             if best is None or found.first_s < best.first_s:
                 best = found
-        return best
+        if best is None:
+            return None
+        return dataclasses.replace(best, holder=self._holder(job, best.upstream))
+
+    def _holder(self, job: Job, chosen: Upstream) -> Upstream | None:
+        if not self._fetches(job.service):
+            return None
+        present = self._directory.all_of(job.service)
+        return likely_holder(job.demand.shared_parts, chosen, present, self._now() * 1000)
 
     def has_room(self, placement: Placement) -> bool:
         """Return whether the chosen upstream can take the request soon."""
@@ -81,10 +105,3 @@
         return Placement(
             upstream=upstream, first_s=cost, unread_tokens=unread, candidates=candidates
         )
-
-
-def _homes(parts: cabc.Sequence[PromptPart], usable: cabc.Sequence[Upstream]) -> list[UpstreamId]:
-    """Return the upstreams that all hosts prefer for a prompt, by its last shared part."""
-    if not parts:
-        return []
-    return rank(parts[-1].part_id, [found.upstream_id for found in usable])[:HOMES]
--- a/src/cassiawalk/ingress/report.py
+++ b/src/cassiawalk/ingress/report.py
@@ -66,6 +66,7 @@
             expected_first_s=round(placement.first_s, 4),
             unread_tokens=placement.unread_tokens,
             candidates=placement.candidates,
+            holder=None if placement.holder is None else placement.holder.upstream_id,
             own=load.own,
             others=load.others,
             end=end,
--- a/src/cassiawalk/platform/codec.py
+++ b/src/cassiawalk/platform/codec.py
@@ -66,6 +66,8 @@
             kept.append((names.URGENCY, str(order.urgency).encode()))
         if order.last_event is not None:
             kept.append((names.RESUME_AFTER, order.last_event))
+        if order.holder_address is not None:
+            kept.append((names.FETCH_FROM, order.holder_address.encode()))
         return kept
 
     def facts(self, status: int, headers: Headers) -> AnswerFacts:
--- a/src/cassiawalk/platform/names.py
+++ b/src/cassiawalk/platform/names.py
@@ -18,6 +18,7 @@
 URGENCY = b"X-Request-Priority"
 LEFT = b"X-Deadline-Ms"
 RESUME_AFTER = b"Last-Event-Id"
+FETCH_FROM = b"Kv-Fetch"  # the address of another engine, not of what is fetched
 OWN_HEADERS = frozenset(
     (
         KEY,
@@ -30,7 +31,7 @@
         b"x-pin-ms",
         b"x-kv-backup",
         b"kv-from",
-        b"kv-fetch",
+        FETCH_FROM.lower(),
         b"x-duty-holder",
         b"x-fencing-token",
     )
--- a/tests/ingress_bed.py
+++ b/tests/ingress_bed.py
@@ -7,6 +7,7 @@
 import random
 import socket
 import struct
+import time
 import typing as t
 
 from cassiawalk.clock import SystemClock
@@ -218,7 +219,12 @@
         )
         self.forwarder = Forwarder(
             intake=intake,
-            placer=Placer(directory=self.directory, failure_domain=DOMAIN),
+            placer=Placer(
+                directory=self.directory,
+                failure_domain=DOMAIN,
+                fetches=self.view.fetches,
+                now=time.time,
+            ),
             budgets=self.budgets,
             codec=self.codec,
             clock=clock,
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -1,5 +1,6 @@
 """Settings, configuration and entries as the platform writes them, whole and faulty."""
 
+import dataclasses
 import pathlib
 import typing as t
 
@@ -267,6 +268,17 @@
     assert (b"X-Deadline-Ms", b"1250") in head
 
 
+def test_only_cassiawalk_names_the_engine_to_fetch_from() -> None:
+    headers = [(b"Host", b"a"), (b"Kv-Fetch", b"10.0.0.1:1")]
+    order = SendOrder(upstream_id=UpstreamId("i-1"), left_s=1.0, workspace=None)
+    assert [name for name, _ in PlatformHeads().forward(headers, b"", order)][0] == b"Host"
+    assert b"kv-fetch" not in {
+        name.lower() for name, _ in PlatformHeads().forward(headers, b"", order)
+    }
+    order = dataclasses.replace(order, holder_address="10.0.0.2:2")
+    assert (b"Kv-Fetch", b"10.0.0.2:2") in PlatformHeads().forward(headers, b"", order)
+
+
 @pytest.mark.parametrize("load", [b"3,0,8", b" 3 , 0 , 8 "])
 def test_load_of_an_answer(load: bytes) -> None:
     facts = PlatformHeads().facts(200, [(b"X-Server-Load", load)])
