Weigh shared parts that are missing three times

Cause: a host that saves 0.1 s of waiting by sending a prompt to an engine without its shared part makes that engine read 13,000 tokens that another holds. All those behind wait for it, and the part takes the place of another one's.

--- a/src/cassiawalk/ingress/placing.py
+++ b/src/cassiawalk/ingress/placing.py
@@ -17,6 +17,7 @@
 from cassiawalk.ingress.job import Job
 
 READ_TOKENS_PER_S = 50_000.0
+MISSING_WEIGHT = 3.0  # a part read anew also delays those behind, and takes the place of others
 SLOWER_PER_REQUEST_S = 0.002  # what each running request adds to another's first token
 FAR_S = 0.002
 PAUSED_S = 5.0
@@ -95,7 +96,8 @@
         missing = 0 if upstream.upstream_id in homes[:1] else load.missing_tokens(shared)
         unread = job.prompt_unread + missing
         waiting = load.own_unread + load.others_unread
-        cost = (unread + waiting) / READ_TOKENS_PER_S + load.total * SLOWER_PER_REQUEST_S
+        read = job.prompt_unread + MISSING_WEIGHT * missing + waiting
+        cost = read / READ_TOKENS_PER_S + load.total * SLOWER_PER_REQUEST_S
         if load.total >= upstream.slots:
             cost += (load.total - upstream.slots + 1) * SLOWER_PER_REQUEST_S * 10
         if upstream.registration.failure_domain != self._failure_domain:
