--- a/src/cassiawalk/ingress/follow.py
+++ b/src/cassiawalk/ingress/follow.py
@@ -25,6 +25,7 @@
 LONGEST_PAUSE_S = 1.0
 REMOVALS_KEPT = 256
 OVERDUE_S = 0.35  # an answer that is so late is taken for none by those who copy from here
+LEAST_WAIT = 0.6  # of the longest
 AWAY_AFTER_S = 0.8  # failures for so long count as an outage of the source
 
 ConfigDecoder = cabc.Callable[[bytes], IngressConfig]
@@ -34,7 +35,9 @@
 class StreamFollower(Component, abc.ABC):
     """Reads a keyed stream whole once and then its changes.
 
-    :param wait_s: how long one read waits for a first record, in seconds.
+    :param wait_s: the longest that one read waits for a first record, in seconds. A record that is
+        appended while a read begins may be told only when that read ends, so that readers differ
+        in how long they wait.
     :param pause_s: the pause after each read, in which records gather.
     :param reads: returns whether this host is to read now; it always does until it has read once.
     :param on_news: called when something new was read.
@@ -98,7 +101,8 @@
     async def _read(self) -> KeyedList | KeyedChanges | ReadFailed:
         if self._next is None:
             return await self._log.newest(stream=self._stream)
-        return await self._log.changes(stream=self._stream, start=self._next, wait_s=self._wait_s)
+        wait_s = self._wait_s * (LEAST_WAIT + (1 - LEAST_WAIT) * self._rng.random())
+        return await self._log.changes(stream=self._stream, start=self._next, wait_s=wait_s)
 
     def _take(self, batch: KeyedList | KeyedChanges) -> None:
         if isinstance(batch, KeyedChanges) and batch.missed:
--- a/src/cassiawalk/ingress/node.py
+++ b/src/cassiawalk/ingress/node.py
@@ -52,7 +52,7 @@
 from cassiawalk.settings import Address
 from cassiawalk.sockets import listen
 
-CONFIG_WAIT_S = 2.0
+CONFIG_WAIT_S = 1.0  # half of the shortest time in which operators want a revision in force
 CONFIG_PAUSE_S = 0.0
 DIRECTORY_WAIT_S = 0.2
 DIRECTORY_PAUSE_S = 0.3
--- /dev/null
+++ b/tests/test_follow.py
@@ -0,0 +1,80 @@
+"""Readers of the store: how soon a revision is known that a waiting read was not told."""
+
+import asyncio
+import random
+
+import pytest
+
+from cassiawalk.clients import KeyedChanges
+from cassiawalk.clients import KeyedList
+from cassiawalk.clients import KeyedLog
+from cassiawalk.clients import ReadFailed
+from cassiawalk.ids import Offset
+from cassiawalk.ingress.config import ConfigView
+from cassiawalk.ingress.copying import BEHIND_S
+from cassiawalk.ingress.follow import ConfigFollower
+from cassiawalk.ingress.node import CONFIG_PAUSE_S
+from cassiawalk.ingress.node import CONFIG_WAIT_S
+from tests.decisions import FakeClock
+
+IN_FORCE_S = 2.0  # the shortest bound of the deployments
+READS = 40
+
+
+class QuietLog(KeyedLog):
+    """Holds each read for as long as it says, and notes when it ends."""
+
+    def __init__(self, clock: FakeClock) -> None:
+        self._clock = clock
+        self.ends: list[float] = []
+        self.waits: list[float] = []
+
+    async def newest(self, *, stream: str) -> KeyedList | ReadFailed:
+        return KeyedList(records=(), end=Offset(1))
+
+    async def changes(
+        self, *, stream: str, start: Offset, wait_s: float = 0.0
+    ) -> KeyedChanges | ReadFailed:
+        if len(self.waits) == READS:
+            await asyncio.Event().wait()
+        self.waits.append(wait_s)
+        self._clock.now += wait_s
+        self.ends.append(self._clock.now)
+        return KeyedChanges(records=(), end=start)
+
+    async def put(self, *, stream: str, key: str, value: bytes | None) -> bool:
+        raise NotImplementedError
+
+
+async def _follow(seed: int) -> QuietLog:
+    clock = FakeClock()
+    log = QuietLog(clock)
+    follower = ConfigFollower(
+        log=log,
+        stream="config",
+        key="config",
+        decode=lambda value: pytest.fail("nothing is to be read"),
+        view=ConfigView(),
+        clock=clock,
+        rng=random.Random(seed),
+        wait_s=CONFIG_WAIT_S,
+        pause_s=CONFIG_PAUSE_S,
+    )
+    await follower.start()
+    for _ in range(20 * READS):
+        await asyncio.sleep(0)
+    await follower.stop()
+    return log
+
+
+async def test_revision_that_a_waiting_read_misses_is_known_in_time() -> None:
+    """Seen on a mixed day: both readers began a read while the revision was being appended."""
+    log = await _follow(1)
+    assert len(log.waits) == READS
+    assert max(log.waits) + BEHIND_S < IN_FORCE_S
+
+
+async def test_readers_do_not_begin_their_reads_together() -> None:
+    one, other = await _follow(1), await _follow(2)
+    together = sum(abs(a - b) < 0.05 for a, b in zip(one.ends, other.ends, strict=True))
+    assert together < READS / 4
