--- a/src/cassiawalk/ingress/attempt.py
+++ b/src/cassiawalk/ingress/attempt.py
@@ -38,7 +38,10 @@
 
 
 class Attempt:
-    """Sends a job once and passes its answer on."""
+    """Sends a job once and passes its answer on.
+
+    ``first_s`` is how long the head or first event took, or None if there was none.
+    """
 
     def __init__(
         self,
@@ -56,7 +59,9 @@
         self._clock = clock
         self._report = report
         self._resumes = job.headed
+        self._begun_at = clock.monotonic()
         self.reason = ""
+        self.first_s: float | None = None
 
     async def run(self) -> AttemptEnd:
         """Return how the attempt ended; a cancelled one closes its connection."""
@@ -226,6 +231,8 @@
         return AttemptEnd.DELIVERED
 
     def _note_began(self) -> None:
+        if self.first_s is None:
+            self.first_s = self._clock.monotonic() - self._begun_at
         if not self._job.began:
             self._job.began = True
             self._report.note_began(self._job)
--- a/src/cassiawalk/ingress/forwarder.py
+++ b/src/cassiawalk/ingress/forwarder.py
@@ -90,7 +90,7 @@
                 return self._full(job, placement)
             attempt = self._attempt(job, placement)
             end = await attempt.run()
-            self._report.note_attempt(job, placement, end.value, attempt.reason)
+            self._report.note_attempt(job, placement, attempt.first_s, end.value, attempt.reason)
             if end is AttemptEnd.DELIVERED:
                 return None
             job.tried.add(placement.upstream.upstream_id)
--- a/src/cassiawalk/ingress/report.py
+++ b/src/cassiawalk/ingress/report.py
@@ -53,7 +53,9 @@
         if job.workspace is not None:
             self._on_began(job.workspace.name)
 
-    def note_attempt(self, job: Job, placement: Placement, end: str, reason: str) -> None:
+    def note_attempt(
+        self, job: Job, placement: Placement, first_s: float | None, end: str, reason: str
+    ) -> None:
         """Note how one send ended, with what chose its upstream."""
         self._attempts.inc({"service": job.service, "end": end})
         load = placement.upstream.load
@@ -64,6 +66,7 @@
             revision=job.revision,
             upstream=placement.upstream.upstream_id,
             expected_first_s=round(placement.first_s, 4),
+            first_s=None if first_s is None else round(first_s, 4),
             unread_tokens=placement.unread_tokens,
             candidates=placement.candidates,
             holder=None if placement.holder is None else placement.holder.upstream_id,
--- /dev/null
+++ b/src/cassiawalk/platform/host.py
@@ -0,0 +1,133 @@
+"""Runs one host on the platform."""
+
+import argparse
+import asyncio
+import collections.abc as cabc
+import os
+import pathlib
+import random
+import signal
+import sys
+
+import eliot
+import uvloop
+
+from cassiawalk.clock import BootClock
+from cassiawalk.clock import SystemClock
+from cassiawalk.errors import CassiawalkError
+from cassiawalk.ingress.node import IngressNode
+from cassiawalk.ingress.source import PlatformSource
+from cassiawalk.linelog import LineLog
+from cassiawalk.platform import names
+from cassiawalk.platform.codec import PlatformHeads
+from cassiawalk.platform.config import decode_config
+from cassiawalk.platform.duties import PlatformDuties
+from cassiawalk.platform.registrations import decode_registration
+from cassiawalk.platform.settings import PlatformSettings
+from cassiawalk.platform.settings import load_settings
+from cassiawalk.platform.store import PlatformStore
+
+METRICS_PORT = 9464
+EXIT_OK = 0
+EXIT_FAILURE = 1
+EXIT_USAGE = 64
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the argument parser."""
+    parser = argparse.ArgumentParser(
+        prog="python -m cassiawalk.platform", description="Serve one host on the users' platform."
+    )
+    parser.add_argument(
+        "settings",
+        nargs="?",
+        type=pathlib.Path,
+        help=f"settings file (JSON); by default the one that ${names.SETTINGS_VARIABLE} names",
+    )
+    parser.add_argument("--check-settings", action="store_true", help="check the settings and exit")
+    parser.add_argument(
+        "--metrics-port",
+        type=int,
+        default=METRICS_PORT,
+        help="port of the metrics",
+    )
+    return parser
+
+
+def main(argv: cabc.Sequence[str] | None = None) -> int:
+    """Run until SIGTERM or SIGINT and return the exit status."""
+    args = build_parser().parse_args(argv)
+    path = args.settings or pathlib.Path(os.environ.get(names.SETTINGS_VARIABLE, ""))
+    try:
+        cfg = load_settings(path)
+        if args.check_settings:
+            print(f"{path}: the settings are complete and valid")
+            return EXIT_OK
+        uvloop.run(_serve(cfg, path, args.metrics_port))
+    except CassiawalkError as exc:
+        print(exc.format_message(), file=sys.stderr)
+        return EXIT_USAGE
+    except OSError as exc:
+        print(f"the host can't start: {exc}", file=sys.stderr)
+        return EXIT_FAILURE
+    return EXIT_OK
+
+
+async def _serve(cfg: PlatformSettings, path: pathlib.Path, metrics_port: int) -> None:
+    log = LineLog(fd=sys.stdout.fileno(), fields={"host": cfg.profile.host_id})
+    eliot.add_destinations(log)
+    await log.start()
+    node = IngressNode(
+        profile=cfg.profile,
+        source=_source(cfg),
+        codec=PlatformHeads(),
+        clock=SystemClock(),
+        boot_clock=BootClock(),
+        rng=random.Random(),
+        metrics_port=metrics_port,
+    )
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signum, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, path)
+    await node.app.start()
+    eliot.log_message(
+        message_type="host:started",
+        failure_domain=cfg.profile.failure_domain,
+        callers=str(cfg.profile.caller_address),
+        store=cfg.store_address,
+    )
+    try:
+        await stop.wait()
+        eliot.log_message(message_type="host:draining", limit_s=cfg.profile.promises.stop_s)
+        await node.drain()
+    finally:
+        await node.app.stop()
+        eliot.log_message(message_type="host:stopped")
+        await log.stop()
+
+
+def _source(cfg: PlatformSettings) -> PlatformSource:
+    store = PlatformStore(address=cfg.store_address)
+    duties = None if cfg.duty_address is None else PlatformDuties(address=cfg.duty_address)
+    return PlatformSource(
+        records=store,
+        log=store,
+        duties=duties,
+        config_stream=names.CONFIG_STREAM,
+        config_key=names.CONFIG_KEY,
+        upstream_stream=names.UPSTREAM_STREAM,
+        host_stream=names.HOST_STREAM,
+        decode_config=decode_config,
+        decode_registration=decode_registration,
+    )
+
+
+def _reload(path: pathlib.Path) -> None:
+    try:
+        load_settings(path)
+    except CassiawalkError as exc:
+        eliot.log_message(message_type="settings:refused", reason=exc.message)
+        return
+    eliot.log_message(message_type="settings:reloaded", path=str(path))
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -185,13 +185,15 @@
         self._events = events
         self._event_s = event_s
         self.upstream_id = f"i-{next(self._numbers)}"
+        self.public_address = self.address  # where hosts reach it
         self.ran: list[str] = []
+        self.workspaces: list[str] = []
 
     async def register(self, state: str = "ready") -> None:
         """Write the entry."""
         entry = {
             "service": self._service,
-            "address": self.address,
+            "address": self.public_address,
             "zone": self._zone,
             "slots": 8,
             "state": state,
@@ -211,6 +213,7 @@
             exchange.answer(421, [echoed], b"")
             return
         self.ran.append(request_id.decode())
+        self.workspaces.append((value_of(exchange.headers, b"x-tenant") or b"").decode())
         head = [echoed, (b"X-Response-Seal", f"{self.upstream_id}.{request_id.decode()}".encode())]
         if b"/stream/" not in exchange.target:
             exchange.answer(200, head, exchange.body)
--- /dev/null
+++ b/standins/site.py
@@ -0,0 +1,177 @@
+"""Host processes on the stand-in of the platform, started and ended by their tests or soak."""
+
+import asyncio
+import collections.abc as cabc
+import dataclasses
+import os
+import pathlib
+import sys
+import typing as t
+
+import orjson
+
+from standins.platform import DutyCalls
+from standins.platform import PlatformStore
+from standins.platform import PlatformUpstream
+from standins.raw_caller import Answer
+from standins.raw_caller import Caller
+
+READY_LIMIT_S = 15.0
+CHECK_S = 0.05
+ONCE, SAFE, STREAM = "/once/", "/safe/", "/stream/"
+
+
+def _route(prefix: str, kind: str, **more: t.Any) -> dict[str, t.Any]:
+    route = {
+        "name": prefix,
+        "host": "care.example",
+        "path_prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 5000,
+        "target_latency_ms": 500,
+        "priority": 1,
+        "service": "models",
+        "max_attempts": 2,
+    }
+    return {**route, **more}
+
+
+def site_config(version: int, *, keys: cabc.Sequence[str] = ("key-1",)) -> dict[str, t.Any]:
+    """Return a configuration with a route of each kind and one workspace."""
+    return {
+        "version": version,
+        "routes": [
+            _route(ONCE, "unsafe"),
+            _route(SAFE, "safe"),
+            _route(STREAM, "streaming", resume_streams=True),
+        ],
+        "services": [{"name": "models", "max_connections": 32}],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1048576,
+            "header_timeout_ms": 2000,
+            "idle_timeout_ms": 10000,
+        },
+        "tenants": [{"name": "family", "api_keys": list(keys)}],
+    }
+
+
+def _own_ip(number: int) -> str:
+    """Return a loopback address of a host's own, whose ports no outgoing connection takes."""
+    return f"127.{64 + os.getpid() % 64}.{os.getpid() // 64 % 250 + 1}.{number + 1}"
+
+
+@dataclasses.dataclass
+class Host:
+    """One host process."""
+
+    name: str
+    process: asyncio.subprocess.Process
+    caller_address: str
+    ready_address: str
+
+    async def ask(self, data: bytes, *, address: str | None = None) -> Answer:
+        """Send one request on a new connection and read its answer."""
+        ip, _, port = (address or self.caller_address).rpartition(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        try:
+            return await Caller(reader=reader, writer=writer).ask(data)
+        finally:
+            writer.close()
+
+    async def ready(self) -> bool:
+        """Return whether the host says that it takes connections."""
+        try:
+            check = b"GET /cassiawalk/ready HTTP/1.1\r\nHost: h\r\n\r\n"
+            return (await self.ask(check, address=self.ready_address)).status == 200
+        except (OSError, asyncio.IncompleteReadError):
+            return False
+
+
+class Site:
+    """The stand-ins and the hosts on them."""
+
+    def __init__(self, directory: pathlib.Path) -> None:
+        self._directory = directory
+        self.store = PlatformStore()
+        self.duties = DutyCalls()
+        self.upstreams: list[PlatformUpstream] = []
+        self.hosts: list[Host] = []
+
+    async def __aenter__(self) -> "Site":
+        await self.store.start()
+        await self.duties.start()
+        await self.store.put("keyed.op", "config", site_config(1))
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for host in self.hosts:
+            if host.process.returncode is None:
+                host.process.kill()
+            await host.process.wait()
+        for standin in (*self.upstreams, self.duties, self.store):
+            await standin.stop()
+
+    async def add_upstream(self, **changes: t.Any) -> PlatformUpstream:
+        """Start an upstream and register it."""
+        upstream = PlatformUpstream(store=self.store, service="models", **changes)
+        await upstream.start()
+        await upstream.register()
+        self.upstreams.append(upstream)
+        return upstream
+
+    async def add_host(self, *, store_address: str | None = None) -> Host:
+        """Start a host, which reaches the store at its own address or another one."""
+        name = f"host-{len(self.hosts)}"
+        ip = _own_ip(len(self.hosts))
+        settings = {
+            "node_name": name,
+            "ip": ip,
+            "zone": "here",
+            "listen": {"front": f"{ip}:8001", "ready": f"{ip}:8002"},
+            "internal_port_range": [7600, 7615],
+            "bounds": {"grace_s": 6, "usage_window_s": 1, "usage_late_s": 10},
+            "platform": {"address": store_address or self.store.address},
+            "cloud_api": {"address": self.duties.address},
+        }
+        path = self._directory / f"{name}.json"
+        path.write_bytes(orjson.dumps(settings))
+        host = Host(name, await self._run(name), f"{ip}:8001", f"{ip}:8002")
+        self.hosts.append(host)
+        return host
+
+    async def restart(self, host: Host) -> None:
+        """Start a host again whose process has ended."""
+        host.process = await self._run(host.name)
+
+    async def _run(self, name: str) -> asyncio.subprocess.Process:
+        return await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "cassiawalk.platform",
+            str(self._directory / f"{name}.json"),
+            stdout=(self._directory / f"{name}.log").open("ab"),
+        )
+
+    def lines(self, host: Host) -> list[dict[str, t.Any]]:
+        """Return what a host has logged, over all of its processes."""
+        text = (self._directory / f"{host.name}.log").read_bytes()
+        return [orjson.loads(line) for line in text.splitlines() if line.startswith(b"{")]
+
+
+async def until(holds: cabc.Callable[[], t.Any], limit_s: float = READY_LIMIT_S) -> None:
+    """Wait until a condition holds, awaited if it is asynchronous."""
+    async with asyncio.timeout(limit_s):
+        while True:
+            found = holds()
+            if await found if asyncio.iscoroutine(found) else found:
+                return
+            await asyncio.sleep(CHECK_S)
+
+
+def ask(request_id: str, path: str = SAFE, *, key: str = "key-1", body: bytes = b"hello") -> bytes:
+    """Return one request of a caller."""
+    return (
+        f"POST {path}x HTTP/1.1\r\nHost: care.example\r\nX-Request-Id: {request_id}\r\n"
+        f"X-Deadline-Ms: 4000\r\nApi-Key: {key}\r\nContent-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
--- a/tests/ingress_bed.py
+++ b/tests/ingress_bed.py
@@ -41,6 +41,9 @@
 from cassiawalk.settings import Address
 from cassiawalk.sockets import bound_address
 from cassiawalk.sockets import listen
+from standins.raw_caller import Answer as Answer
+from standins.raw_caller import Caller as Caller
+from standins.raw_caller import header_of
 
 SERVICE = ServiceName("models")
 DOMAIN = FailureDomain("here")
@@ -101,11 +104,7 @@
         return self.header(b"x-request-id") or b""
 
     def header(self, name: bytes) -> bytes | None:
-        for line in self.head.split(b"\r\n")[1:]:
-            found, _, value = line.partition(b":")
-            if found.lower() == name:
-                return value.strip()
-        return None
+        return header_of(self.head, name)
 
 
 class UpstreamSide:
@@ -281,66 +280,6 @@
     server.close()
 
 
-@dataclasses.dataclass(kw_only=True)
-class Answer:
-    """A whole answer as a caller got it."""
-
-    status: int
-    head: bytes
-    body: bytes
-
-    def header(self, name: bytes) -> bytes | None:
-        return Arrival(head=self.head, body=b"").header(name)
-
-
-class Caller:
-    """A caller's raw connection."""
-
-    def __init__(self, *, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.reader = reader
-        self.writer = writer
-
-    def send(self, data: bytes) -> None:
-        self.writer.write(data)
-
-    async def take(self) -> Answer:
-        """Read one whole answer.
-
-        :raises IncompleteReadError: if the connection ends before its end.
-        """
-        head = await self.reader.readuntil(b"\r\n\r\n")
-        found = Answer(status=int(head.split(b" ", 2)[1]), head=head, body=b"")
-        if found.header(b"transfer-encoding") is not None:
-            found.body = await self._chunks()
-        else:
-            found.body = await self.reader.readexactly(int(found.header(b"content-length") or 0))
-        return found
-
-    async def ask(self, data: bytes, *, limit_s: float = 5.0) -> Answer:
-        """Send a request and read its answer."""
-        self.send(data)
-        async with asyncio.timeout(limit_s):
-            return await self.take()
-
-    async def ended(self, *, limit_s: float = 3.0) -> bytes:
-        """Return what comes until the connection ends."""
-        with contextlib.suppress(ConnectionError):
-            return await asyncio.wait_for(self.reader.read(), limit_s)
-        return b""
-
-    def leave(self) -> None:
-        self.writer.close()
-
-    async def _chunks(self) -> bytes:
-        body = b""
-        while True:
-            size = int(await self.reader.readuntil(b"\r\n"), 16)
-            data = await self.reader.readexactly(size + 2)
-            if size == 0:
-                return body
-            body += data[:-2]
-
-
 def post(
     request_id: bytes = b"q1",
     body: bytes = b"hello",
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -21,10 +21,10 @@
 from cassiawalk.ingress.demand import LoadNote
 from cassiawalk.ingress.demand import SendOrder
 from cassiawalk.ingress.directory import Presence
-from cassiawalk.platform.__main__ import main
 from cassiawalk.platform.codec import PROMISES
 from cassiawalk.platform.codec import PlatformHeads
 from cassiawalk.platform.config import decode_config
+from cassiawalk.platform.host import main
 from cassiawalk.platform.registrations import decode_registration
 from cassiawalk.platform.settings import load_settings
 from cassiawalk.results import Execution
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -1,177 +1,31 @@
 """Whole hosts as processes against the stand-in of the platform."""
 
 import asyncio
-import collections.abc as cabc
-import dataclasses
-import os
 import pathlib
 import signal
-import sys
 import typing as t
 
 import orjson
 import pytest
 
-from standins.platform import DutyCalls
-from standins.platform import PlatformStore
-from standins.platform import PlatformUpstream
-from tests.ingress_bed import Answer
-from tests.ingress_bed import Caller
+from standins.site import ONCE
+from standins.site import SAFE
+from standins.site import STREAM
+from standins.site import Host
+from standins.site import Site
+from standins.site import ask
+from standins.site import site_config
+from standins.site import until
 from tests.ingress_bed import event
 
-READY_LIMIT_S = 15.0
-CHECK_S = 0.05
 STORE_AWAY_S = 7.0  # config_apply_ms and max_skew_ms of the pages: older answers may be wrong
+INTERPRETER_START_S = 0.1  # in which no code of a process can take a signal yet
 MANY = 14  # more hosts than beat with each other without hubs
-ONCE, SAFE, STREAM = "/once/", "/safe/", "/stream/"
-
-
-def _route(prefix: str, kind: str, **more: t.Any) -> dict[str, t.Any]:
-    route = {
-        "name": prefix,
-        "host": "care.example",
-        "path_prefix": prefix,
-        "kind": kind,
-        "timeout_ms": 5000,
-        "target_latency_ms": 500,
-        "priority": 1,
-        "service": "models",
-        "max_attempts": 2,
-    }
-    return {**route, **more}
-
-
-def _config(version: int, *, keys: cabc.Sequence[str] = ("key-1",)) -> dict[str, t.Any]:
-    return {
-        "version": version,
-        "routes": [
-            _route(ONCE, "unsafe"),
-            _route(SAFE, "safe"),
-            _route(STREAM, "streaming", resume_streams=True),
-        ],
-        "services": [{"name": "models", "max_connections": 32}],
-        "limits": {
-            "max_header_bytes": 16384,
-            "max_body_bytes": 1048576,
-            "header_timeout_ms": 2000,
-            "idle_timeout_ms": 10000,
-        },
-        "tenants": [{"name": "family", "api_keys": list(keys)}],
-    }
-
-
-def _own_ip(number: int) -> str:
-    """Return a loopback address of a host's own, whose ports no outgoing connection takes."""
-    return f"127.{64 + os.getpid() % 64}.{os.getpid() // 64 % 250 + 1}.{number + 1}"
-
-
-@dataclasses.dataclass
-class Host:
-    """One host process."""
-
-    name: str
-    process: asyncio.subprocess.Process
-    caller_address: str
-    ready_address: str
-
-    async def ask(self, data: bytes, *, address: str | None = None) -> Answer:
-        ip, _, port = (address or self.caller_address).rpartition(":")
-        reader, writer = await asyncio.open_connection(ip, int(port))
-        try:
-            return await Caller(reader=reader, writer=writer).ask(data)
-        finally:
-            writer.close()
-
-    async def ready(self) -> bool:
-        try:
-            check = b"GET /cassiawalk/ready HTTP/1.1\r\nHost: h\r\n\r\n"
-            return (await self.ask(check, address=self.ready_address)).status == 200
-        except (OSError, asyncio.IncompleteReadError):
-            return False
-
-
-class Platform:
-    """The stand-ins and the hosts on them."""
-
-    def __init__(self, directory: pathlib.Path) -> None:
-        self._directory = directory
-        self.store = PlatformStore()
-        self.duties = DutyCalls()
-        self.upstreams: list[PlatformUpstream] = []
-        self.hosts: list[Host] = []
-
-    async def __aenter__(self) -> "Platform":
-        await self.store.start()
-        await self.duties.start()
-        await self.store.put("keyed.op", "config", _config(1))
-        return self
-
-    async def __aexit__(self, *_: object) -> None:
-        for host in self.hosts:
-            if host.process.returncode is None:
-                host.process.kill()
-            await host.process.wait()
-        for standin in (*self.upstreams, self.duties, self.store):
-            await standin.stop()
-
-    async def add_upstream(self, **changes: t.Any) -> PlatformUpstream:
-        upstream = PlatformUpstream(store=self.store, service="models", **changes)
-        await upstream.start()
-        await upstream.register()
-        self.upstreams.append(upstream)
-        return upstream
-
-    async def add_host(self) -> Host:
-        name = f"host-{len(self.hosts)}"
-        ip = _own_ip(len(self.hosts))
-        settings = {
-            "node_name": name,
-            "ip": ip,
-            "zone": "here",
-            "listen": {"front": f"{ip}:8001", "ready": f"{ip}:8002"},
-            "internal_port_range": [7600, 7615],
-            "bounds": {"grace_s": 6, "usage_window_s": 1, "usage_late_s": 10},
-            "platform": {"address": self.store.address},
-            "cloud_api": {"address": self.duties.address},
-        }
-        path = self._directory / f"{name}.json"
-        path.write_bytes(orjson.dumps(settings))
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "cassiawalk.platform",
-            str(path),
-            stdout=(self._directory / f"{name}.log").open("wb"),
-        )
-        host = Host(name, process, f"{ip}:8001", f"{ip}:8002")
-        self.hosts.append(host)
-        return host
-
-    def lines(self, host: Host) -> list[dict[str, t.Any]]:
-        text = (self._directory / f"{host.name}.log").read_bytes()
-        return [orjson.loads(line) for line in text.splitlines() if line.startswith(b"{")]
-
-
-async def until(holds: cabc.Callable[[], t.Any], limit_s: float = READY_LIMIT_S) -> None:
-    """Wait until a condition holds, awaited if it is asynchronous."""
-    async with asyncio.timeout(limit_s):
-        while True:
-            found = holds()
-            if await found if asyncio.iscoroutine(found) else found:
-                return
-            await asyncio.sleep(CHECK_S)
-
-
-def ask(request_id: str, path: str = SAFE, *, key: str = "key-1", body: bytes = b"hello") -> bytes:
-    return (
-        f"POST {path}x HTTP/1.1\r\nHost: care.example\r\nX-Request-Id: {request_id}\r\n"
-        f"X-Deadline-Ms: 4000\r\nApi-Key: {key}\r\nContent-Length: {len(body)}\r\n\r\n"
-    ).encode() + body
 
 
 @pytest.fixture
-async def platform(tmp_path: pathlib.Path) -> t.AsyncIterator[Platform]:
-    async with Platform(tmp_path) as running:
+async def platform(tmp_path: pathlib.Path) -> t.AsyncIterator[Site]:
+    async with Site(tmp_path) as running:
         for _ in range(2):
             await running.add_upstream()
         for _ in range(2):
@@ -181,7 +35,7 @@
         yield running
 
 
-async def test_requests_of_every_kind_are_answered_whole(platform: Platform) -> None:
+async def test_requests_of_every_kind_are_answered_whole(platform: Site) -> None:
     for number, host in enumerate(platform.hosts):
         for path in (ONCE, SAFE):
             got = await host.ask(ask(f"q-{number}{path}", path))
@@ -192,8 +46,8 @@
     assert len(ran) == len(set(ran)) == 6
 
 
-async def test_changes_of_configuration_and_upstreams_reach_every_host(platform: Platform) -> None:
-    await platform.store.put("keyed.op", "config", _config(5, keys=("key-2",)))
+async def test_changes_of_configuration_and_upstreams_reach_every_host(platform: Site) -> None:
+    await platform.store.put("keyed.op", "config", site_config(5, keys=("key-2",)))
     for host in platform.hosts:
         await until(lambda host=host: _status(host, "key-2", 200), 2.0)
         assert (await host.ask(ask("old"))).status == 401
@@ -211,19 +65,19 @@
     return (await host.ask(ask("check", key=key))).status == status
 
 
-async def test_hosts_serve_on_while_the_store_is_away(platform: Platform) -> None:
+async def test_hosts_serve_on_while_the_store_is_away(platform: Site) -> None:
     platform.store.refusal = 503
     await asyncio.sleep(STORE_AWAY_S)
     for host in platform.hosts:
         assert (await host.ask(ask("away"))).status == 200
         assert (await host.ask(ask("unknown", key="new-key"))).status == 503
     platform.store.refusal = None
-    await platform.store.put("keyed.op", "config", _config(9, keys=("key-1", "new-key")))
+    await platform.store.put("keyed.op", "config", site_config(9, keys=("key-1", "new-key")))
     for host in platform.hosts:
         await until(lambda host=host: _status(host, "new-key", 200), 4.0)
 
 
-async def test_stop_answers_what_was_taken_and_ends(platform: Platform) -> None:
+async def test_stop_answers_what_was_taken_and_ends(platform: Site) -> None:
     host = platform.hosts[0]
     slow = await platform.add_upstream(events=30, event_s=0.05)
     for upstream in platform.upstreams[:2]:
@@ -241,7 +95,19 @@
     assert "host:draining" in events
 
 
-async def test_usage_is_reported_once_also_after_the_holder_is_killed(platform: Platform) -> None:
+async def test_change_of_settings_during_the_start_ends_nothing(platform: Site) -> None:
+    """Found by the soak, seed 1: the signal came before its handler was there."""
+    host = await platform.add_host()
+    await asyncio.sleep(INTERPRETER_START_S)
+    while not await host.ready():
+        host.process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.01)
+    assert host.process.returncode is None
+    host.process.send_signal(signal.SIGHUP)
+    await until(lambda: "settings:reloaded" in {line["event"] for line in platform.lines(host)})
+
+
+async def test_usage_is_reported_once_also_after_the_holder_is_killed(platform: Site) -> None:
     def windows() -> list[int]:
         calls = [call for call in platform.duties.calls if call.path == "/usage"]
         return [call.body["window_seq"] for call in calls]
@@ -265,7 +131,7 @@
     assert all(len(counts) == 1 for counts in by_window.values())
 
 
-def _counted(platform: Platform) -> int:
+def _counted(platform: Site) -> int:
     counts = {
         call.body["window_seq"]: call.body["counts"].get("family", 0)
         for call in platform.duties.calls
@@ -278,7 +144,7 @@
     tmp_path: pathlib.Path,
 ) -> None:
     """With hubs, hosts have to find the new holder and tell it what they counted."""
-    async with Platform(tmp_path) as platform:
+    async with Site(tmp_path) as platform:
         await platform.add_upstream()
         hosts = [await platform.add_host() for _ in range(MANY)]
         for host in hosts:
