--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: demo test bench check format clean
+.PHONY: demo test bench soak check format clean
 
 $(READY): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -30,5 +30,8 @@
 bench: $(READY)
 	$(BIN)/python -m benchmarks
 
+soak: $(READY)
+	$(BIN)/python -m soak $(SOAK_ARGS)
+
 clean:
 	rm -rf $(VENV) build .mypy_cache .pytest_cache .ruff_cache
