--- a/src/cassiawalk/ingress/copying.py
+++ b/src/cassiawalk/ingress/copying.py
@@ -10,9 +10,9 @@
 from cassiawalk.clock import Clock
 from cassiawalk.ids import HostId
 from cassiawalk.ids import Offset
+from cassiawalk.ingress.beat import HostBeat
+from cassiawalk.ingress.beat import PeerView
 from cassiawalk.ingress.beats import BeatExchange
-from cassiawalk.ingress.beats import HostBeat
-from cassiawalk.ingress.beats import PeerView
 from cassiawalk.ingress.config import ConfigView
 from cassiawalk.ingress.directory import Directory
 from cassiawalk.ingress.follow import ConfigFollower
--- a/src/cassiawalk/ingress/follow.py
+++ b/src/cassiawalk/ingress/follow.py
@@ -2,6 +2,7 @@
 
 import abc
 import collections.abc as cabc
+import dataclasses
 import random
 
 import eliot
@@ -32,37 +33,35 @@
 RegistrationDecoder = cabc.Callable[[str, bytes], Registration | None]
 
 
-class StreamFollower(Component, abc.ABC):
-    """Reads a keyed stream whole once and then its changes.
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Reading:
+    """How a stream is read; times in seconds.
 
-    :param wait_s: the longest that one read waits for a first record, in seconds. A record that is
-        appended while a read begins may be told only when that read ends, so that readers differ
-        in how long they wait.
+    :param wait_s: the longest that one read waits for a first record. A record that is appended
+        while a read begins may be told only when that read ends, so that readers differ in how
+        long they wait.
     :param pause_s: the pause after each read, in which records gather.
     :param reads: returns whether this host is to read now; it always does until it has read once.
     :param on_news: called when something new was read.
     """
 
+    stream: str
+    wait_s: float
+    pause_s: float
+    reads: cabc.Callable[[], bool] = lambda: True
+    on_news: cabc.Callable[[], None] = lambda: None
+
+
+class StreamFollower(Component, abc.ABC):
+    """Reads a keyed stream whole once and then its changes."""
+
     def __init__(
-        self,
-        *,
-        log: KeyedLog,
-        stream: str,
-        clock: Clock,
-        rng: random.Random,
-        wait_s: float,
-        pause_s: float,
-        reads: cabc.Callable[[], bool] = lambda: True,
-        on_news: cabc.Callable[[], None] = lambda: None,
+        self, *, log: KeyedLog, reading: Reading, clock: Clock, rng: random.Random
     ) -> None:
-        self._reads = reads
-        self._on_news = on_news
         self._log = log
-        self._stream = stream
+        self._reading = reading
         self._clock = clock
         self._rng = rng
-        self._wait_s = wait_s
-        self._pause_s = pause_s
         self._next: Offset | None = None
         self._reading_since: float | None = None
         self._failing_since: float | None = None
@@ -72,19 +71,22 @@
 
     async def start(self) -> None:
         """Start to read."""
-        self.spawn(self._follow(), name=f"follow-{self._stream}")
+        self.spawn(self._follow(), name=f"follow-{self._reading.stream}")
 
     @property
     def source_away(self) -> bool:
         """Return whether the source counts as away: reads fail, or an answer is overdue."""
         now = self._clock.monotonic()
-        if self._reading_since is not None and now - self._reading_since > self._wait_s + OVERDUE_S:
+        if (
+            self._reading_since is not None
+            and now - self._reading_since > self._reading.wait_s + OVERDUE_S
+        ):
             return True
         return self._failing_since is not None and now - self._failing_since > AWAY_AFTER_S
 
     async def _follow(self) -> None:
         while True:
-            if self._next is not None and not self._reads():
+            if self._next is not None and not self._reading.reads():
                 await self._clock.sleep(self.idle_s)
                 continue
             began_at = self._clock.monotonic()
@@ -96,17 +98,19 @@
                 continue
             self._note_answered()
             self._take(batch)
-            await self._clock.sleep(self._pause_s)
+            await self._clock.sleep(self._reading.pause_s)
 
     async def _read(self) -> KeyedList | KeyedChanges | ReadFailed:
         if self._next is None:
-            return await self._log.newest(stream=self._stream)
-        wait_s = self._wait_s * (LEAST_WAIT + (1 - LEAST_WAIT) * self._rng.random())
-        return await self._log.changes(stream=self._stream, start=self._next, wait_s=wait_s)
+            return await self._log.newest(stream=self._reading.stream)
+        wait_s = self._reading.wait_s * (LEAST_WAIT + (1 - LEAST_WAIT) * self._rng.random())
+        return await self._log.changes(stream=self._reading.stream, start=self._next, wait_s=wait_s)
 
     def _take(self, batch: KeyedList | KeyedChanges) -> None:
         if isinstance(batch, KeyedChanges) and batch.missed:
-            eliot.log_message(message_type="follow:missed", stream=self._stream, start=self._next)
+            eliot.log_message(
+                message_type="follow:missed", stream=self._reading.stream, start=self._next
+            )
             self._next = None
             return
         before = self.version()
@@ -117,14 +121,14 @@
         self._next = batch.end
         self.note_read()
         if self.version() != before:
-            self._on_news()
+            self._reading.on_news()
 
     async def _note_failed(self, failed: ReadFailed, began_at: float) -> None:
         self._failures += 1
         if self._failing_since is None:
             self._failing_since = began_at
             eliot.log_message(
-                message_type="dependency:lost", stream=self._stream, reason=failed.reason
+                message_type="dependency:lost", stream=self._reading.stream, reason=failed.reason
             )
         pause_s = min(LONGEST_PAUSE_S, FAILED_PAUSE_S * self._failures)
         await self._clock.sleep(pause_s * (0.5 + self._rng.random()))
@@ -134,7 +138,7 @@
             return
         away_s = self._clock.monotonic() - self._failing_since
         eliot.log_message(
-            message_type="dependency:regained", stream=self._stream, away_s=round(away_s, 3)
+            message_type="dependency:regained", stream=self._reading.stream, away_s=round(away_s, 3)
         )
         if away_s > AWAY_AFTER_S:
             self.note_returned()
@@ -169,27 +173,14 @@
         self,
         *,
         log: KeyedLog,
-        stream: str,
+        reading: Reading,
         key: str,
         decode: ConfigDecoder,
         view: ConfigView,
         clock: Clock,
         rng: random.Random,
-        wait_s: float,
-        pause_s: float,
-        reads: cabc.Callable[[], bool] = lambda: True,
-        on_news: cabc.Callable[[], None] = lambda: None,
     ) -> None:
-        super().__init__(
-            log=log,
-            stream=stream,
-            clock=clock,
-            rng=rng,
-            wait_s=wait_s,
-            pause_s=pause_s,
-            reads=reads,
-            on_news=on_news,
-        )
+        super().__init__(log=log, reading=reading, clock=clock, rng=rng)
         self._key = key
         self._decode = decode
         self._view = view
@@ -234,26 +225,13 @@
         self,
         *,
         log: KeyedLog,
-        stream: str,
+        reading: Reading,
         decode: RegistrationDecoder,
         directory: Directory,
         clock: Clock,
         rng: random.Random,
-        wait_s: float,
-        pause_s: float,
-        reads: cabc.Callable[[], bool] = lambda: True,
-        on_news: cabc.Callable[[], None] = lambda: None,
     ) -> None:
-        super().__init__(
-            log=log,
-            stream=stream,
-            clock=clock,
-            rng=rng,
-            wait_s=wait_s,
-            pause_s=pause_s,
-            reads=reads,
-            on_news=on_news,
-        )
+        super().__init__(log=log, reading=reading, clock=clock, rng=rng)
         self._decode = decode
         self._directory = directory
         self._raw: dict[str, KeyedRecord] = {}
--- a/src/cassiawalk/ingress/node.py
+++ b/src/cassiawalk/ingress/node.py
@@ -21,8 +21,8 @@
 from cassiawalk.ids import HostId
 from cassiawalk.ids import ServiceName
 from cassiawalk.ids import new_uuid7
+from cassiawalk.ingress.beat import HostBeat
 from cassiawalk.ingress.beats import BeatExchange
-from cassiawalk.ingress.beats import HostBeat
 from cassiawalk.ingress.budgets import RepeatBudgets
 from cassiawalk.ingress.config import ConfigView
 from cassiawalk.ingress.copying import CopyCall
@@ -32,6 +32,7 @@
 from cassiawalk.ingress.directory import Directory
 from cassiawalk.ingress.follow import ConfigFollower
 from cassiawalk.ingress.follow import DirectoryFollower
+from cassiawalk.ingress.follow import Reading
 from cassiawalk.ingress.forwarder import Forwarder
 from cassiawalk.ingress.hosts import RecordedHosts
 from cassiawalk.ingress.hosts import entry_of
@@ -213,34 +214,34 @@
         )
         self.config_follower = ConfigFollower(
             log=source.records,
-            stream=source.config_stream,
+            reading=self._reading_of(source.config_stream, CONFIG_WAIT_S, CONFIG_PAUSE_S),
             key=source.config_key,
             decode=source.decode_config,
             view=self.config,
             clock=self._clock,
             rng=self._rng,
-            wait_s=CONFIG_WAIT_S,
-            pause_s=CONFIG_PAUSE_S,
-            reads=lambda: self.copier.reads,
-            on_news=self.beats.tell_news,
         )
         self.directory_follower = DirectoryFollower(
             log=source.records,
-            stream=source.upstream_stream,
+            reading=self._reading_of(source.upstream_stream, DIRECTORY_WAIT_S, DIRECTORY_PAUSE_S),
             decode=source.decode_registration,
             directory=self.directory,
             clock=self._clock,
             rng=self._rng,
-            wait_s=DIRECTORY_WAIT_S,
-            pause_s=DIRECTORY_PAUSE_S,
-            reads=lambda: self.copier.reads,
-            on_news=self.beats.tell_news,
         )
-
         self.copier.config_follower = self.config_follower
         self.copier.directory_follower = self.directory_follower
         self.peer_server.handle(CopyCall, self.copier.handle)
 
+    def _reading_of(self, stream: str, wait_s: float, pause_s: float) -> Reading:
+        return Reading(
+            stream=stream,
+            wait_s=wait_s,
+            pause_s=pause_s,
+            reads=lambda: self.copier.reads,
+            on_news=self.beats.tell_news,
+        )
+
     def _build_duties(self) -> None:
         self.duties: DutyHolder | None = None
         api = self._source.duties
--- a/tests/test_beats.py
+++ b/tests/test_beats.py
@@ -16,10 +16,10 @@
 from cassiawalk.ids import ServiceName
 from cassiawalk.ids import UpstreamId
 from cassiawalk.ids import WorkspaceName
+from cassiawalk.ingress.beat import HostBeat
 from cassiawalk.ingress.beats import BEAT_S
 from cassiawalk.ingress.beats import GONE_S
 from cassiawalk.ingress.beats import BeatExchange
-from cassiawalk.ingress.beats import HostBeat
 from cassiawalk.ingress.hosts import RecordedHosts
 from cassiawalk.ingress.hosts import entry_of
 from cassiawalk.ingress.sums import UpstreamUse
--- a/tests/test_copying.py
+++ b/tests/test_copying.py
@@ -15,14 +15,15 @@
 from cassiawalk.ids import HostId
 from cassiawalk.ids import Offset
 from cassiawalk.ids import ServiceName
+from cassiawalk.ingress.beat import HostBeat
+from cassiawalk.ingress.beat import PeerView
 from cassiawalk.ingress.beats import BeatExchange
-from cassiawalk.ingress.beats import HostBeat
-from cassiawalk.ingress.beats import PeerView
 from cassiawalk.ingress.config import ConfigView
 from cassiawalk.ingress.copying import PeerCopier
 from cassiawalk.ingress.directory import Directory
 from cassiawalk.ingress.follow import OVERDUE_S
 from cassiawalk.ingress.follow import DirectoryFollower
+from cassiawalk.ingress.follow import Reading
 from cassiawalk.peer import PeerLinks
 from cassiawalk.platform.registrations import decode_registration
 from tests.decisions import FakeClock
@@ -51,13 +52,11 @@
         self.directory = Directory(clock=clock)
         self.follower = DirectoryFollower(
             log=NoLog(),
-            stream="upstreams",
+            reading=Reading(stream="upstreams", wait_s=0.0, pause_s=0.0),
             decode=decode_registration,
             directory=self.directory,
             clock=clock,
             rng=random.Random(1),
-            wait_s=0.0,
-            pause_s=0.0,
         )
 
     def copy_from(self, other: "Host") -> None:
@@ -215,13 +214,11 @@
 
     follower = DirectoryFollower(
         log=SilentLog(),
-        stream="upstreams",
+        reading=Reading(stream="upstreams", wait_s=0.2, pause_s=0.3),
         decode=decode_registration,
         directory=Directory(clock=clock),
         clock=clock,
         rng=random.Random(1),
-        wait_s=0.2,
-        pause_s=0.3,
     )
     await follower.start()
     await reading.wait()
