Take changed settings over while the host runs

SIGHUP only checked the file.

Test on processes: the store's address moves and a revision comes through the new one; a faulty file is refused and the host serves on.

--- a/soak/link.py
+++ b/soak/link.py
@@ -43,6 +43,11 @@
         self.delay_s = 0.0
         self._cut: str | None = None
 
+    @property
+    def connections(self) -> int:
+        """Return how many connections are open."""
+        return len(self._pipes)
+
     async def start(self) -> None:
         """Listen on a port of its own."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
--- a/src/cassiawalk/http1/caller.py
+++ b/src/cassiawalk/http1/caller.py
@@ -55,9 +55,10 @@
         """
         self.calls += 1
         conn: UpstreamConnection | None = None
+        pool = self._pool
         try:
             async with asyncio.timeout(limit_s):
-                conn = await self._pool.acquire(limit_s=limit_s)
+                conn = await pool.acquire(limit_s=limit_s)
                 self._send(conn, method, target, headers, body)
                 return await _whole(conn)
         except ConnectError as exc:
@@ -66,7 +67,13 @@
             raise CallError(f"no answer in {limit_s:g} s", sent=conn is not None) from None
         finally:
             if conn is not None:
-                self._pool.release(conn)
+                pool.release(conn)
+
+    def move(self, address: str) -> None:
+        """Call another address from now on; calls in flight end where they are."""
+        self._pool.close()
+        self._pool = ConnectionPool(address=address)
+        self._host = (b"Host", address.encode())
 
     def close(self) -> None:
         """Close kept connections."""
--- a/src/cassiawalk/ingress/budgets.py
+++ b/src/cassiawalk/ingress/budgets.py
@@ -57,6 +57,11 @@
         self._requests: dict[ServiceName, _Window] = {}
         self._repeats: dict[ServiceName, _Window] = {}
 
+    def allow(self, *, ratio: float, extra: float) -> None:
+        """Take other bounds over."""
+        self._ratio = ratio
+        self._extra = extra
+
     def note_request(self, service: ServiceName) -> None:
         """Count a caller's request."""
         self._window(self._requests, service).add(self._clock.monotonic())
--- a/src/cassiawalk/ingress/node.py
+++ b/src/cassiawalk/ingress/node.py
@@ -1,6 +1,7 @@
 """Puts together a host that serves requests by host and path."""
 
 import asyncio
+import dataclasses
 import random
 
 import eliot
@@ -39,6 +40,7 @@
 from cassiawalk.ingress.intake import Intake
 from cassiawalk.ingress.placing import Placer
 from cassiawalk.ingress.profile import HostProfile
+from cassiawalk.ingress.profile import Promises
 from cassiawalk.ingress.quotas import Quotas
 from cassiawalk.ingress.quotas import QuotaTolerance
 from cassiawalk.ingress.report import IngressReport
@@ -137,6 +139,21 @@
             unfinished = sum(conn.busy for conn in self._callers.connections)
             eliot.log_message(message_type="host:drain-limit", unfinished=unfinished)
 
+    def take_promises(self, promises: Promises) -> list[str]:
+        """Take over what can be while this host runs; return the names of what needs a restart."""
+        current = self._profile.promises
+        changed = [
+            field.name
+            for field in dataclasses.fields(promises)
+            if getattr(promises, field.name) != getattr(current, field.name)
+        ]
+        taken = {name: getattr(promises, name) for name in changed if name in Promises.REPLACEABLE}
+        promises = dataclasses.replace(current, **taken)
+        self._profile = dataclasses.replace(self._profile, promises=promises)
+        self.quotas.allow(_tolerance(promises))
+        self.budgets.allow(ratio=promises.repeat_ratio, extra=promises.repeat_extra)
+        return [name for name in changed if name not in taken]
+
     def _build_peers(self) -> None:
         profile = self._profile
         own = entry_of(profile.host_id, profile.failure_domain, str(profile.peer_address))
@@ -169,11 +186,7 @@
 
     def _build_requests(self) -> None:
         promises = self._profile.promises
-        tolerance = QuotaTolerance(
-            window_s=promises.quota_window_s,
-            ratio=promises.quota_ratio,
-            amount=promises.quota_amount,
-        )
+        tolerance = _tolerance(promises)
         self.quotas = Quotas(clock=self._clock, share=lambda: self.beats.share, tolerance=tolerance)
         self.budgets = RepeatBudgets(
             clock=self._clock,
@@ -396,3 +409,11 @@
             self.forwarder,
             self._callers,
         ]
+
+
+def _tolerance(promises: Promises) -> QuotaTolerance:
+    return QuotaTolerance(
+        window_s=promises.quota_window_s,
+        ratio=promises.quota_ratio,
+        amount=promises.quota_amount,
+    )
--- a/src/cassiawalk/ingress/profile.py
+++ b/src/cassiawalk/ingress/profile.py
@@ -1,6 +1,7 @@
 """What a host is told of itself and of the bounds that it has to keep."""
 
 import dataclasses
+import typing as t
 
 from cassiawalk.ids import FailureDomain
 from cassiawalk.ids import HostId
@@ -19,6 +20,11 @@
     :param lease_s: how long a holder of a duty may be unheard before another acts.
     """
 
+    # What a process can take over while it runs.
+    REPLACEABLE: t.ClassVar = frozenset(
+        ("stop_s", "repeat_ratio", "repeat_extra", "quota_ratio", "quota_amount")
+    )
+
     stop_s: float = 8.0
     repeat_ratio: float = 0.2
     repeat_extra: float = 50.0
--- a/src/cassiawalk/ingress/quotas.py
+++ b/src/cassiawalk/ingress/quotas.py
@@ -119,6 +119,10 @@
         self._told: dict[str, _Told] = {}
         self._started_at = clock.monotonic()
 
+    def allow(self, tolerance: QuotaTolerance) -> None:
+        """Take another tolerance over."""
+        self._tolerance = tolerance
+
     def take(self, workspace: WorkspaceConfig, stated_tokens: int | None) -> float | None:
         """Draw for a request; return None, or in how many seconds there will be room."""
         if workspace.rate_per_s <= 0:
--- a/src/cassiawalk/platform/duties.py
+++ b/src/cassiawalk/platform/duties.py
@@ -24,6 +24,10 @@
     def __init__(self, *, address: str) -> None:
         self._http = HttpCaller(address=address)
 
+    def move(self, address: str) -> None:
+        """Call another address from now on."""
+        self._http.move(address)
+
     async def report_usage(self, window: UsageWindow, by: Fenced) -> DutyOutcome:
         """Report one window."""
         body = {"window_seq": window.number, "counts": dict(window.counts)}
--- a/src/cassiawalk/platform/host.py
+++ b/src/cassiawalk/platform/host.py
@@ -23,6 +23,7 @@
 from cassiawalk.platform.config import decode_config
 from cassiawalk.platform.duties import PlatformDuties
 from cassiawalk.platform.registrations import decode_registration
+from cassiawalk.platform.reload import SettingsReload
 from cassiawalk.platform.settings import PlatformSettings
 from cassiawalk.platform.settings import load_settings
 from cassiawalk.platform.store import PlatformStore
@@ -77,20 +78,27 @@
     log = LineLog(fd=sys.stdout.fileno(), fields={"host": cfg.profile.host_id})
     eliot.add_destinations(log)
     await log.start()
+    clock = SystemClock()
+    store = PlatformStore(address=cfg.store_address)
+    duties = None if cfg.duty_address is None else PlatformDuties(address=cfg.duty_address)
     node = IngressNode(
         profile=cfg.profile,
-        source=_source(cfg),
+        source=_source(store, duties),
         codec=PlatformHeads(),
-        clock=SystemClock(),
+        clock=clock,
         boot_clock=BootClock(),
         rng=random.Random(),
         metrics_port=metrics_port,
     )
+    settings = SettingsReload(
+        path=path, cfg=cfg, node=node, store=store, duties=duties, clock=clock
+    )
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, path)
+    loop.add_signal_handler(signal.SIGHUP, settings.reload)
+    await settings.start()
     await node.app.start()
     eliot.log_message(
         message_type="host:started",
@@ -103,14 +111,13 @@
         eliot.log_message(message_type="host:draining", limit_s=cfg.profile.promises.stop_s)
         await node.drain()
     finally:
+        await settings.stop()
         await node.app.stop()
         eliot.log_message(message_type="host:stopped")
         await log.stop()
 
 
-def _source(cfg: PlatformSettings) -> PlatformSource:
-    store = PlatformStore(address=cfg.store_address)
-    duties = None if cfg.duty_address is None else PlatformDuties(address=cfg.duty_address)
+def _source(store: PlatformStore, duties: PlatformDuties | None) -> PlatformSource:
     return PlatformSource(
         records=store,
         log=store,
@@ -122,12 +129,3 @@
         decode_config=decode_config,
         decode_registration=decode_registration,
     )
-
-
-def _reload(path: pathlib.Path) -> None:
-    try:
-        load_settings(path)
-    except CassiawalkError as exc:
-        eliot.log_message(message_type="settings:refused", reason=exc.message)
-        return
-    eliot.log_message(message_type="settings:reloaded", path=str(path))
--- a/src/cassiawalk/platform/store.py
+++ b/src/cassiawalk/platform/store.py
@@ -39,6 +39,10 @@
     def __init__(self, *, address: str) -> None:
         self._http = HttpCaller(address=address)
 
+    def move(self, address: str) -> None:
+        """Call another address from now on."""
+        self._http.move(address)
+
     async def append(self, *, stream: str, payload: bytes) -> AppendOutcome:
         """Append one record and return whether it is in the stream."""
         body = _LENGTH.pack(len(payload)) + payload
--- a/standins/site.py
+++ b/standins/site.py
@@ -134,8 +134,7 @@
             "platform": {"address": store_address or self.store.address},
             "cloud_api": {"address": self.duties.address},
         }
-        path = self._directory / f"{name}.json"
-        path.write_bytes(orjson.dumps(settings))
+        self._settings_file(name).write_bytes(orjson.dumps(settings))
         host = Host(name, await self._run(name), f"{ip}:8001", f"{ip}:8002")
         self.hosts.append(host)
         return host
@@ -149,10 +148,22 @@
             sys.executable,
             "-m",
             "cassiawalk.platform",
-            str(self._directory / f"{name}.json"),
+            str(self._settings_file(name)),
             stdout=(self._directory / f"{name}.log").open("ab"),
         )
 
+    def settings(self, host: Host) -> dict[str, t.Any]:
+        """Return a host's settings file."""
+        found: dict[str, t.Any] = orjson.loads(self._settings_file(host.name).read_bytes())
+        return found
+
+    def write_settings(self, host: Host, settings: dict[str, t.Any]) -> None:
+        """Replace a host's settings file."""
+        self._settings_file(host.name).write_bytes(orjson.dumps(settings))
+
+    def _settings_file(self, name: str) -> pathlib.Path:
+        return self._directory / f"{name}.json"
+
     def lines(self, host: Host) -> list[dict[str, t.Any]]:
         """Return what a host has logged, over all of its processes."""
         text = (self._directory / f"{host.name}.log").read_bytes()
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -8,6 +8,7 @@
 import orjson
 import pytest
 
+from soak.link import Link
 from standins.site import ONCE
 from standins.site import SAFE
 from standins.site import STREAM
@@ -107,6 +108,27 @@
     await until(lambda: "settings:reloaded" in {line["event"] for line in platform.lines(host)})
 
 
+async def test_changed_settings_are_taken_over_without_a_restart(platform: Site) -> None:
+    moved = Link(target=platform.store.address)
+    await moved.start()
+    host = platform.hosts[0]
+    settings = platform.settings(host)
+    settings["platform"]["address"] = moved.address
+    settings["bounds"]["quota_slack"] = 5
+    settings["bounds"]["usage_window_s"] = 2
+    platform.write_settings(host, settings)
+    await until(lambda: moved.connections > 0, 6.0)
+    await platform.store.put("keyed.op", "config", site_config(7, keys=("key-7",)))
+    await until(lambda: _status(host, "key-7", 200), 2.0)
+    (line,) = [line for line in platform.lines(host) if line["event"] == "settings:reloaded"]
+    assert line["needs_restart"] == ["usage_window_s"]
+    platform.write_settings(host, {"node_name": "host-0"})
+    host.process.send_signal(signal.SIGHUP)
+    await until(lambda: "settings:refused" in {line["event"] for line in platform.lines(host)})
+    assert (await host.ask(ask("after", key="key-7"))).status == 200
+    await moved.stop()
+
+
 async def test_usage_is_reported_once_also_after_the_holder_is_killed(platform: Site) -> None:
     def windows() -> list[int]:
         calls = [call for call in platform.duties.calls if call.path == "/usage"]
