Refuse damaged records and settings with an error that names the field

Found by a fuzz test of everything that comes from outside (heads, configuration, entries, settings, records, streams of events; hypothesis, the same examples in each run): a price, a key, a port or an address of another type raised TypeError or AttributeError instead of WireError, and would have ended the follower of the configuration. Numbers that are not finite are refused too.

--- a/src/cassiawalk/platform/_fields.py
+++ b/src/cassiawalk/platform/_fields.py
@@ -1,6 +1,7 @@
 """Reads fields of decoded JSON, with an error that names the field."""
 
 import collections.abc as cabc
+import math
 import typing as t
 
 import orjson
@@ -36,7 +37,7 @@
     value = table.get(name)
     if value is None and default is not None:
         return default
-    if isinstance(value, bool) or not isinstance(value, int | float):
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
         raise WireError(f"field {name!r} is {value!r}, not a number")
     return float(value)
 
@@ -49,6 +50,21 @@
     return int(value)
 
 
+def numbers(table: Table, name: str) -> dict[str, float]:
+    """Return a field that is an object of numbers."""
+    found = table_of(table, name)
+    return {key: number(found, key) for key in found}
+
+
+def texts(table: Table, name: str) -> list[str]:
+    """Return a field that is a list of strings; none if it is missing."""
+    found = _field(table, name, list, [])
+    for value in found:
+        if not isinstance(value, str):
+            raise WireError(f"field {name!r} holds {value!r}, not a string")
+    return found
+
+
 def flag(table: Table, name: str, default: bool = False) -> bool:
     """Return a field that is true or false."""
     return _field(table, name, bool, default)
--- a/src/cassiawalk/platform/config.py
+++ b/src/cassiawalk/platform/config.py
@@ -91,21 +91,21 @@
 
 
 def _scaling(row: fields.Table) -> ScalingBounds:
-    prices = fields.table_of(row, "zone_prices")
+    prices = fields.numbers(row, "zone_prices")
     return ScalingBounds(
         least=fields.whole(row, "min"),
         most=fields.whole(row, "max"),
         boot_s=fields.number(row, "boot_time_s"),
         reclaimable_price=fields.number(row, "spot_price", 1.0),
-        domain_prices={FailureDomain(name): float(price) for name, price in prices.items()},
+        domain_prices={FailureDomain(name): price for name, price in prices.items()},
     )
 
 
 def _workspace(row: fields.Table) -> WorkspaceConfig:
-    keys = row.get("api_keys") or []
+    keys = fields.texts(row, "api_keys")
     return WorkspaceConfig(
         name=WorkspaceName(fields.text(row, "name")),
-        keys=frozenset(str(key).encode() for key in keys),
+        keys=frozenset(key.encode() for key in keys),
         rank=None if row.get("priority") is None else fields.whole(row, "priority"),
         rate_per_s=fields.number(row, "rate_per_s", 0.0),
         burst=fields.number(row, "burst", 0.0),
--- a/src/cassiawalk/platform/settings.py
+++ b/src/cassiawalk/platform/settings.py
@@ -36,11 +36,11 @@
 
 
 def _settings(table: fields.Table) -> PlatformSettings:
-    duties = table.get("cloud_api")
+    duties = fields.table_of(table, "cloud_api") if table.get("cloud_api") else None
     return PlatformSettings(
         profile=_profile(table),
         store_address=fields.text(fields.table_of(table, "platform"), "address"),
-        duty_address=None if not duties else fields.text(duties, "address"),
+        duty_address=None if duties is None else fields.text(duties, "address"),
     )
 
 
@@ -70,7 +70,8 @@
     ports = table.get("internal_port_range")
     if not isinstance(ports, list) or len(ports) != 2:
         raise WireError(f"field 'internal_port_range' is {ports!r}, not two ports")
-    return int(ports[0]), int(ports[1])
+    first, last = (fields.whole({"port": port}, "port") for port in ports)
+    return first, last
 
 
 def _promises(bounds: fields.Table) -> Promises:
--- /dev/null
+++ b/tests/test_fuzz.py
@@ -0,0 +1,199 @@
+"""Whatever comes from outside ends in a clear error or a logged line, the same in every run."""
+
+import contextlib
+import copy
+import json
+import typing as t
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from cassiawalk.clients import KeyedRecord
+from cassiawalk.errors import WireError
+from cassiawalk.http1 import HeadError
+from cassiawalk.http1.heads import check_raw_head
+from cassiawalk.ids import Offset
+from cassiawalk.ingress.events import EventSplitter
+from cassiawalk.ingress.hosts import _decode
+from cassiawalk.platform import names
+from cassiawalk.platform._fields import parse_table
+from cassiawalk.platform.codec import PlatformHeads
+from cassiawalk.platform.config import decode_config
+from cassiawalk.platform.registrations import decode_registration
+from cassiawalk.platform.settings import _settings
+from cassiawalk.platform.store import _batch
+from standins.site import site_config
+
+same_each_run = hypothesis.settings(
+    derandomize=True,
+    max_examples=300,
+    deadline=None,
+    suppress_health_check=[hypothesis.HealthCheck.too_slow],
+)
+SCALARS = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(),
+    st.floats(),
+    st.text(max_size=12),
+    st.binary(max_size=4),
+)
+VALUES = st.recursive(
+    SCALARS,
+    lambda inner: st.one_of(
+        st.lists(inner, max_size=3), st.dictionaries(st.text(max_size=6), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+ENTRY = {
+    "service": "models",
+    "address": "10.0.0.1:80",
+    "zone": "here",
+    "slots": 8,
+    "state": "ready",
+    "born": 1,
+    "leaves_ms": 2000,
+    "use_spot": True,
+}
+SETTINGS = {
+    "node_name": "host-0",
+    "ip": "10.0.0.1",
+    "zone": "here",
+    "listen": {"front": "10.0.0.1:8001", "ready": "10.0.0.1:8002"},
+    "internal_port_range": [7600, 7615],
+    "limits": {"cpu_share": 0.5, "cores": 2, "link_mbps": 10.0},
+    "bounds": {"grace_s": 6, "quota_slack": 190000},
+    "platform": {"address": "10.0.0.2:80"},
+    "cloud_api": {"address": "10.0.0.3:80"},
+}
+CONFIG = site_config(3)
+CONFIG["routes"][0]["traffic_split"] = [{"service": "models", "weight": 0.5}]
+CONFIG["services"][0]["engine"] = {"slots": 4, "kv_capacity_tokens": 100, "moves": True}
+CONFIG["services"][0]["scaling"] = {
+    "min": 1,
+    "max": 4,
+    "boot_time_s": 4.0,
+    "spot_price": 0.2,
+    "zone_prices": {"here": 1.0},
+}
+CONFIG["tenants"][0].update(priority=1, rate_per_s=5.0, burst=3, unit="tokens", plain_tokens=9)
+
+
+def _paths(value: t.Any, path: tuple[t.Any, ...] = ()) -> list[tuple[t.Any, ...]]:
+    if not isinstance(value, dict | list):
+        return [path]
+    steps = value.items() if isinstance(value, dict) else enumerate(value)
+    return [path, *(found for step, inner in steps for found in _paths(inner, (*path, step)))]
+
+
+@st.composite
+def damaged(draw: st.DrawFn, plain: t.Any) -> t.Any:
+    """Return ``plain`` with one value replaced or left out, or another value altogether."""
+    path = draw(st.sampled_from(_paths(plain)))
+    if not path:
+        return draw(VALUES)
+    found = copy.deepcopy(plain)
+    at = found
+    for step in path[:-1]:
+        at = at[step]
+    if draw(st.booleans()):
+        at[path[-1]] = draw(VALUES)
+    else:
+        del at[path[-1]]
+    return found
+
+
+def _json(value: t.Any) -> bytes:
+    return json.dumps(value, default=bytes.hex).encode("utf-8", "surrogatepass")
+
+
+@same_each_run
+@hypothesis.given(damaged(CONFIG))
+def test_damaged_configuration_is_refused_or_read(value: t.Any) -> None:
+    with contextlib.suppress(WireError):
+        decode_config(_json(value))
+
+
+@same_each_run
+@hypothesis.given(damaged(ENTRY))
+def test_damaged_entry_names_an_upstream_or_none(value: t.Any) -> None:
+    found = decode_registration("i-1", _json(value))
+    assert found is None or found.upstream_id == "i-1"
+
+
+@same_each_run
+@hypothesis.given(damaged(SETTINGS))
+def test_damaged_settings_are_refused_or_read(value: t.Any) -> None:
+    with contextlib.suppress(WireError):
+        _settings(parse_table(_json(value)))
+
+
+@same_each_run
+@hypothesis.given(st.binary(max_size=60))
+def test_bytes_that_are_no_record_are_refused(data: bytes) -> None:
+    for read in (decode_config, lambda raw: _batch(raw, Offset(0))):
+        with contextlib.suppress(WireError):
+            read(data)
+    assert decode_registration("i-1", data) is None
+    assert _decode(KeyedRecord(key="host-0", value=data or None, offset=Offset(0))) is None
+
+
+NAMES = st.sampled_from(
+    (
+        names.REQUEST_ID,
+        names.DEADLINE,
+        names.KEY,
+        names.TOKENS,
+        names.PROMPT_PARTS,
+        names.LAST_EVENT,
+        names.LOAD,
+        b"host",
+    )
+)
+VALUE = st.one_of(
+    st.binary(max_size=20),
+    st.sampled_from((b"1e400", b"nan", b"-1", b"1,2", b"5c:800,91:410", b"5c:", b":3", b"\xb2,1")),
+)
+
+
+@same_each_run
+@hypothesis.given(st.lists(st.tuples(NAMES, VALUE), max_size=8))
+def test_heads_are_refused_or_read(headers: list[tuple[bytes, bytes]]) -> None:
+    codec = PlatformHeads()
+    codec.facts(200, headers)
+    try:
+        demand = codec.read(headers)
+    except HeadError as exc:
+        assert exc.status == 400
+        return
+    assert demand.request_id
+    assert demand.deadline_s is None or 0 <= demand.deadline_s < 1e6
+
+
+@same_each_run
+@hypothesis.given(st.binary(max_size=80))
+def test_raw_heads_are_refused_or_let_through(head: bytes) -> None:
+    try:
+        check_raw_head(head)
+    except HeadError as exc:
+        assert exc.status == 400
+        return
+    assert b"\n" not in head.replace(b"\r\n", b"")
+
+
+@same_each_run
+@hypothesis.given(st.lists(st.sampled_from((b"id: 1\n", b"data: x\n", b"\n", b"\r\n", b"i"))))
+def test_events_come_out_whole_however_they_are_cut(pieces: list[bytes]) -> None:
+    splitter, whole = EventSplitter(), b""
+    for piece in pieces:
+        whole += splitter.feed(piece)
+    assert whole + splitter.take_rest() == b"".join(pieces)
+    assert not whole or whole.endswith((b"\n\n", b"\r\n\r\n"))
+
+
+def test_sound_examples_are_read() -> None:
+    """Otherwise the damaged ones would show nothing."""
+    assert decode_config(_json(CONFIG)).workspaces[0].by_tokens
+    assert decode_registration("i-1", _json(ENTRY)) is not None
+    assert _settings(SETTINGS).profile.strength == pytest.approx(10.0)
