Compile the sources at build, so that no start has to

A clean clone has no compiled files, and a copy's dates invalidate them; hosts can't write. Kept for clean machines.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -9,3 +9,6 @@
 fi
 rm -rf target/deps/cassiawalk
 cp -R src/cassiawalk target/deps/cassiawalk
+# Hosts start again and again, and can't write what they compile.
+find target/deps/cassiawalk -name __pycache__ -prune -exec rm -rf {} +
+python3 -m compileall -q --invalidation-mode unchecked-hash target/deps/cassiawalk
