Count no drained upstream when ejections are limited

Of two upstreams one may be ejected, and the drained one was counted.

Change: drained upstreams do not count, and ejections are looked at again when a drain begins or ends. Test red first in both orders.

--- a/src/cassiawalk/routing/table.py
+++ b/src/cassiawalk/routing/table.py
@@ -77,6 +77,7 @@
         self._drained = names
         for view in self._views.values():
             view.drained = view.upstream_id in names
+        self._limit_ejections()
         self.notify()
 
     def notify(self) -> None:
@@ -124,9 +125,13 @@
         self.notify()
 
     def _limit_ejections(self) -> None:
-        """Eject the latest failures, but never more than a share of a pool."""
+        """Eject the latest failures, but never more than a share of what may take work."""
         for pool in {view.pool for view in self._views.values()}:
-            present = [v for v in self.in_pool(pool) if v.state is not UpstreamState.LEAVING]
+            present = [
+                view
+                for view in self.in_pool(pool)
+                if view.state is not UpstreamState.LEAVING and not view.drained
+            ]
             suspect = [v for v in present if v.state is UpstreamState.SUSPECT]
             suspect.sort(key=lambda v: v.failed_at or 0.0, reverse=True)
             allowed = min(max(1, math.floor(len(present) * EJECTED_SHARE)), len(present) - 1)
--- a/tests/test_upstream_deaths.py
+++ b/tests/test_upstream_deaths.py
@@ -133,6 +133,18 @@
     assert sum(view.takes_work for view in harness.table.all()) == usable
 
 
+@pytest.mark.parametrize("drained_first", [True, False])
+async def test_suspect_takes_work_while_operators_have_drained_the_others(
+    drained_first: bool,
+) -> None:
+    harness = Harness(upstreams=("a", "b"), rng=random.Random(1))
+    if drained_first:
+        harness.table.set_drained(frozenset(("a",)))
+    harness.view("b").fire("note_failure")
+    harness.table.set_drained(frozenset(("a",)))
+    assert [view.upstream_id for view in harness.table.all() if view.takes_work] == ["b"]
+
+
 async def test_id_that_comes_back_with_a_new_address_is_a_new_upstream() -> None:
     harness = Harness(upstreams=("a",), rng=random.Random(1))
     old = harness.view("a")
