Wait in the tests' fleet until all hosts know all upstreams

Cause: test_drains.py drained plain-0 before host-0 had read the host list with plain-1, which is started after host-0; the list is read each second.

Change: the fixture waits until each host has all four upstreams serving; no check is changed.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -258,6 +258,17 @@
                 while not (await self.get(url))["ready"]:
                     await asyncio.sleep(0.02)
 
+    async def wait_upstreams(self, count: int) -> None:
+        """Wait until each host knows ``count`` upstreams that serve."""
+        async with asyncio.timeout(START_TIMEOUT_S):
+            for name in self.hosts:
+                while True:
+                    _, answer = await self.statement(name, "show upstreams")
+                    rows = [row for row in answer["rows"] if row["state"] == "serving"]
+                    if len(rows) >= count:
+                        break
+                    await asyncio.sleep(0.05)
+
     async def wait_revision(self, revision: int, *names: str) -> None:
         """Return once the hosts have a configuration revision in force."""
         async with asyncio.timeout(START_TIMEOUT_S):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,8 @@
 from standins.fleet import Fleet
 from tests.support import SMALL_CONFIG
 
+UPSTREAMS = 4
+
 hypothesis.settings.register_profile("ci", derandomize=True, deadline=None, database=None)
 hypothesis.settings.load_profile("ci")
 
@@ -28,4 +30,5 @@
             status, answer = await running.statement("host-0", statement)
             assert status == 200, answer
         await running.wait_revision(len(SMALL_CONFIG))
+        await running.wait_upstreams(UPSTREAMS)
         yield running
