Tell the expected time of the first token apart from the cost of a placement

Since missing parts weigh three times, expected_first_s in the log was a cost. The placements are compared as before; the unreachable branch after the loop is gone, and the factor of ten has a name.

--- a/src/cassiawalk/ingress/placing.py
+++ b/src/cassiawalk/ingress/placing.py
@@ -19,6 +19,7 @@
 READ_TOKENS_PER_S = 50_000.0
 MISSING_WEIGHT = 3.0  # a part read anew also delays those behind, and takes the place of others
 SLOWER_PER_REQUEST_S = 0.002  # what each running request adds to another's first token
+QUEUED_REQUEST_S = 0.02  # what each request over an upstream's slots adds
 FAR_S = 0.002
 PAUSED_S = 5.0
 LEAD_SHARE = 1.5  # requests at an upstream, as a share of its slots, before it counts as full
@@ -28,10 +29,13 @@
 class Placement:
     """A chosen upstream with the inputs that decided it.
 
-    :param holder: another one that it may fetch the prompt's shared parts from.
+    :param cost: what the placements were compared by, in seconds.
+    :param first_s: when the first token is expected.
+    :param holder: another upstream that it may fetch the prompt's shared parts from.
     """
 
     upstream: Upstream
+    cost: float
     first_s: float
     unread_tokens: int
     candidates: int
@@ -64,13 +68,8 @@
         if not usable:
             return None
         homes = home_order(job.demand.shared_parts, usable)
-        best: Placement | None = None
-        for upstream in usable:
-            found = self._estimate(upstream, job, homes, len(usable))
-            if best is None or found.first_s < best.first_s:
-                best = found
-        if best is None:
-            return None
+        found = [self._estimate(upstream, job, homes, len(usable)) for upstream in usable]
+        best = min(found, key=lambda placement: placement.cost)
         return dataclasses.replace(best, holder=self._holder(job, best.upstream))
 
     def _holder(self, job: Job, chosen: Upstream) -> Upstream | None:
@@ -96,14 +95,18 @@
         missing = 0 if upstream.upstream_id in homes[:1] else load.missing_tokens(shared)
         unread = job.prompt_unread + missing
         waiting = load.own_unread + load.others_unread
-        read = job.prompt_unread + MISSING_WEIGHT * missing + waiting
-        cost = read / READ_TOKENS_PER_S + load.total * SLOWER_PER_REQUEST_S
+        first_s = (unread + waiting) / READ_TOKENS_PER_S + load.total * SLOWER_PER_REQUEST_S
         if load.total >= upstream.slots:
-            cost += (load.total - upstream.slots + 1) * SLOWER_PER_REQUEST_S * 10
+            first_s += (load.total - upstream.slots + 1) * QUEUED_REQUEST_S
         if upstream.registration.failure_domain != self._failure_domain:
-            cost += FAR_S
+            first_s += FAR_S
+        cost = first_s + (MISSING_WEIGHT - 1) * missing / READ_TOKENS_PER_S
         if upstream.health.paused:
             cost += PAUSED_S
         return Placement(
-            upstream=upstream, first_s=cost, unread_tokens=unread, candidates=candidates
+            upstream=upstream,
+            cost=cost,
+            first_s=first_s,
+            unread_tokens=unread,
+            candidates=candidates,
         )
