--- a/src/cassiawalk/ingress/node.py
+++ b/src/cassiawalk/ingress/node.py
@@ -21,7 +21,6 @@
 from cassiawalk.http1 import HttpListener
 from cassiawalk.ids import HostId
 from cassiawalk.ids import ServiceName
-from cassiawalk.ids import WorkspaceName
 from cassiawalk.ids import new_uuid7
 from cassiawalk.ingress.beat import HostBeat
 from cassiawalk.ingress.beats import BeatExchange
@@ -36,6 +35,7 @@
 from cassiawalk.ingress.follow import DirectoryFollower
 from cassiawalk.ingress.follow import Reading
 from cassiawalk.ingress.forwarder import Forwarder
+from cassiawalk.ingress.hearing import Hearing
 from cassiawalk.ingress.hosts import RecordedHosts
 from cassiawalk.ingress.hosts import entry_of
 from cassiawalk.ingress.intake import Intake
@@ -112,7 +112,6 @@
         self._rng = rng
         self._incarnation = new_uuid7()
         self._draining = False
-        self._rest_teller = ""
         self.config = ConfigView()
         self.directory = Directory(clock=clock)
         self.time = TrueTime(clock=boot_clock)
@@ -182,7 +181,6 @@
             clock=self._clock,
             rng=self._rng,
         )
-        self.beats.add_listener(self._take_beat)
         self.peer_server = PeerServer(sock=listen(profile.peer_address), secret=NO_SECRET)
         self.peer_server.handle(HostBeat, self.beats.handle)
 
@@ -197,6 +195,14 @@
             window_s=promises.repeat_window_s,
             hosts=lambda: self.beats.hosts,
         )
+        hearing = Hearing(
+            beats=self.beats,
+            time=self.time,
+            usage=self.usage,
+            quotas=self.quotas,
+            directory=self.directory,
+        )
+        self.beats.add_listener(hearing.take)
         intake = Intake(
             config=self.config,
             codec=self._codec,
@@ -359,37 +365,6 @@
             if found.load.own
         )
 
-    def _take_beat(self, beat: HostBeat) -> None:
-        self.time.note_peer(beat.host, beat.now_s)
-        self.usage.note_other(beat.host, beat.incarnation, beat.usage)
-        if self.beats.meshed or (self.beats.is_hub and (beat.first or beat.counted is not None)):
-            self.quotas.note_drawn(beat.process, beat.drawn)
-            self._note_use(beat.host, beat.use)
-        if self.beats.meshed:
-            return
-        if self.beats.is_hub and beat.counted is not None:
-            self.quotas.note_drawn(f"{beat.process}/counted", beat.counted.drawn)
-            self._note_use(HostId(f"{beat.host}/counted"), beat.counted.use)
-        hub = None if self.beats.is_hub else self.beats.first_hub()
-        if beat.rest is not None and hub is not None and hub.host == beat.host:
-            self._note_rest(f"{beat.process}/rest", beat.rest.drawn)
-            self._note_use(HostId("rest"), beat.rest.use)
-
-    def _note_rest(self, teller: str, drawn: dict[WorkspaceName, float]) -> None:
-        """Take a hub's word of all other hosts, which replaces that of the hub before."""
-        if teller != self._rest_teller:
-            self.quotas.forget(self._rest_teller)
-            self._rest_teller = teller
-        self.quotas.note_drawn(teller, drawn)
-
-    def _note_use(self, host: HostId, uses: tuple[UpstreamUse, ...]) -> None:
-        used = {use.upstream_id: use for use in uses}
-        for upstream in self.directory.everything():
-            use = used.get(upstream.upstream_id)
-            requests = 0 if use is None else use.requests
-            unread = 0 if use is None else use.unread_tokens
-            upstream.load.note_peer(host, requests, unread)
-
     def _components(self) -> list[Component]:
         self._callers = HttpListener(
             sock=listen(self._profile.caller_address),
