--- a/benchmarks/prompt_load.py
+++ b/benchmarks/prompt_load.py
@@ -17,8 +17,10 @@
 import typing as t
 
 from benchmarks.batch_engine import BatchEngine
-from benchmarks.batch_engine import EngineModel
 from benchmarks.batch_engine import EngineRun
+from benchmarks.prompt_kinds import Change
+from benchmarks.prompt_kinds import Kind
+from benchmarks.prompt_kinds import Load
 from cassiawalk.clock import Clock
 from cassiawalk.ids import FailureDomain
 from cassiawalk.ids import HostId
@@ -44,77 +46,6 @@
 START_S = 1000.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Kind:
-    """One kind of request; ``things`` is how many prompts share a part each."""
-
-    name: str
-    per_s: float
-    shared: int
-    own: int
-    things: int
-    output: int
-    aim_s: float
-    urgency: int
-
-
-# The grown deployment of the chain-of-custody fleet, from its sheet and as it is played.
-KINDS = (
-    Kind(
-        name="review",
-        per_s=30,
-        shared=13_300,
-        own=3720,
-        things=529,
-        output=120,
-        aim_s=1.06,
-        urgency=1,
-    ),
-    Kind(
-        name="trace",
-        per_s=23,
-        shared=6300,
-        own=2890,
-        things=576,
-        output=52,
-        aim_s=0.845,
-        urgency=0,
-    ),
-    Kind(
-        name="question",
-        per_s=32,
-        shared=350,
-        own=1110,
-        things=361,
-        output=172,
-        aim_s=0.626,
-        urgency=2,
-    ),
-)
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Change:
-    """Engines that come, or are taken back after a notice, at a time in seconds."""
-
-    at_s: float
-    count: int
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Load:
-    """What is played."""
-
-    hosts: int = 89
-    engines: int = 30
-    seconds: float = 30.0
-    kinds: tuple[Kind, ...] = KINDS
-    changes: tuple[Change, ...] = ()
-    fetches: bool = True
-    model: EngineModel = EngineModel()
-    seed: int = 1
-
-
 @dataclasses.dataclass(kw_only=True)
 class Outcome:
     """What callers got; times from the caller's request, in seconds."""
--- a/src/cassiawalk/ingress/beats.py
+++ b/src/cassiawalk/ingress/beats.py
@@ -292,7 +292,7 @@
         else:
             hubs = hubs[:HUBS_HEARD]
             partners = [(host, index == 0) for index, host in enumerate(hubs)]
-        duty = self._duty()
+        duty = self._compose().duty
         if duty is not None and duty not in (self._host, *hubs) and self._is_due(duty):
             partners.append((duty, False))
         return partners
@@ -366,9 +366,6 @@
         if missed or self._lacks_entries():
             await self._membership.refresh()
 
-    def _duty(self) -> HostId | None:
-        return self._compose().duty
-
     def _is_missed(self) -> bool:
         if not self.is_hub:
             return self.first_hub() is None
@@ -381,7 +378,11 @@
         """
         known = {*self._others(), self._host}
         told = max((self.peers[host].beat.hosts for host in self.heard), default=0)
-        if self._heard_of() <= known and told <= len(known) and self._duty() in (None, *known):
+        if (
+            self._heard_of() <= known
+            and told <= len(known)
+            and self._compose().duty in (None, *known)
+        ):
             self._look_pause_s = 0.0
             return False
         now = self._clock.monotonic()
--- a/src/cassiawalk/ingress/node.py
+++ b/src/cassiawalk/ingress/node.py
@@ -43,7 +43,6 @@
 from cassiawalk.ingress.profile import HostProfile
 from cassiawalk.ingress.profile import Promises
 from cassiawalk.ingress.quotas import Quotas
-from cassiawalk.ingress.quotas import QuotaTolerance
 from cassiawalk.ingress.report import IngressReport
 from cassiawalk.ingress.scaling import ScalingView
 from cassiawalk.ingress.source import PlatformSource
@@ -151,7 +150,7 @@
         taken = {name: getattr(promises, name) for name in changed if name in Promises.REPLACEABLE}
         promises = dataclasses.replace(current, **taken)
         self._profile = dataclasses.replace(self._profile, promises=promises)
-        self.quotas.allow(_tolerance(promises))
+        self.quotas.allow(promises.quota_tolerance)
         self.budgets.allow(ratio=promises.repeat_ratio, extra=promises.repeat_extra)
         return [name for name in changed if name not in taken]
 
@@ -186,8 +185,11 @@
 
     def _build_requests(self) -> None:
         promises = self._profile.promises
-        tolerance = _tolerance(promises)
-        self.quotas = Quotas(clock=self._clock, share=lambda: self.beats.share, tolerance=tolerance)
+        self.quotas = Quotas(
+            clock=self._clock,
+            share=lambda: self.beats.share,
+            tolerance=promises.quota_tolerance,
+        )
         self.budgets = RepeatBudgets(
             clock=self._clock,
             ratio=promises.repeat_ratio,
@@ -393,11 +395,3 @@
             self.forwarder,
             self._callers,
         ]
-
-
-def _tolerance(promises: Promises) -> QuotaTolerance:
-    return QuotaTolerance(
-        window_s=promises.quota_window_s,
-        ratio=promises.quota_ratio,
-        amount=promises.quota_amount,
-    )
--- a/src/cassiawalk/ingress/profile.py
+++ b/src/cassiawalk/ingress/profile.py
@@ -5,6 +5,7 @@
 
 from cassiawalk.ids import FailureDomain
 from cassiawalk.ids import HostId
+from cassiawalk.ingress.quotas import QuotaTolerance
 from cassiawalk.settings import Address
 
 
@@ -36,6 +37,13 @@
     quota_ratio: float = 0.0
     quota_amount: float = 0.0
 
+    @property
+    def quota_tolerance(self) -> QuotaTolerance:
+        """Return what is allowed beyond the quotas."""
+        return QuotaTolerance(
+            window_s=self.quota_window_s, ratio=self.quota_ratio, amount=self.quota_amount
+        )
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class HostProfile:
--- a/tests/test_prompt_load.py
+++ b/tests/test_prompt_load.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from benchmarks.prompt_load import KINDS
+from benchmarks.prompt_kinds import KINDS
+from benchmarks.prompt_kinds import Change
+from benchmarks.prompt_kinds import Kind
+from benchmarks.prompt_kinds import Load
 from benchmarks.prompt_load import WAVES
-from benchmarks.prompt_load import Change
-from benchmarks.prompt_load import Kind
-from benchmarks.prompt_load import Load
 from benchmarks.prompt_load import Outcome
 from benchmarks.prompt_load import Player
 from benchmarks.prompt_load import figures
