Log a fingerprint with each attempt whose answer was lost

Logs could not tell whether one request came again or many requests were lost: each repeat has an id of its own. The digest of host name, target, caller and body is the same for all repeats. It is computed only for attempts whose answer was lost.

--- a/soak/record.py
+++ b/soak/record.py
@@ -8,9 +8,9 @@
 import orjson
 
 from standins.platform import DutyCall
-from standins.platform import PlatformUpstream
 from standins.platform_fleet import ONCE
 from standins.platform_fleet import STREAM
+from standins.platform_upstream import PlatformUpstream
 from standins.raw_caller import Answer
 
 NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,7 +14,6 @@
 from soak.plan import PlannedFault
 from soak.plan import plan_faults
 from soak.record import RunRecord
-from standins.platform import PlatformUpstream
 from standins.platform_fleet import ONCE
 from standins.platform_fleet import SAFE
 from standins.platform_fleet import STREAM
@@ -23,6 +22,7 @@
 from standins.platform_fleet import build_request
 from standins.platform_fleet import platform_config
 from standins.platform_fleet import wait_until
+from standins.platform_upstream import PlatformUpstream
 
 STOP_TIMEOUT_S = 8.0
 RESTART_DELAY_S = 0.3
--- a/src/cassiawalk/http1/server.py
+++ b/src/cassiawalk/http1/server.py
@@ -201,6 +201,11 @@
             self._stage = _Stage.CLOSED
             self._transport.abort()
 
+    def abort(self) -> None:
+        """Reset the connection, whatever is under way on it."""
+        self._stage = _Stage.CLOSED
+        self._transport.abort()
+
     def close_idle(self) -> None:
         """Close the connection if no request is under way on it."""
         if self._stage is _Stage.IDLE:
--- a/src/cassiawalk/ingress/job.py
+++ b/src/cassiawalk/ingress/job.py
@@ -1,9 +1,12 @@
 """The state of one admitted request."""
 
 import dataclasses
+import functools
 
+from cassiawalk.fingerprint import fingerprint
 from cassiawalk.http1 import Exchange
 from cassiawalk.http1 import Headers
+from cassiawalk.ids import Fingerprint
 from cassiawalk.ids import RequestId
 from cassiawalk.ids import Revision
 from cassiawalk.ids import ServiceName
@@ -60,6 +63,13 @@
         """Return the request id that the caller chose."""
         return self.demand.request_id
 
+    @functools.cached_property
+    def fingerprint(self) -> Fingerprint:
+        """Return the digest of host name, target, caller and body, which repeats share."""
+        exchange = self.exchange
+        caller = b"" if self.workspace_name is None else self.workspace_name.encode()
+        return fingerprint((self.route.host, exchange.target, caller, exchange.body))
+
     @property
     def workspace_name(self) -> WorkspaceName | None:
         """Return the name of the caller's workspace."""
--- a/src/cassiawalk/ingress/report.py
+++ b/src/cassiawalk/ingress/report.py
@@ -17,6 +17,9 @@
 
 LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.4, 2.5, 5.0, 10.0, 60.0]
 
+# Ends of attempts after which the upstream may have died.
+LOST_ANSWER_ENDS = frozenset(("broken", "broken-midway"))
+
 StartListener = cabc.Callable[[WorkspaceName], None]
 
 
@@ -68,6 +71,7 @@
             request_id=job.request_id,
             route=job.route.name,
             revision=job.revision,
+            fingerprint=job.fingerprint if end in LOST_ANSWER_ENDS else None,
             upstream=placement.upstream.upstream_id,
             expected_first_s=round(placement.first_s, 4),
             first_s=None if first_s is None else round(first_s, 4),
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,10 +1,9 @@
-"""Stand-ins for the platform: its store, the service that duties call, and upstreams."""
+"""Stand-ins for the platform: its store and the service that duties call."""
 
 import asyncio
 import base64
 import collections
 import dataclasses
-import itertools
 import struct
 import typing as t
 import urllib.parse
@@ -43,6 +42,17 @@
         for conn in list(self._listener.connections):
             conn.close_idle()
 
+    async def restart(self, *, down_s: float) -> None:
+        """Reset all connections, and listen again at the same address after ``down_s`` s."""
+        for conn in list(self._listener.connections):
+            conn.abort()
+        await self._listener.stop()
+        await asyncio.sleep(down_s)
+        ip, _, port = self.address.rpartition(":")
+        sock = listen(Address(ip=ip, port=int(port)))
+        self._listener = HttpListener(sock=sock, handler=self)
+        await self._listener.start()
+
 
 class PlatformStore(StandIn):
     """Topics of records, with one partition each.
@@ -166,74 +176,3 @@
             )
         )
         exchange.answer(200, JSON, b"{}")
-
-
-class PlatformUpstream(StandIn):
-    """An upstream that registers itself, echoes bodies and streams numbered events.
-
-    ``executed_ids`` and ``workspaces`` list the ids and workspaces of the requests that it ran.
-
-    :param events: the number of events in a stream.
-    :param event_s: the time between two events, in seconds.
-    """
-
-    _numbers = itertools.count(1)
-
-    def __init__(
-        self,
-        *,
-        store: PlatformStore,
-        service: str,
-        zone: str = "here",
-        events: int = 5,
-        event_s: float = 0.02,
-    ) -> None:
-        super().__init__()
-        self._store = store
-        self._service = service
-        self._zone = zone
-        self._events = events
-        self._event_s = event_s
-        self.upstream_id = f"i-{next(self._numbers)}"
-        self.public_address = self.address  # the address that hosts connect to
-        self.executed_ids: list[str] = []
-        self.workspaces: list[str] = []
-
-    async def register(self, state: str = "ready") -> None:
-        """Write the upstream's entry to the store."""
-        entry = {
-            "service": self._service,
-            "address": self.public_address,
-            "zone": self._zone,
-            "slots": 8,
-            "state": state,
-            "born": 1,
-        }
-        await self._store.put("keyed.servers", self.upstream_id, entry)
-
-    async def deregister(self) -> None:
-        """Delete the upstream's entry from the store."""
-        await self._store.put("keyed.servers", self.upstream_id, None)
-
-    async def handle(self, exchange: Exchange) -> None:
-        """Run one request; 421 if it is meant for another upstream."""
-        request_id = header_value(exchange.headers, b"x-request-id") or b""
-        echoed = (b"X-Request-Id", request_id)
-        if header_value(exchange.headers, b"x-expect-instance") != self.upstream_id.encode():
-            exchange.answer(421, [echoed], b"")
-            return
-        self.executed_ids.append(request_id.decode())
-        self.workspaces.append((header_value(exchange.headers, b"x-tenant") or b"").decode())
-        headers = [
-            echoed,
-            (b"X-Response-Seal", f"{self.upstream_id}.{request_id.decode()}".encode()),
-        ]
-        if b"/stream/" not in exchange.target:
-            exchange.answer(200, headers, exchange.body)
-            return
-        exchange.send_head(200, [*headers, (b"Content-Type", b"text/event-stream")])
-        first = int(header_value(exchange.headers, b"last-event-id") or b"0") + 1
-        for number in range(first, self._events + 1):
-            exchange.send_data(b"id: %d\ndata: piece %d\n\n" % (number, number))
-            await asyncio.sleep(self._event_s)
-        exchange.finish()
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -12,7 +12,7 @@
 
 from standins.platform import DutyService
 from standins.platform import PlatformStore
-from standins.platform import PlatformUpstream
+from standins.platform_upstream import PlatformUpstream
 from standins.raw_caller import Answer
 from standins.raw_caller import Caller
 
--- /dev/null
+++ b/standins/platform_upstream.py
@@ -0,0 +1,126 @@
+"""Stand-in for an upstream on the users' platform."""
+
+import asyncio
+import dataclasses
+import itertools
+import time
+
+from cassiawalk.http1 import Exchange
+from cassiawalk.http1.heads import header_value
+from standins.platform import PlatformStore
+from standins.platform import StandIn
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class UpstreamRun:
+    """A request that an upstream began to run, and when, in monotonic seconds."""
+
+    request_id: str
+    body: bytes
+    at: float
+
+
+class PlatformUpstream(StandIn):
+    """An upstream that registers itself, echoes bodies and streams numbered events.
+
+    ``executed_ids`` and ``workspaces`` list the ids and workspaces of the requests that it ran.
+    ``runs`` lists them with their bodies and times, and ``crashed_at`` when it crashed, in
+    monotonic seconds.
+
+    :param events: the number of events in a stream.
+    :param event_s: the time between two events, in seconds.
+    :param crash_on: a request whose body contains this crashes it; None for no request.
+    :param down_s: how long it is down after a crash; it comes back with a new id.
+    """
+
+    _numbers = itertools.count(1)
+
+    def __init__(
+        self,
+        *,
+        store: PlatformStore,
+        service: str,
+        zone: str = "here",
+        events: int = 5,
+        event_s: float = 0.02,
+        crash_on: bytes | None = None,
+        down_s: float = 1.5,
+    ) -> None:
+        super().__init__()
+        self._store = store
+        self._service = service
+        self._zone = zone
+        self._events = events
+        self._event_s = event_s
+        self._crash_on = crash_on
+        self._down_s = down_s
+        self._crash: asyncio.Task[None] | None = None
+        self.upstream_id = f"i-{next(self._numbers)}"
+        self.public_address = self.address  # the address that hosts connect to
+        self.executed_ids: list[str] = []
+        self.workspaces: list[str] = []
+        self.runs: list[UpstreamRun] = []
+        self.crashed_at: list[float] = []
+
+    async def stop(self) -> None:
+        """Stop for good, also during a crash."""
+        if self._crash is not None:
+            self._crash.cancel()
+        await super().stop()
+
+    async def register(self, state: str = "ready") -> None:
+        """Write the upstream's entry to the store."""
+        entry = {
+            "service": self._service,
+            "address": self.public_address,
+            "zone": self._zone,
+            "slots": 8,
+            "state": state,
+            "born": 1,
+        }
+        await self._store.put("keyed.servers", self.upstream_id, entry)
+
+    async def deregister(self) -> None:
+        """Delete the upstream's entry from the store."""
+        await self._store.put("keyed.servers", self.upstream_id, None)
+
+    def crash(self) -> None:
+        """Reset all connections; come back under a new id after ``down_s`` s."""
+        if self._crash is None or self._crash.done():
+            self.crashed_at.append(time.monotonic())
+            self._crash = asyncio.create_task(self._come_back())
+
+    async def _come_back(self) -> None:
+        former_id = self.upstream_id
+        await self.restart(down_s=self._down_s)
+        self.upstream_id = f"i-{next(self._numbers)}"
+        await self.register()
+        await self._store.put("keyed.servers", former_id, None)
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Run one request; 421 if it is meant for another upstream."""
+        request_id = header_value(exchange.headers, b"x-request-id") or b""
+        echoed = (b"X-Request-Id", request_id)
+        if header_value(exchange.headers, b"x-expect-instance") != self.upstream_id.encode():
+            exchange.answer(421, [echoed], b"")
+            return
+        self.executed_ids.append(request_id.decode())
+        run = UpstreamRun(request_id=request_id.decode(), body=exchange.body, at=time.monotonic())
+        self.runs.append(run)
+        self.workspaces.append((header_value(exchange.headers, b"x-tenant") or b"").decode())
+        if self._crash_on is not None and self._crash_on in exchange.body:
+            self.crash()
+            return
+        headers = [
+            echoed,
+            (b"X-Response-Seal", f"{self.upstream_id}.{request_id.decode()}".encode()),
+        ]
+        if b"/stream/" not in exchange.target:
+            exchange.answer(200, headers, exchange.body)
+            return
+        exchange.send_head(200, [*headers, (b"Content-Type", b"text/event-stream")])
+        first = int(header_value(exchange.headers, b"last-event-id") or b"0") + 1
+        for number in range(first, self._events + 1):
+            exchange.send_data(b"id: %d\ndata: piece %d\n\n" % (number, number))
+            await asyncio.sleep(self._event_s)
+        exchange.finish()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,9 +12,9 @@
 from soak.run import SoakRun
 from standins.platform import DutyCall
 from standins.platform import PlatformStore
-from standins.platform import PlatformUpstream
 from standins.platform_fleet import ONCE
 from standins.platform_fleet import SAFE
+from standins.platform_upstream import PlatformUpstream
 from standins.raw_caller import Answer
 
 SHORT_RUN = RunSize(hosts=3, upstreams=2, callers=4, seconds=5.0)
