Keep each death of a suspect request as a fact of its own

Cause: the deaths attributed to a request were one note that a later one replaced. Two hosts that added a death at the same time lost one of them. A note that clears a request could also lose against an older death of a host whose clock is ahead; a note is now always later than the one that it replaces.

Whether a failure of the domain explains a death is decided from the facts when it is asked, for each request by itself. Before, the second death of a request in one domain withdrew its first one if the host that judged had not run it. Quarantines are the last notes to be dropped from a full store. The guard knows requests and upstreams by small protocols, so that a second entry can use it; the quarantines of the control log moved to control/.

--- a/benchmarks/guards.py
+++ b/benchmarks/guards.py
@@ -5,8 +5,8 @@
 from benchmarks.fakes import FakeCloud
 from cassiawalk.clock import Clock
 from cassiawalk.crashes.guard import CrashGuard
-from cassiawalk.crashes.guard import QuarantinePublisher
 from cassiawalk.crashes.leases import IsolationLeases
+from cassiawalk.crashes.quarantine import QuarantinePublisher
 from cassiawalk.ids import Fingerprint
 from cassiawalk.ids import HostId
 from cassiawalk.membership import Membership
@@ -51,11 +51,15 @@
         clock=clock,
     )
     isolation_leases = IsolationLeases(host=host, membership=membership, links=links, clock=clock)
-    return CrashGuard(
-        table=table,
-        feed=feed,
+    guard = CrashGuard(
+        host=host,
         note_store=note_store,
+        sharing=feed,
+        upstreams=table.all,
+        on_released=table.notify,
         isolation_leases=isolation_leases,
         quarantines=MemoryQuarantines(),
         clock=clock,
     )
+    table.add_leaving_listener(guard.note_leaving)
+    return guard
--- a/src/cassiawalk/crashes/__init__.py
+++ b/src/cassiawalk/crashes/__init__.py
@@ -2,10 +2,10 @@
 
 from cassiawalk.crashes.deaths import Death as Death
 from cassiawalk.crashes.deaths import DeathLog as DeathLog
-from cassiawalk.crashes.fingerprint import fingerprint_of as fingerprint_of
+from cassiawalk.crashes.evidence import Evidence as Evidence
 from cassiawalk.crashes.guard import CrashGuard as CrashGuard
-from cassiawalk.crashes.guard import QuarantinePublisher as QuarantinePublisher
 from cassiawalk.crashes.isolation import IsolatedRun as IsolatedRun
 from cassiawalk.crashes.leases import IsolationLeaseCall as IsolationLeaseCall
 from cassiawalk.crashes.leases import IsolationLeases as IsolationLeases
-from cassiawalk.crashes.quarantine import ControlQuarantines as ControlQuarantines
+from cassiawalk.crashes.quarantine import QuarantinePublisher as QuarantinePublisher
+from cassiawalk.crashes.quarantine import SharedNotesOnly as SharedNotesOnly
--- a/src/cassiawalk/crashes/guard.py
+++ b/src/cassiawalk/crashes/guard.py
@@ -1,10 +1,9 @@
 """Decides which requests are suspect, run in isolation, or are quarantined."""
 
-import abc
 import asyncio
 import collections.abc as cabc
 import contextlib
-import weakref
+import dataclasses
 
 import eliot
 
@@ -12,101 +11,84 @@
 from cassiawalk.clock import Clock
 from cassiawalk.crashes.deaths import Death
 from cassiawalk.crashes.deaths import DeathLog
-from cassiawalk.crashes.fingerprint import fingerprint_of
+from cassiawalk.crashes.evidence import Evidence
+from cassiawalk.crashes.evidence import RecordedDeath
 from cassiawalk.crashes.isolation import IsolatedRun
 from cassiawalk.crashes.isolation import IsolatedRuns
 from cassiawalk.crashes.leases import IsolationLeases
 from cassiawalk.crashes.notes import QUARANTINE_S
 from cassiawalk.crashes.notes import CrashNotes
+from cassiawalk.crashes.quarantine import QuarantinePublisher
+from cassiawalk.crashes.subjects import GuardedRequest
+from cassiawalk.crashes.subjects import GuardedUpstream
 from cassiawalk.ids import Fingerprint
+from cassiawalk.ids import HostId
 from cassiawalk.ids import RequestId
-from cassiawalk.ids import UpstreamId
-from cassiawalk.peer import MembershipFeed
 from cassiawalk.peer import Note
+from cassiawalk.peer import NoteSharing
 from cassiawalk.peer import NoteStore
 from cassiawalk.peer import NoteTopic
-from cassiawalk.requests import RequestRecord
 from cassiawalk.results import Execution
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
-from cassiawalk.routing import UpstreamState
-from cassiawalk.routing import UpstreamTable
-from cassiawalk.routing import UpstreamView
 
 DEATH_CONFIRM_TIMEOUT_S = 0.3
 SETTLE_DELAY_S = 0.2
 QUARANTINE_DELAY_S = 1.0
-SUSPICION_S = 600.0
 LEASE_RETRY_S = 0.25
-
-
-class QuarantinePublisher(abc.ABC):
-    """Writes quarantines to the configuration and reads them from it."""
-
-    @abc.abstractmethod
-    async def publish(self, fingerprint: Fingerprint, *, until_s: float, reason: str) -> None:
-        """Record a quarantine; return once it is recorded or has expired.
-
-        :param until_s: the quarantine's end in wall-clock seconds.
-        :param reason: text shown to operators.
-        """
-
-    @abc.abstractmethod
-    def until_s(self, fingerprint: Fingerprint) -> float | None:
-        """Return a quarantine's end in wall-clock seconds, or None if none was ever recorded.
-
-        The end is 0 for a quarantine that an operator removed.
-        """
-
-    @abc.abstractmethod
-    def is_empty(self) -> bool:
-        """Return whether the configuration has no quarantine."""
+LOST_RETENTION_S = 8.0  # longer than it takes until the entry of a dead upstream is removed
+# With this many other deaths in a domain within seconds, requests are not blamed at all.
+CERTAIN_DOMAIN_DEATHS = 3
 
 
 class CrashGuard(Component):
     """Tracks which requests run on which upstreams, and finds those that crash upstreams.
 
     A request becomes suspect when an upstream that ran it dies and nothing else explains the death.
-    A suspect request runs only in isolation: on one host at a time, on an upstream to which that
-    host sends no other request. If that upstream dies too, the request is quarantined. If the
-    request completes, it is no longer suspect.
+    With ``isolate_after`` such deaths it runs only in isolation: on one host at a time, on an
+    upstream to which that host sends no other request. If that upstream dies too, the request is
+    quarantined. If the request completes, it is no longer suspect.
 
     :param note_store: the notes that hosts share with each other.
-    :param feed: sends new notes to the other hosts.
+    :param sharing: sends new notes to the other hosts.
     :param isolation_leases: allow one isolated run of a request at a time over all hosts.
     :param quarantines: the quarantines in the configuration.
+    :param upstreams: returns the upstreams that this host knows.
+    :param on_released: called when an upstream is no longer reserved for an isolated run.
     """
 
     def __init__(
         self,
         *,
-        table: UpstreamTable,
-        feed: MembershipFeed,
+        host: HostId,
         note_store: NoteStore,
+        sharing: NoteSharing,
         isolation_leases: IsolationLeases,
         quarantines: QuarantinePublisher,
+        upstreams: cabc.Callable[[], cabc.Iterable[GuardedUpstream]],
+        on_released: cabc.Callable[[], None],
         clock: Clock,
+        isolate_after: int = 1,
     ) -> None:
-        self._table = table
-        self._note_store = note_store
+        self._host = host
         self._quarantines = quarantines
         self._clock = clock
+        self._isolate_after = isolate_after
+        self._notes = CrashNotes(note_store=note_store, sharing=sharing, clock=clock)
+        self._evidence = Evidence(host=host, notes=self._notes)
         self._deaths = DeathLog()
-        self._running: dict[RequestId, tuple[UpstreamView, Fingerprint]] = {}
-        self._notes = CrashNotes(note_store=note_store, feed=feed, clock=clock)
+        self._running: dict[RequestId, tuple[str, Fingerprint]] = {}
+        self._lost: dict[str, dict[Fingerprint, float]] = {}
         self._isolated_runs = IsolatedRuns(
-            table=table,
+            upstreams=upstreams,
+            on_released=on_released,
             notes=self._notes,
             isolation_leases=isolation_leases,
             clock=clock,
-            is_quarantined=lambda record: self.refusal(record) is not None,
+            is_quarantined=lambda request: self.refusal(request) is not None,
         )
-        self._fingerprints: weakref.WeakKeyDictionary[RequestRecord, Fingerprint] = (
-            weakref.WeakKeyDictionary()
-        )
-        self._pending_deaths: dict[UpstreamView, asyncio.Task[None]] = {}
+        self._pending_deaths: dict[str, asyncio.Task[None]] = {}
         self._changed = asyncio.Event()
-        table.add_leaving_listener(self._note_leaving)
         note_store.add_listener(self._note_changed)
 
     async def stop(self) -> None:
@@ -115,190 +97,259 @@
         await super().stop()
 
     @contextlib.contextmanager
-    def running(self, record: RequestRecord, view: UpstreamView) -> cabc.Iterator[None]:
+    def running(self, request: GuardedRequest, upstream: GuardedUpstream) -> cabc.Iterator[None]:
         """Count the request as running on an upstream while the context is open."""
-        self._running[record.request_id] = (view, self._fingerprint(record))
+        self._running[request.request_id] = (upstream.process, request.fingerprint)
         try:
             yield
         finally:
-            self._running.pop(record.request_id, None)
+            self._running.pop(request.request_id, None)
 
-    def refusal(self, record: RequestRecord) -> Refusal | None:
+    def refusal(self, request: GuardedRequest) -> Refusal | None:
         """Return the refusal of a quarantined request, or None if it is not quarantined."""
-        if self._quarantines.is_empty() and self._note_store.is_empty():
+        if self._quarantines.is_empty() and self._notes.is_empty():
             return None
-        fingerprint = self._fingerprint(record)
+        fingerprint = request.fingerprint
         if not self._is_quarantined(fingerprint):
             return None
-        crashed = record.attempt > 0
+        ran = request.may_have_run
         return Refusal(
-            code=ResultCode.CRASHED_UPSTREAM if crashed else ResultCode.QUARANTINED,
-            detail=f"two upstreams died running this request; it is quarantined as {fingerprint}",
-            execution=Execution.RAN if crashed else Execution.NOT_RUN,
+            code=ResultCode.CRASHED_UPSTREAM if ran else ResultCode.QUARANTINED,
+            detail=self._quarantine_detail(fingerprint),
+            execution=Execution.RAN if ran else Execution.NOT_RUN,
         )
 
-    async def screen(self, record: RequestRecord) -> IsolatedRun | Refusal | None:
+    async def screen(
+        self, request: GuardedRequest, *, left_s: float, wait_s: float | None = None
+    ) -> IsolatedRun | Refusal | None:
         """Return None if the request may run, or a refusal.
 
-        A suspect request gets an isolated run instead of None, and may run only in it. It waits
-        for the isolated run until its deadline.
+        A request that may run only in isolation gets an isolated run instead of None.
+
+        :param left_s: the time that is left until the request's deadline, in seconds.
+        :param wait_s: how long to wait for an isolated run, in seconds; by default ``left_s``.
         """
-        refusal = self.refusal(record)
-        if refusal is not None or self._note_store.is_empty():
+        refusal = self.refusal(request)
+        if refusal is not None or self._notes.is_empty():
             return refusal
-        fingerprint = self._fingerprint(record)
-        while self.is_suspect(fingerprint):
-            if self._clock.wall() >= record.deadline_s:
-                return Refusal(
-                    code=ResultCode.DEADLINE_PASSED_WAITING,
-                    detail="the request is suspect and could not run alone before its deadline",
-                )
+        ends_at = self._clock.monotonic() + (left_s if wait_s is None else min(wait_s, left_s))
+        while self.must_isolate(request.fingerprint):
             changed = self._changed
-            run = await self._isolated_runs.try_acquire(record, fingerprint)
+            run = await self._isolated_runs.try_acquire(request, limit_s=left_s)
             if run is not None:
                 return run
+            if self._clock.monotonic() >= ends_at:
+                return Refusal(
+                    code=ResultCode.DEADLINE_PASSED_WAITING,
+                    detail="the request is suspect and could not run alone in time",
+                    retry_after_s=LEASE_RETRY_S,
+                )
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(LEASE_RETRY_S):
                     await changed.wait()
-            refusal = self.refusal(record)
+            refusal = self.refusal(request)
             if refusal is not None:
                 return refusal
         return None
 
     def is_suspect(self, fingerprint: Fingerprint) -> bool:
         """Return whether the death of an upstream is attributed to the fingerprint."""
-        return bool(self._recorded_deaths(fingerprint))
-
-    def note_completed(self, record: RequestRecord) -> None:
+        return bool(self.blamed_deaths(fingerprint))
+
+    def must_isolate(self, fingerprint: Fingerprint) -> bool:
+        """Return whether the fingerprint may run only in isolation."""
+        return len(self.blamed_deaths(fingerprint)) >= self._isolate_after
+
+    def blamed_deaths(self, fingerprint: Fingerprint) -> list[RecordedDeath]:
+        """Return the deaths that stand against a request and that no domain failure explains."""
+        recorded = self._evidence.deaths(fingerprint)
+        if not recorded:
+            return []
+        own = {death.process for death in recorded}
+        others = [death for death in self._evidence.all_deaths() if death.process not in own]
+        return [death for death in recorded if not self._explains(fingerprint, death, own, others)]
+
+    def note_completed(self, request: GuardedRequest) -> None:
         """Clear a request of suspicion after it ran to its end."""
-        fingerprint = self._fingerprint(record)
-        if self.is_suspect(fingerprint):
-            self.spawn(self._set_deaths(fingerprint, ()), name=f"clear-{fingerprint}")
-
-    def note_death(self, view: UpstreamView) -> None:
+        if self._notes.is_empty():
+            return
+        fingerprint = request.fingerprint
+        if self._evidence.deaths(fingerprint):
+            change = self._log_change([fingerprint], self._evidence.clear(fingerprint))
+            self.spawn(change, name=f"clear-{fingerprint}")
+
+    def note_lost(self, request: GuardedRequest, upstream: GuardedUpstream) -> None:
+        """Record that the connection was lost on which an upstream ran the request."""
+        now = self._clock.monotonic()
+        oldest = now - LOST_RETENTION_S
+        self._lost = {
+            process: kept
+            for process, found in self._lost.items()
+            if (kept := {name: at for name, at in found.items() if at > oldest})
+        }
+        self._lost.setdefault(upstream.process, {})[request.fingerprint] = now
+
+    def has_lost(self, upstream: GuardedUpstream) -> bool:
+        """Return whether requests lost their connection to the upstream recently."""
+        return upstream.process in self._lost
+
+    def note_death(self, upstream: GuardedUpstream) -> None:
         """Record that an upstream died, and start a task that finds out the cause."""
-        if view.state is UpstreamState.LEAVING:
+        process = upstream.process
+        if upstream.is_leaving or process in self._pending_deaths:
             return
         death = Death(
-            upstream=view.upstream_id,
-            failure_domain=view.failure_domain,
-            at=self._clock.monotonic(),
-            running=frozenset(f for v, f in self._running.values() if v is view),
+            process=process,
+            failure_domain=upstream.failure_domain,
+            at=self._clock.wall(),
+            running=self._running_on(process),
         )
         self._deaths.add(death)
-        task = self.spawn(self._explain_death(view, death), name=f"death-{view.upstream_id}")
-        self._pending_deaths[view] = task
-        task.add_done_callback(lambda _: self._pending_deaths.pop(view, None))
+        task = self.spawn(self._explain_death(upstream, death), name=f"death-{process}")
+        self._pending_deaths[process] = task
+        task.add_done_callback(lambda _: self._pending_deaths.pop(process, None))
+        self._notify_changed()
+
+    def note_leaving(self, upstream: GuardedUpstream) -> None:
+        """Withdraw the death of an upstream that turns out to have left."""
+        process = upstream.process
+        self._deaths.remove(process)
+        blamed = self._evidence.blamed_for(process)
+        if blamed:
+            change = self._log_change(blamed, self._evidence.explain(process))
+            self.spawn(change, name=f"explain-{process}")
         self._notify_changed()
 
-    async def confirm_death(self, record: RequestRecord, view: UpstreamView) -> None:
+    async def confirm_death(self, upstream: GuardedUpstream) -> None:
         """Wait until it is known whether a lost connection was the death of the upstream.
 
         The caller must keep the request counted as running (see ``running``) meanwhile.
         """
+        process = upstream.process
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(DEATH_CONFIRM_TIMEOUT_S):
-                while view not in self._pending_deaths and view.state is not UpstreamState.LEAVING:
+                while process not in self._pending_deaths and not upstream.is_leaving:
                     await self._changed.wait()
-        task = self._pending_deaths.get(view)
+        task = self._pending_deaths.get(process)
         if task is not None:
             await asyncio.wait([task])
 
-    def _fingerprint(self, record: RequestRecord) -> Fingerprint:
-        """Return the fingerprint of a record; it is computed once for each record."""
-        if record not in self._fingerprints:
-            self._fingerprints[record] = fingerprint_of(record)
-        return self._fingerprints[record]
+    def _running_on(self, process: str) -> frozenset[Fingerprint]:
+        running = {name for found, name in self._running.values() if found == process}
+        return frozenset(running | self._lost.get(process, {}).keys())
 
     def _is_quarantined(self, fingerprint: Fingerprint) -> bool:
         until_s = self._quarantines.until_s(fingerprint)
         if until_s is not None:
             return until_s > self._clock.wall()
-        return self._note_store.get(NoteTopic.QUARANTINE, fingerprint) is not None
+        return self._notes.get(NoteTopic.QUARANTINE, fingerprint) is not None
+
+    def _quarantine_detail(self, fingerprint: Fingerprint) -> str:
+        note = self._notes.get(NoteTopic.QUARANTINE, fingerprint)
+        if note is None or not note.items:
+            return f"upstreams died running this request; it is quarantined as {fingerprint}"
+        age_s = self._clock.wall() - note.at_s
+        deaths = ", ".join(note.items)
+        return (
+            f"{len(note.items)} upstreams died running this request ({deaths}), known for "
+            f"{age_s:.1f} s; it is quarantined as {fingerprint}"
+        )
 
-    def _recorded_deaths(self, fingerprint: Fingerprint) -> tuple[str, ...]:
-        return self._notes.items(NoteTopic.SUSPECT_REQUEST, fingerprint)
+    def _explains(
+        self,
+        fingerprint: Fingerprint,
+        recorded: RecordedDeath,
+        own: cabc.Set[str],
+        others: cabc.Iterable[Death],
+    ) -> bool:
+        """Return whether a failure of the domain explains a death: others died that did not run it.
+
+        :param own: the processes that died while they ran the request.
+        :param others: the deaths that other hosts recorded, without these.
+        """
+        death = dataclasses.replace(recorded.as_death(), running=frozenset((fingerprint,)))
+        related = self._deaths.related(death, others)
+        return any(other.process not in own for other in related)
 
-    async def _explain_death(self, view: UpstreamView, death: Death) -> None:
+    async def _explain_death(self, upstream: GuardedUpstream, death: Death) -> None:
         """Find the cause of a death; mark or quarantine the requests that may have caused it."""
         await self._clock.sleep(SETTLE_DELAY_S)
-        if view.state is UpstreamState.LEAVING:
+        if upstream.is_leaving:
+            self._deaths.remove(death.process)
             return
-        if self._isolated_runs.announced_fingerprints(death.upstream):
-            self._deaths.remove(death)
+        running = death.running | self._running_on(death.process)
+        death = dataclasses.replace(death, running=running)
+        self._log_death(death)
+        if self._isolated_runs.announced_fingerprints(death.process):
+            self._deaths.remove(death.process)
             for fingerprint in death.running:
-                if self._isolated_runs.runs_alone_here(fingerprint, death.upstream):
-                    await self._quarantine(fingerprint, view, death)
+                if self._isolated_runs.runs_alone_here(fingerprint, death.process):
+                    await self._quarantine(fingerprint, upstream, death)
             return
-        domain_deaths = self._domain_deaths(death)
-        for other in domain_deaths:
-            self._remove_death(other.upstream)
-        if domain_deaths:
-            return
-        for fingerprint in death.running:
-            await self._add_death(fingerprint, death)
-
-    def _domain_deaths(self, death: Death) -> list[Death]:
-        """Return the other deaths that show this one to be a failure of the domain."""
-        return [
-            other
-            for other in self._deaths.related(death)
-            if not self._isolated_runs.announced_fingerprints(other.upstream)
-            and not self._shares_suspect(death, other)
-        ]
-
-    def _shares_suspect(self, death: Death, other: Death) -> bool:
-        """Return whether a host attributed both deaths to the same request."""
-        return any(
-            topic is NoteTopic.SUSPECT_REQUEST and {death.upstream, other.upstream} <= {*note.items}
-            for (topic, _), note in self._note_store.notes().items()
-        )
+        self._deaths.replace(death)
+        if len(self._deaths.related(death)) < CERTAIN_DOMAIN_DEATHS:
+            change = self._evidence.add(death.running, death)
+            await self._log_change(death.running, change)
 
-    async def _add_death(self, fingerprint: Fingerprint, death: Death) -> None:
-        recorded = self._recorded_deaths(fingerprint)
-        if death.upstream not in recorded:
-            await self._set_deaths(fingerprint, (*recorded, death.upstream))
-
-    async def _quarantine(self, fingerprint: Fingerprint, view: UpstreamView, death: Death) -> None:
+    async def _quarantine(
+        self, fingerprint: Fingerprint, upstream: GuardedUpstream, death: Death
+    ) -> None:
         """Quarantine a request whose upstream died during its isolated run."""
         # Other deaths of a failing domain and late reclaim notices may still be reported.
         await self._clock.sleep(QUARANTINE_DELAY_S)
-        if view.state is UpstreamState.LEAVING or not self.is_suspect(fingerprint):
+        blamed = self.blamed_deaths(fingerprint)
+        if upstream.is_leaving or len(blamed) < self._isolate_after:
             return
-        if not self._isolated_runs.runs_alone_here(fingerprint, death.upstream):
+        if not self._isolated_runs.runs_alone_here(fingerprint, death.process):
             return
-        recorded = self._recorded_deaths(fingerprint)
-        if any(other.upstream not in recorded for other in self._domain_deaths(death)):
+        own = {recorded.process for recorded in blamed}
+        others = [other for other in self._evidence.all_deaths() if other.process not in own]
+        if any(other.process not in own for other in self._deaths.related(death, others)):
             return
-        reason = f"died of it: {', '.join((*recorded, death.upstream))}"
+        items = [f"{recorded.process} told by {recorded.reporter}" for recorded in blamed]
+        items.append(f"{death.process} alone, told by {self._host}")
+        reason = f"died of it: {', '.join(items)}"
         until_s = self._clock.wall() + QUARANTINE_S
-        await self._notes.share(NoteTopic.QUARANTINE, fingerprint, keep_s=QUARANTINE_S)
-        await self._set_deaths(fingerprint, ())
+        note = self._notes.new(
+            NoteTopic.QUARANTINE, fingerprint, keep_s=QUARANTINE_S, items=tuple(items)
+        )
+        await self._notes.share([note])
+        await self._log_change([fingerprint], self._evidence.clear(fingerprint))
         eliot.log_message(message_type="crash:quarantined", fingerprint=fingerprint, reason=reason)
         publish = self._quarantines.publish(fingerprint, until_s=until_s, reason=reason)
         self.spawn(publish, name=f"quarantine-{fingerprint}")
 
-    def _note_leaving(self, view: UpstreamView) -> None:
-        self._remove_death(view.upstream_id)
-        self._notify_changed()
+    async def _log_change(
+        self, fingerprints: cabc.Collection[Fingerprint], change: cabc.Awaitable[None]
+    ) -> None:
+        """Apply a change of the evidence; log the requests that more or fewer deaths stand against.
 
-    def _remove_death(self, upstream: UpstreamId) -> None:
-        """Remove an upstream's death from all suspect requests, because it has another cause."""
-        for (topic, name), note in self._note_store.notes().items():
-            if topic is NoteTopic.SUSPECT_REQUEST and upstream in note.items:
-                recorded = tuple(item for item in note.items if item != upstream)
-                self.spawn(
-                    self._set_deaths(Fingerprint(name), recorded), name=f"remove-death-{name}"
+        A death that a failure of the domain explains stands against no request.
+        """
+        before = {fingerprint: self.blamed_deaths(fingerprint) for fingerprint in fingerprints}
+        await change
+        for fingerprint in fingerprints:
+            blamed = self.blamed_deaths(fingerprint)
+            if blamed != before[fingerprint]:
+                eliot.log_message(
+                    message_type="crash:suspect",
+                    fingerprint=fingerprint,
+                    deaths=[death.process for death in blamed],
+                    reporters=sorted({death.reporter for death in blamed}),
                 )
 
-    async def _set_deaths(self, fingerprint: Fingerprint, deaths: tuple[str, ...]) -> None:
-        """Replace the deaths attributed to a fingerprint on all hosts; no deaths clear it."""
-        eliot.log_message(message_type="crash:suspect", fingerprint=fingerprint, deaths=deaths)
-        await self._notes.share(
-            NoteTopic.SUSPECT_REQUEST, fingerprint, keep_s=SUSPICION_S, items=deaths
+    def _log_death(self, death: Death) -> None:
+        eliot.log_message(
+            message_type="crash:death",
+            process=death.process,
+            failure_domain=death.failure_domain,
+            running=len(death.running),
+            related=[other.process for other in self._deaths.related(death)],
+            age_s=round(self._clock.wall() - death.at, 3),
         )
 
     def _note_changed(self, note: Note) -> None:
+        self._evidence.note_changed(note)
         if note.topic is NoteTopic.ISOLATED_RUN:
             self._isolated_runs.note_run(note)
         self._notify_changed()
--- a/src/cassiawalk/dispatch/stream.py
+++ b/src/cassiawalk/dispatch/stream.py
@@ -89,7 +89,8 @@
 
     async def _run(self, record: RequestRecord, progress: _Progress) -> Refusal | None:
         while True:
-            admitted = await self._guard.screen(record)
+            left_s = record.deadline_s - self._clock.wall()
+            admitted = await self._guard.screen(record, left_s=left_s)
             if isinstance(admitted, Refusal):
                 return admitted
             async with contextlib.AsyncExitStack() as stack:
@@ -125,7 +126,7 @@
         A request suspected of crashing engines gets an upstream on which no other suspect runs.
         """
         while True:
-            occupied = frozenset() if isolated is None else isolated.occupied(record.pool)
+            occupied = frozenset() if isolated is None else isolated.occupied()
             lease = await self._scheduler.acquire(record, exclude=progress.tried | occupied)
             if isinstance(lease, Refusal):
                 return lease
@@ -230,7 +231,7 @@
         elif ending.reason not in (InterruptReason.REFUSED, InterruptReason.REJECTED):
             view.fire("note_failure")
         if ending.reason is InterruptReason.CONNECTION_LOST:
-            await self._guard.confirm_death(record, view)
+            await self._guard.confirm_death(view)
 
     async def _after_interruption(
         self, record: RequestRecord, ending: Interrupted
--- a/src/cassiawalk/node/requests.py
+++ b/src/cassiawalk/node/requests.py
@@ -3,8 +3,8 @@
 from cassiawalk.admission import AdmissionGate
 from cassiawalk.admission import Scheduler
 from cassiawalk.admission import WorkspaceLimiter
+from cassiawalk.control.quarantines import ControlQuarantines
 from cassiawalk.control.state import PoolType
-from cassiawalk.crashes import ControlQuarantines
 from cassiawalk.crashes import CrashGuard
 from cassiawalk.crashes import IsolationLeases
 from cassiawalk.dispatch import Dispatcher
@@ -112,14 +112,18 @@
             clock=self._ctx.clock,
             rng=self._ctx.rng,
         )
-        return CrashGuard(
-            table=self.table,
-            feed=self._base.feed,
+        guard = CrashGuard(
+            host=self._ctx.cfg.host_id,
             note_store=self._base.note_store,
+            sharing=self._base.feed,
+            upstreams=self.table.all,
+            on_released=self.table.notify,
             isolation_leases=self.isolation_leases,
             quarantines=quarantines,
             clock=self._ctx.clock,
         )
+        self.table.add_leaving_listener(guard.note_leaving)
+        return guard
 
     def _orders(self) -> OrderController:
         host = self._ctx.cfg.host_id
--- a/src/cassiawalk/peer/feed.py
+++ b/src/cassiawalk/peer/feed.py
@@ -21,6 +21,7 @@
 from cassiawalk.peer.messages import messages
 from cassiawalk.peer.notes import Note
 from cassiawalk.peer.notes import NoteKey
+from cassiawalk.peer.notes import NoteSharing
 from cassiawalk.peer.notes import NoteStore
 from cassiawalk.wire import from_plain
 from cassiawalk.wire import to_plain
@@ -69,7 +70,7 @@
 _HEARTBEAT = StreamPart(item={})
 
 
-class MembershipFeed(Component):
+class MembershipFeed(Component, NoteSharing):
     """Polls the cloud's reclaim notices, or follows a host that does.
 
     Marks and notes that originate at this host are sent to the pollers at once; the pollers send
@@ -113,10 +114,11 @@
             self._note_store.merge(note)
         return ShareReply()
 
-    async def share(self, note: Note) -> None:
-        """Store a note and return once the reachable pollers have it."""
-        self._own_notes[note.key] = note
-        self._note_store.merge(note)
+    async def share(self, notes: cabc.Sequence[Note]) -> None:
+        """Store notes and return once the reachable pollers have them."""
+        for note in notes:
+            self._own_notes[note.key] = note
+            self._note_store.merge(note)
         await self._send_to_pollers()
 
     async def serve(self, _: FeedCall) -> cabc.AsyncIterator[StreamPart]:
--- a/src/cassiawalk/peer/notes.py
+++ b/src/cassiawalk/peer/notes.py
@@ -1,5 +1,6 @@
 """Short-lived notes that are replicated to all hosts, as soft state without ordering guarantees."""
 
+import abc
 import collections.abc as cabc
 import dataclasses
 import enum
@@ -40,10 +41,19 @@
         return (self.topic, self.name)
 
 
+class NoteSharing(abc.ABC):
+    """Replicates notes to all hosts."""
+
+    @abc.abstractmethod
+    async def share(self, notes: cabc.Sequence[Note]) -> None:
+        """Store notes on this host and send them to the others."""
+
+
 class NoteStore:
     """The unexpired notes that this host has received or made.
 
-    :param limit: the maximum number of notes; beyond it, the note that was added first is dropped.
+    :param limit: the maximum number of notes; beyond it, the note that was added first is dropped,
+        a quarantine only if there is nothing else.
     """
 
     def __init__(self, *, clock: Clock, limit: int = MAX_NOTES) -> None:
@@ -82,6 +92,10 @@
         self._notes.pop(note.key, None)
         self._notes[note.key] = note
         while len(self._notes) > self._limit:
-            del self._notes[next(iter(self._notes))]
+            del self._notes[self._first_dispensable()]
         for listener in self._listeners:
             listener(note)
+
+    def _first_dispensable(self) -> NoteKey:
+        others = (key for key in self._notes if key[0] is not NoteTopic.QUARANTINE)
+        return next(others, None) or next(iter(self._notes))
--- a/src/cassiawalk/requests/record.py
+++ b/src/cassiawalk/requests/record.py
@@ -5,8 +5,11 @@
 import contextlib
 import dataclasses
 import enum
+import functools
 
 from cassiawalk.control.state import Kind
+from cassiawalk.fingerprint import fingerprint
+from cassiawalk.ids import Fingerprint
 from cassiawalk.ids import KindName
 from cassiawalk.ids import PoolName
 from cassiawalk.ids import RequestId
@@ -66,6 +69,16 @@
         default_factory=list
     )
 
+    @functools.cached_property
+    def fingerprint(self) -> Fingerprint:
+        """Return the digest of service, kind and body, which repeats share under other ids."""
+        return fingerprint((self.service.encode(), self.kind_name.encode(), self.body))
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether an upstream may have run the request."""
+        return self.attempt > 0
+
     @property
     def is_final(self) -> bool:
         """Return whether no further event can be added on this host."""
--- a/src/cassiawalk/routing/upstream.py
+++ b/src/cassiawalk/routing/upstream.py
@@ -130,6 +130,21 @@
         """Return the upstream's failure domain."""
         return self.entry.failure_domain
 
+    @property
+    def process(self) -> str:
+        """Return a name of the upstream's process: its id, as each process has its own."""
+        return self.upstream_id
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the upstream is leaving."""
+        return self.state is UpstreamState.LEAVING
+
+    @property
+    def is_busy(self) -> bool:
+        """Return whether requests of this host run on the upstream."""
+        return bool(self.own_running)
+
     @property
     def price(self) -> float:
         """Return the price of the upstream's host, in cost units an hour."""
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -8,13 +8,11 @@
 from cassiawalk.crashes import DeathLog
 from cassiawalk.crashes import IsolationLeaseCall
 from cassiawalk.crashes import IsolationLeases
-from cassiawalk.crashes import fingerprint_of
 from cassiawalk.ids import FailureDomain
 from cassiawalk.ids import Fingerprint
 from cassiawalk.ids import HostId
 from cassiawalk.ids import KindName
 from cassiawalk.ids import RequestId
-from cassiawalk.ids import UpstreamId
 from cassiawalk.peer import NoteTopic
 from cassiawalk.peer import PeerLinks
 from cassiawalk.requests import RequestRecord
@@ -44,7 +42,7 @@
 
 def _death(upstream: str, domain: str, at: float, *running: str) -> Death:
     return Death(
-        upstream=UpstreamId(upstream),
+        process=upstream,
         failure_domain=FailureDomain(domain),
         at=at,
         running=frozenset(Fingerprint(name) for name in running),
@@ -75,8 +73,8 @@
     again.key = "key"
     other_body, other_kind = harness.record(prompt="y"), harness.record(prompt="x")
     other_kind.kind_name = KindName("quick")
-    assert fingerprint_of(first) == fingerprint_of(again)
-    assert len({fingerprint_of(r) for r in (first, other_body, other_kind)}) == 3
+    assert first.fingerprint == again.fingerprint
+    assert len({r.fingerprint for r in (first, other_body, other_kind)}) == 3
 
 
 async def test_request_that_crashes_two_upstreams_is_quarantined() -> None:
@@ -97,13 +95,13 @@
     assert refused is not None
     assert (refused.code, refused.ran) == (ResultCode.QUARANTINED, Execution.NOT_RUN)
     await asyncio.sleep(0)
-    assert fingerprint_of(record) in harness.quarantines.ends_s
+    assert record.fingerprint in harness.quarantines.ends_s
 
 
 async def test_quarantine_expires_and_an_operator_may_remove_it() -> None:
     harness = Harness(upstreams=("a",), rng=random.Random(1))
     record = harness.record()
-    fingerprint = fingerprint_of(record)
+    fingerprint = record.fingerprint
     now_s = harness.clock.wall()
     for until_s, refused in ((now_s + 60.0, True), (now_s - 1.0, False), (0.0, False)):
         harness.quarantines.ends_s[fingerprint] = until_s
@@ -119,11 +117,11 @@
     harness.allow_all()
     harness.kill("a")
     await asyncio.sleep(0.25)
-    assert all(harness.guard.is_suspect(fingerprint_of(record)) for record in records)
+    assert all(harness.guard.is_suspect(record.fingerprint) for record in records)
     assert await asyncio.gather(*tasks) == [None, None, None]
     assert [record.text for record in records] == [harness.answer(100)] * 3
     await asyncio.sleep(0.1)
-    assert not any(harness.guard.is_suspect(fingerprint_of(record)) for record in records)
+    assert not any(harness.guard.is_suspect(record.fingerprint) for record in records)
     assert not harness.quarantines.ends_s
     assert all(view.reserved_for is None for view in harness.table.all())
 
@@ -162,7 +160,7 @@
         await asyncio.sleep(0.3)
         harness.leave("a", notice_s=0.0)
     await asyncio.sleep(0.3)
-    assert not harness.guard.is_suspect(fingerprint_of(record))
+    assert not harness.guard.is_suspect(record.fingerprint)
     assert await run is None
     assert record.text == harness.answer(200)
 
@@ -180,7 +178,7 @@
     harness = Harness(upstreams=("a", "b", "c"), rng=random.Random(1), domains="nns")
     harness.kill("a")
     await asyncio.sleep(0.5)
-    harness.receive_note(NoteTopic.SUSPECT_REQUEST, "f", ("a",))
+    harness.receive_note(NoteTopic.SUSPECT_REQUEST, "f a", ("n", "host-1"))
     harness.receive_note(NoteTopic.ISOLATED_RUN, "b", isolated)
     harness.kill("b")
     await asyncio.sleep(0.5)
@@ -194,10 +192,10 @@
     await asyncio.sleep(0.5)
     harness.kill("a")
     await asyncio.sleep(1.0)
-    assert any(harness.guard.is_suspect(fingerprint_of(record)) for record in records)
+    assert any(harness.guard.is_suspect(record.fingerprint) for record in records)
     harness.kill("b")
     await asyncio.sleep(0.5)
-    assert not any(harness.guard.is_suspect(fingerprint_of(record)) for record in records)
+    assert not any(harness.guard.is_suspect(record.fingerprint) for record in records)
     assert await asyncio.gather(*tasks) == [None] * 8
     assert not harness.quarantines.ends_s
 
--- a/tests/upstream_fakes.py
+++ b/tests/upstream_fakes.py
@@ -274,14 +274,18 @@
         isolation_leases = IsolationLeases(
             host=host, membership=self.membership, links=links, clock=self.clock
         )
-        return CrashGuard(
-            table=self.table,
-            feed=feed,
+        guard = CrashGuard(
+            host=host,
             note_store=self.note_store,
+            sharing=feed,
+            upstreams=self.table.all,
+            on_released=self.table.notify,
             isolation_leases=isolation_leases,
             quarantines=self.quarantines,
             clock=self.clock,
         )
+        self.table.add_leaving_listener(guard.note_leaving)
+        return guard
 
     def join(self, name: str, *, domain: str = "north") -> None:
         """Add an engine to the host list."""
