Refuse requests that crash upstreams on the users' platform

Cause: the host program did not use the crash guard; docs/PLATFORM.md held it needless. Evidence: one fingerprint under 35 ids at all three hosts, two sends of one id at most.

The guard of the own interface now serves both entries. Hosts tell each other of deaths as they happen, digests in heartbeats mend what is lost, and the store keeps what a restarted or cut-off host needs. Why it works: whichever host a repeat reaches knows the deaths; after two the request runs only alone, one at a time over all hosts, and its death there convicts it.

--- a/src/cassiawalk/crashes/evidence.py
+++ b/src/cassiawalk/crashes/evidence.py
@@ -127,3 +127,10 @@
 
 def _name(fingerprint: Fingerprint, process: str) -> str:
     return f"{fingerprint}{_SEPARATOR}{process}"
+
+
+def fingerprint_in(note: Note) -> Fingerprint | None:
+    """Return the request that a note is about, or None if it is about an upstream."""
+    if note.topic is NoteTopic.SUSPECT_REQUEST:
+        return Fingerprint(note.name.partition(_SEPARATOR)[0])
+    return Fingerprint(note.name) if note.topic is NoteTopic.QUARANTINE else None
--- a/src/cassiawalk/crashes/guard.py
+++ b/src/cassiawalk/crashes/guard.py
@@ -55,6 +55,8 @@
     :param quarantines: the quarantines in the configuration.
     :param upstreams: returns the upstreams that this host knows.
     :param on_released: called when an upstream is no longer reserved for an isolated run.
+    :param isolate_after: the number of deaths against a request from which on it is isolated.
+    :param settle_s: how long to wait for other explanations of a death, in seconds.
     """
 
     def __init__(
@@ -69,11 +71,13 @@
         on_released: cabc.Callable[[], None],
         clock: Clock,
         isolate_after: int = 1,
+        settle_s: float = SETTLE_DELAY_S,
     ) -> None:
         self._host = host
         self._quarantines = quarantines
         self._clock = clock
         self._isolate_after = isolate_after
+        self._settle_s = settle_s
         self._notes = CrashNotes(note_store=note_store, sharing=sharing, clock=clock)
         self._evidence = Evidence(host=host, notes=self._notes)
         self._deaths = DeathLog()
@@ -140,8 +144,8 @@
                 return run
             if self._clock.monotonic() >= ends_at:
                 return Refusal(
-                    code=ResultCode.DEADLINE_PASSED_WAITING,
-                    detail="the request is suspect and could not run alone in time",
+                    code=ResultCode.SUSPECT,
+                    detail=f"the request {request.fingerprint} could not run alone in time",
                     retry_after_s=LEASE_RETRY_S,
                 )
             with contextlib.suppress(TimeoutError):
@@ -152,6 +156,11 @@
                 return refusal
         return None
 
+    @property
+    def has_no_notes(self) -> bool:
+        """Return whether nothing is known against any request."""
+        return self._notes.is_empty()
+
     def is_suspect(self, fingerprint: Fingerprint) -> bool:
         """Return whether the death of an upstream is attributed to the fingerprint."""
         return bool(self.blamed_deaths(fingerprint))
@@ -273,11 +282,12 @@
 
     async def _explain_death(self, upstream: GuardedUpstream, death: Death) -> None:
         """Find the cause of a death; mark or quarantine the requests that may have caused it."""
-        await self._clock.sleep(SETTLE_DELAY_S)
+        await self._clock.sleep(self._settle_s)
         if upstream.is_leaving:
             self._deaths.remove(death.process)
             return
         running = death.running | self._running_on(death.process)
+        self._lost.pop(death.process, None)  # the same death may be noticed in several ways
         death = dataclasses.replace(death, running=running)
         self._log_death(death)
         if self._isolated_runs.announced_fingerprints(death.process):
--- a/src/cassiawalk/crashes/isolation.py
+++ b/src/cassiawalk/crashes/isolation.py
@@ -182,12 +182,13 @@
         self.upstream: GuardedUpstream | None = None
         self._renewal: asyncio.Task[t.NoReturn] | None = None
 
-    async def __aenter__(self) -> "IsolatedRun":
+    def start(self) -> None:
+        """Start to renew the leases."""
         name = f"isolated-run-{self._request.request_id}"
         self._renewal = self._runs.spawn(self._runs.renew(self), name=name)
-        return self
 
-    async def __aexit__(self, *args: object) -> None:
+    async def close(self) -> None:
+        """Release the upstream and the leases."""
         if self._renewal is not None:
             self._renewal.cancel()
         try:
@@ -195,6 +196,13 @@
         finally:
             await self._runs.release(self._request, self.call)
 
+    async def __aenter__(self) -> "IsolatedRun":
+        self.start()
+        return self
+
+    async def __aexit__(self, *args: object) -> None:
+        await self.close()
+
     def occupied(self) -> frozenset[UpstreamId]:
         """Return the upstreams that should be avoided, as they run other requests."""
         return self._runs.occupied()
--- a/src/cassiawalk/http1/pool.py
+++ b/src/cassiawalk/http1/pool.py
@@ -42,6 +42,19 @@
             return idle_conn
         return await self._connect(timeout_s)
 
+    async def probe(self, *, timeout_s: float = CONNECT_TIMEOUT_S) -> bool | None:
+        """Open a connection, which is kept for later use, and return whether that succeeded.
+
+        Return None if it is unknown whether anything listens at the address.
+
+        :param timeout_s: limit for opening the connection, in seconds.
+        """
+        try:
+            self.release(await self._connect(timeout_s))
+        except ConnectError as exc:
+            return False if isinstance(exc.__cause__, ConnectionRefusedError) else None
+        return True
+
     def release(self, conn: UpstreamConnection) -> None:
         """Return a connection to the pool, or close it if it can't be reused."""
         if self._closed or not conn.reusable:
--- a/src/cassiawalk/ingress/attempt.py
+++ b/src/cassiawalk/ingress/attempt.py
@@ -1,7 +1,5 @@
 """One attempt of a request at one upstream, from the connection to the end of the answer."""
 
-import enum
-
 from cassiawalk.clock import Clock
 from cassiawalk.http1 import AnswerBroken
 from cassiawalk.http1 import AnswerData
@@ -14,6 +12,7 @@
 from cassiawalk.ingress.codec import HeadCodec
 from cassiawalk.ingress.job import BufferedAnswer
 from cassiawalk.ingress.job import Job
+from cassiawalk.ingress.outcome import AttemptEnd
 from cassiawalk.ingress.placement import Placement
 from cassiawalk.ingress.report import IngressReport
 
@@ -22,35 +21,12 @@
 URGENCY_LEVELS = 10
 
 
-class AttemptEnd(enum.Enum):
-    """How an attempt ended, and what this says about the request.
-
-    - DELIVERED: the answer was complete.
-    - UNSENT: the request was not sent.
-    - NOT_RUN: the upstream refused to run the request, or another upstream answered.
-    - FAILED: the answer was complete, with a status of 500 or more.
-    - BROKEN: the answer was lost or unusable before any of it was sent to the caller.
-    - BROKEN_MIDWAY: the answer was lost after a part of it had been sent to the caller.
-    """
-
-    DELIVERED = "delivered"
-    UNSENT = "unsent"
-    NOT_RUN = "not-run"
-    FAILED = "failed"
-    BROKEN = "broken"
-    BROKEN_MIDWAY = "broken-midway"
-
-    @property
-    def surely_not_run(self) -> bool:
-        """Return whether the upstream has certainly not run the request and never will."""
-        return self in (AttemptEnd.UNSENT, AttemptEnd.NOT_RUN)
-
-
 class Attempt:
     """Sends a job to one upstream and forwards the answer to the caller.
 
-    ``reason`` says why the attempt failed. ``first_s`` is the time to the head or first event of
-    the answer in seconds, or None if there was none.
+    ``reason`` says why the attempt failed. ``other_process_answered`` is set if another process
+    than the chosen upstream answered at its address. ``first_s`` is the time to the head or first
+    event of the answer in seconds, or None if there was none.
     """
 
     def __init__(
@@ -72,6 +48,7 @@
         self._started_at = clock.monotonic()
         self.reason = ""
         self.first_s: float | None = None
+        self.other_process_answered = False
 
     async def run(self) -> AttemptEnd:
         """Run the attempt and return how it ended; if cancelled, its connection is closed."""
@@ -152,6 +129,7 @@
         self.reason = f"the upstream refused with status {head.status}"
         if metadata.wrong_upstream:
             self.reason = "another upstream answered at this address"
+            self.other_process_answered = True
             self._upstream.health.note_failure(definite=True)
         event = await conn.next_event()
         while isinstance(event, AnswerData):
--- a/src/cassiawalk/ingress/correctedtime.py
+++ b/src/cassiawalk/ingress/correctedtime.py
@@ -44,3 +44,26 @@
             self._offset_s += median
             self._differences.clear()
             eliot.log_message(message_type="time:corrected", by_s=round(median, 3))
+
+
+class CorrectedClock(Clock):
+    """A clock whose wall time is the corrected time.
+
+    :param clock: gives the monotonic time.
+    """
+
+    def __init__(self, *, clock: Clock, time: CorrectedTime) -> None:
+        self._clock = clock
+        self._time = time
+
+    def monotonic(self) -> float:
+        """Return the time in seconds on a clock that never goes backwards."""
+        return self._clock.monotonic()
+
+    def wall(self) -> float:
+        """Return the corrected time in seconds since the epoch."""
+        return self._time.now()
+
+    async def sleep(self, delay_s: float) -> None:
+        """Suspend the calling task."""
+        await self._clock.sleep(delay_s)
--- /dev/null
+++ b/src/cassiawalk/ingress/crashparts.py
@@ -0,0 +1,89 @@
+"""Assembles the parts of a host that find and refuse requests that crash upstreams."""
+
+import random
+
+from cassiawalk.app import Component
+from cassiawalk.clients import KeyedLog
+from cassiawalk.clock import Clock
+from cassiawalk.crashes import CrashGuard
+from cassiawalk.crashes import IsolationLeaseCall
+from cassiawalk.crashes import IsolationLeases
+from cassiawalk.crashes import SharedNotesOnly
+from cassiawalk.ids import HostId
+from cassiawalk.ingress.correctedtime import CorrectedClock
+from cassiawalk.ingress.correctedtime import CorrectedTime
+from cassiawalk.ingress.directory import Directory
+from cassiawalk.ingress.follow import ReadOptions
+from cassiawalk.ingress.heartbeats import HeartbeatExchange
+from cassiawalk.ingress.notes import NoteExchange
+from cassiawalk.ingress.notes import NotesCall
+from cassiawalk.ingress.screening import ISOLATE_AFTER_DEATHS
+from cassiawalk.ingress.screening import Screening
+from cassiawalk.ingress.suspects import SuspectFollower
+from cassiawalk.membership import Membership
+from cassiawalk.peer import NoteStore
+from cassiawalk.peer import PeerLinks
+from cassiawalk.peer import PeerServer
+
+
+class CrashParts:
+    """The crash guard of a host, and what it shares with other hosts.
+
+    ``exchange`` replicates notes between hosts, ``screening`` serves the forwarder.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: HostId,
+        directory: Directory,
+        membership: Membership,
+        heartbeats: HeartbeatExchange,
+        links: PeerLinks,
+        time: CorrectedTime,
+        clock: Clock,
+    ) -> None:
+        self._clock = CorrectedClock(clock=clock, time=time)
+        self._store = NoteStore(clock=self._clock)
+        self.exchange = NoteExchange(
+            host=host, store=self._store, heartbeats=heartbeats, links=links, clock=clock
+        )
+        heartbeats.add_listener(self.exchange.compare)
+        self._leases = IsolationLeases(
+            host=host, membership=membership, links=links, clock=self._clock
+        )
+        self._guard = CrashGuard(
+            host=host,
+            note_store=self._store,
+            sharing=self.exchange,
+            isolation_leases=self._leases,
+            quarantines=SharedNotesOnly(),
+            upstreams=directory.upstreams,
+            on_released=lambda: None,  # no request waits for an upstream here
+            clock=self._clock,
+            isolate_after=ISOLATE_AFTER_DEATHS,
+            settle_s=0.0,
+        )
+        self.screening = Screening(guard=self._guard, directory=directory, clock=self._clock)
+
+    def serve(self, server: PeerServer) -> None:
+        """Register the handlers of other hosts' calls."""
+        server.handle(NotesCall, self.exchange.handle)
+        server.handle(IsolationLeaseCall, self._leases.handle_call)
+
+    def components(
+        self, *, log: KeyedLog, options: ReadOptions, rng: random.Random
+    ) -> list[Component]:
+        """Return the components to run, with one that keeps suspects in the store.
+
+        :param options: how the stream of suspects is read.
+        """
+        follower = SuspectFollower(
+            log=log,
+            options=options,
+            store=self._store,
+            exchange=self.exchange,
+            clock=self._clock,
+            rng=rng,
+        )
+        return [self.exchange, follower, self._guard, self.screening]
--- a/src/cassiawalk/ingress/directory.py
+++ b/src/cassiawalk/ingress/directory.py
@@ -11,6 +11,7 @@
 from cassiawalk.http1 import ConnectionPool
 from cassiawalk.ids import FailureDomain
 from cassiawalk.ids import Offset
+from cassiawalk.ids import RequestId
 from cassiawalk.ids import ServiceName
 from cassiawalk.ids import UpstreamId
 from cassiawalk.ingress.health import UpstreamHealth
@@ -53,7 +54,9 @@
 class Upstream:
     """One process of an upstream, with this host's connections to it, its load and its health.
 
-    ``leaving_since`` is when it began to leave, in monotonic seconds.
+    ``leaving`` is also set when its entry is gone; ``leaving_since`` is when it announced that it
+    leaves, in monotonic seconds. ``reserved_for`` is the only request that may be sent to it, or
+    None.
     """
 
     def __init__(self, *, registration: Registration, clock: Clock) -> None:
@@ -63,12 +66,33 @@
         self.health = UpstreamHealth(clock=clock)
         self.leaving = registration.presence is Presence.LEAVING
         self.leaving_since: float | None = None
+        self.reserved_for: RequestId | None = None
 
     @property
     def upstream_id(self) -> UpstreamId:
         """Return the upstream's id."""
         return self.registration.upstream_id
 
+    @property
+    def process(self) -> str:
+        """Return a name of the process; a restarted one may have the same id."""
+        return f"{self.upstream_id}/{self.registration.started_ms}"
+
+    @property
+    def failure_domain(self) -> FailureDomain:
+        """Return the upstream's failure domain."""
+        return self.registration.failure_domain
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the upstream has announced that it leaves."""
+        return self.registration.presence is Presence.LEAVING
+
+    @property
+    def is_busy(self) -> bool:
+        """Return whether requests of this host are at the upstream."""
+        return self.load.own > 0
+
     @property
     def slots(self) -> int:
         """Return the number of requests that it runs at once."""
@@ -77,7 +101,10 @@
     @property
     def takes_work(self) -> bool:
         """Return whether new requests may be sent to it."""
-        return not self.leaving
+        return not self.leaving and self.reserved_for is None
+
+
+UpstreamListener = cabc.Callable[[Upstream], None]
 
 
 class Directory:
@@ -94,9 +121,19 @@
         self._by_service: dict[ServiceName, list[Upstream]] = {}
         self._stale: set[UpstreamId] = set()
         self._source_recovered_at: float | None = None
+        self._departure_listeners: list[UpstreamListener] = []
+        self._leaving_listeners: list[UpstreamListener] = []
         self.changed: Offset = Offset(-1)
         self.loaded_at: float | None = None
 
+    def add_departure_listener(self, listener: UpstreamListener) -> None:
+        """Call ``listener`` with each upstream that is gone without having announced it."""
+        self._departure_listeners.append(listener)
+
+    def add_leaving_listener(self, listener: UpstreamListener) -> None:
+        """Call ``listener`` with each upstream that announces that it leaves."""
+        self._leaving_listeners.append(listener)
+
     @property
     def loaded(self) -> bool:
         """Return whether the complete list has been read."""
@@ -200,6 +237,8 @@
         leaving = registration.presence is Presence.LEAVING
         if leaving and not known.leaving:
             known.leaving_since = self._clock.monotonic()
+            for listener in self._leaving_listeners:
+                listener(known)
         if leaving != known.leaving:
             eliot.log_message(
                 message_type="directory:presence",
@@ -229,6 +268,9 @@
 
     def _discard(self, upstream_id: UpstreamId) -> None:
         upstream = self._by_id.pop(upstream_id)
+        if not upstream.leaving:
+            for listener in self._departure_listeners:
+                listener(upstream)
         upstream.leaving = True
         upstream.pool.close()
         self._by_service[upstream.registration.service].remove(upstream)
--- a/src/cassiawalk/ingress/forwarder.py
+++ b/src/cassiawalk/ingress/forwarder.py
@@ -4,21 +4,24 @@
 
 from cassiawalk.app import Component
 from cassiawalk.clock import Clock
+from cassiawalk.crashes import IsolatedRun
 from cassiawalk.http1 import Exchange
 from cassiawalk.http1 import ExchangeHandler
 from cassiawalk.http1 import HeadError
 from cassiawalk.ingress.attempt import Attempt
-from cassiawalk.ingress.attempt import AttemptEnd
 from cassiawalk.ingress.budgets import RetryBudgets
 from cassiawalk.ingress.codec import Demand
 from cassiawalk.ingress.codec import HeadCodec
 from cassiawalk.ingress.demandmeter import DemandMeter
+from cassiawalk.ingress.directory import Upstream
 from cassiawalk.ingress.intake import Intake
 from cassiawalk.ingress.intake import RefusedError
 from cassiawalk.ingress.job import Job
+from cassiawalk.ingress.outcome import AttemptEnd
 from cassiawalk.ingress.placement import Placement
 from cassiawalk.ingress.placement import Placer
 from cassiawalk.ingress.report import IngressReport
+from cassiawalk.ingress.screening import Screening
 from cassiawalk.results import Execution
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
@@ -40,7 +43,9 @@
         clock: Clock,
         report: IngressReport,
         meter: DemandMeter,
+        screening: Screening,
     ) -> None:
+        self._screening = screening
         self._meter = meter
         self._intake = intake
         self._placer = placer
@@ -86,19 +91,68 @@
         :return: None if an answer was delivered, else the refusal.
         """
         while True:
+            admitted = await self._screening.admit(job)
+            if isinstance(admitted, Refusal):
+                return admitted
+            if admitted is not None:
+                return await self._run_alone(job, admitted)
             placement = self._placer.place(job)
             if placement is None:
                 return self._no_upstream(job)
             if not self._placer.has_room(placement):
                 return self._upstreams_full(job, placement)
-            attempt = self._new_attempt(job, placement)
-            end = await attempt.run()
-            self._report.note_attempt(job, placement, attempt.first_s, end.value, attempt.reason)
+            end, reason = await self._attempt(job, placement)
             if end is AttemptEnd.DELIVERED:
                 return None
+            if end.answer_lost:
+                await self._note_lost(job, placement.upstream)
             job.tried.add(placement.upstream.upstream_id)
             if not self._may_retry(job, end):
-                return self._retries_exhausted(job, end, attempt.reason)
+                return self._retries_exhausted(job, end, reason)
+
+    async def _run_alone(self, job: Job, run: IsolatedRun) -> Refusal | None:
+        """Send a suspect request once, to an upstream that it does not share with others."""
+        lost: Upstream | None = None
+        run.start()
+        try:
+            placement = self._placer.place_alone(
+                job, occupied=run.occupied(), avoided=self._screening.deaths_in(job)
+            )
+            if placement is None:
+                return self._no_upstream(job)
+            if not await run.reserve(placement.upstream):
+                return self._not_alone(job)
+            end, reason = await self._attempt(job, placement)
+            lost = placement.upstream if end.answer_lost else None
+            if end is AttemptEnd.DELIVERED:
+                return None
+            return self._retries_exhausted(job, end, reason)
+        finally:
+            ending = self._screening.end_isolated_run(run, job, lost)
+            self._screening.spawn(ending, name="isolated-run-end")
+
+    async def _attempt(self, job: Job, placement: Placement) -> tuple[AttemptEnd, str]:
+        """Make one attempt; return how it ended and why it failed."""
+        attempt = self._new_attempt(job, placement)
+        try:
+            end = await attempt.run()
+        except asyncio.CancelledError:
+            self._screening.note_unanswered(job, placement.upstream)
+            raise
+        self._report.note_attempt(job, placement, attempt.first_s, end, attempt.reason)
+        if end is AttemptEnd.DELIVERED and job.succeeded:
+            self._screening.note_completed(job)
+        if attempt.other_process_answered:
+            self._screening.note_other_process(placement.upstream)
+        return end, attempt.reason
+
+    async def _note_lost(self, job: Job, upstream: Upstream) -> None:
+        """Find out whether the upstream died; wait for it only if the request may be retried."""
+        finding = self._screening.note_lost(job, upstream)
+        if job.route.rule.repeatable:
+            await finding
+        else:
+            self._screening.spawn(finding, name="lost-answer")
 
     def _new_attempt(self, job: Job, placement: Placement) -> Attempt:
         return Attempt(
@@ -122,6 +176,10 @@
         detail = f"no upstream of {job.service} accepts requests"
         return self._unanswered(job, ResultCode.NO_UPSTREAM, detail, NO_UPSTREAM_RETRY_S)
 
+    def _not_alone(self, job: Job) -> Refusal:
+        detail = f"another suspect request runs where {job.fingerprint} could run alone"
+        return self._unanswered(job, ResultCode.SUSPECT, detail, FULL_RETRY_S)
+
     def _upstreams_full(self, job: Job, placement: Placement) -> Refusal:
         load = placement.upstream.load
         detail = f"upstreams of {job.service} are full; the best choice has {load.total} requests"
--- a/src/cassiawalk/ingress/heartbeat.py
+++ b/src/cassiawalk/ingress/heartbeat.py
@@ -61,6 +61,7 @@
     share: float = 1.0
     hosts: int = 0
     strength: float = 1.0
+    notes: str | None = None
 
     @property
     def process(self) -> str:
--- a/src/cassiawalk/ingress/heartbeats.py
+++ b/src/cassiawalk/ingress/heartbeats.py
@@ -129,6 +129,15 @@
             if view.received_at > limit and not view.heartbeat.leaving
         ]
 
+    def partners(self) -> list[HostId]:
+        """Return the live hosts that this one exchanges heartbeats with."""
+        if self.is_hub:
+            found = [host for host, _ in self._dependents()]
+        else:
+            found = self._hubs()[:HUBS_PER_HOST]
+        live = set(self.live_hosts)
+        return [host for host in found if host in live]
+
     @property
     def host_count(self) -> int:
         """Return the number of hosts that are or may be live, including this one."""
--- a/src/cassiawalk/ingress/job.py
+++ b/src/cassiawalk/ingress/job.py
@@ -75,6 +75,11 @@
         """Return the name of the caller's workspace."""
         return None if self.workspace is None else self.workspace.name
 
+    @property
+    def succeeded(self) -> bool:
+        """Return whether a delivered answer reports success."""
+        return self.buffered is None or 200 <= self.buffered.status < 300
+
     @property
     def head_sent(self) -> bool:
         """Return whether the head of an answer has been sent to the caller."""
--- a/src/cassiawalk/ingress/node.py
+++ b/src/cassiawalk/ingress/node.py
@@ -29,6 +29,7 @@
 from cassiawalk.ingress.copying import CopyCall
 from cassiawalk.ingress.copying import PeerCopier
 from cassiawalk.ingress.correctedtime import CorrectedTime
+from cassiawalk.ingress.crashparts import CrashParts
 from cassiawalk.ingress.demandmeter import DemandMeter
 from cassiawalk.ingress.directory import Directory
 from cassiawalk.ingress.follow import ConfigFollower
@@ -60,6 +61,7 @@
 CONFIG_PAUSE_S = 0.0
 DIRECTORY_WAIT_S = 0.2
 DIRECTORY_PAUSE_S = 0.3
+SUSPECT_WAIT_S = 3.0  # hosts tell each other at once; the store is for those that none can tell
 # Heartbeats announce new hosts, and the heartbeat exchange reads the list when hosts are missing.
 MEMBERSHIP_POLL_S = 600.0
 NO_SECRET = ""  # the platform provides none; its network carries no outside traffic
@@ -191,6 +193,16 @@
         )
         self.peer_server = PeerServer(sock=listen(profile.peer_address), secret=NO_SECRET)
         self.peer_server.handle(Heartbeat, self.heartbeats.handle)
+        self.crashes = CrashParts(
+            host=profile.host_id,
+            directory=self.directory,
+            membership=self.membership,
+            heartbeats=self.heartbeats,
+            links=self.links,
+            time=self.time,
+            clock=self._clock,
+        )
+        self.crashes.serve(self.peer_server)
 
     def _build_requests(self) -> None:
         bounds = self._profile.bounds
@@ -235,6 +247,7 @@
             clock=self._clock,
             report=self.report,
             meter=self.demand,
+            screening=self.crashes.screening,
         )
 
     def _build_followers(self) -> None:
@@ -365,6 +378,7 @@
             reading=self.demand.rates(),
             usage=self.usage.own_counts(),
             strength=self._profile.strength,
+            notes=self.crashes.exchange.digest(),
         )
 
     def _prefill_demand(self, service: ServiceName) -> float:
@@ -397,6 +411,11 @@
             handler=_MetricsHandler(report=self.report),
         )
         duties = [] if self.duties is None else [self.duties]
+        suspects = dataclasses.replace(
+            self._read_options(self._source.suspect_stream, SUSPECT_WAIT_S, 0.0),
+            on_change=lambda: None,
+        )
+        crashes = self.crashes.components(log=self._source.records, options=suspects, rng=self._rng)
         return [
             ready,
             metrics,
@@ -406,6 +425,7 @@
             self.directory_follower,
             self.heartbeats,
             self.copier,
+            *crashes,
             *duties,
             self.forwarder,
             self._callers,
--- a/src/cassiawalk/ingress/placement.py
+++ b/src/cassiawalk/ingress/placement.py
@@ -78,6 +78,32 @@
         best = min(found, key=lambda placement: placement.cost)
         return dataclasses.replace(best, holder=self._holder(job, best.upstream))
 
+    def place_alone(
+        self,
+        job: Job,
+        *,
+        occupied: cabc.Set[UpstreamId],
+        avoided: cabc.Set[FailureDomain],
+    ) -> Placement | None:
+        """Return the upstream where the fewest other requests suffer if it dies, or None.
+
+        :param occupied: upstreams to use only if there are no others.
+        :param avoided: failure domains to use only if there are no others.
+        """
+        usable = self._usable(job.service, job.tried)
+        if not usable:
+            return None
+        best = min(
+            usable,
+            key=lambda found: (
+                found.health.paused,
+                found.upstream_id in occupied,
+                found.failure_domain in avoided,
+                found.load.total,
+            ),
+        )
+        return self._estimate(best, job, (), len(usable))
+
     def _holder(self, job: Job, chosen: Upstream) -> Upstream | None:
         if not self._fetches_prefixes(job.service):
             return None
--- a/src/cassiawalk/ingress/report.py
+++ b/src/cassiawalk/ingress/report.py
@@ -12,14 +12,12 @@
 from cassiawalk.ids import WorkspaceName
 from cassiawalk.ingress.codec import Demand
 from cassiawalk.ingress.job import Job
+from cassiawalk.ingress.outcome import AttemptEnd
 from cassiawalk.ingress.placement import Placement
 from cassiawalk.results import Refusal
 
 LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.4, 2.5, 5.0, 10.0, 60.0]
 
-# Ends of attempts after which the upstream may have died.
-LOST_ANSWER_ENDS = frozenset(("broken", "broken-midway"))
-
 StartListener = cabc.Callable[[WorkspaceName], None]
 
 
@@ -61,17 +59,17 @@
             self._on_started(job.workspace.name)
 
     def note_attempt(
-        self, job: Job, placement: Placement, first_s: float | None, end: str, reason: str
+        self, job: Job, placement: Placement, first_s: float | None, end: AttemptEnd, reason: str
     ) -> None:
         """Count and log the end of an attempt, with the values that led to its upstream."""
-        self._attempts.inc({"service": job.service, "end": end})
+        self._attempts.inc({"service": job.service, "end": end.value})
         load = placement.upstream.load
         eliot.log_message(
             message_type="request:attempt",
             request_id=job.request_id,
             route=job.route.name,
             revision=job.revision,
-            fingerprint=job.fingerprint if end in LOST_ANSWER_ENDS else None,
+            fingerprint=job.fingerprint if end.answer_lost else None,
             upstream=placement.upstream.upstream_id,
             expected_first_s=round(placement.first_s, 4),
             first_s=None if first_s is None else round(first_s, 4),
@@ -80,7 +78,7 @@
             holder=None if placement.holder is None else placement.holder.upstream_id,
             own=load.own,
             others=load.others,
-            end=end,
+            end=end.value,
             reason=reason,
             age_s=round(self._age_s(job), 4),
         )
--- /dev/null
+++ b/src/cassiawalk/ingress/screening.py
@@ -0,0 +1,134 @@
+"""Finds out which upstreams died under requests, and screens requests that may be the cause."""
+
+import asyncio
+import collections.abc as cabc
+import dataclasses
+
+from cassiawalk.app import Component
+from cassiawalk.clock import Clock
+from cassiawalk.crashes import CrashGuard
+from cassiawalk.crashes import IsolatedRun
+from cassiawalk.crashes.evidence import RecordedDeath
+from cassiawalk.ids import FailureDomain
+from cassiawalk.ingress.directory import Directory
+from cassiawalk.ingress.directory import Upstream
+from cassiawalk.ingress.job import Job
+from cassiawalk.results import Execution
+from cassiawalk.results import Refusal
+from cassiawalk.results import ResultCode
+
+# Deaths after which a request runs only in isolation; the next one then convicts it. It has to be
+# refused after its third, and each earlier one may have another cause.
+ISOLATE_AFTER_DEATHS = 2
+HOLD_S = 3.0  # from a request's last death to its isolated run: dead upstreams come back meanwhile
+MIN_UPSTREAMS = 2  # an isolated run must not take the last upstream of a service
+ISOLATION_WAIT_S = 0.3
+PROBE_WAIT_S = 0.3
+
+
+class Screening(Component):
+    """Connects the forwarder to the crash guard."""
+
+    def __init__(self, *, guard: CrashGuard, directory: Directory, clock: Clock) -> None:
+        self._guard = guard
+        self._directory = directory
+        self._clock = clock
+        self._probes: dict[str, asyncio.Task[None]] = {}
+        directory.add_departure_listener(self._note_departure)
+        directory.add_leaving_listener(guard.note_leaving)
+
+    async def admit(self, job: Job) -> IsolatedRun | Refusal | None:
+        """Return None if the request may be sent, an isolated run if only in that, or a refusal."""
+        admitted = await self._screen(job)
+        if isinstance(admitted, Refusal) and job.may_have_run:
+            return dataclasses.replace(admitted, execution=Execution.UNKNOWN)
+        return admitted
+
+    async def _screen(self, job: Job) -> IsolatedRun | Refusal | None:
+        refusal = self._guard.refusal(job) or self._hold(job)
+        if refusal is not None:
+            return refusal
+        left_s = max(0.0, job.ends_at - self._clock.monotonic())
+        return await self._guard.screen(job, left_s=left_s, wait_s=ISOLATION_WAIT_S)
+
+    def deaths_in(self, job: Job) -> cabc.Set[FailureDomain]:
+        """Return the failure domains in which upstreams died under the request."""
+        return {death.failure_domain for death in self._guard.blamed_deaths(job.fingerprint)}
+
+    def note_completed(self, job: Job) -> None:
+        """Record that an upstream has answered the request with success."""
+        self._guard.note_completed(job)
+
+    async def note_lost(self, job: Job, upstream: Upstream) -> None:
+        """Record that the answer to a request was lost; return once the cause may be known.
+
+        An upstream that refuses new connections is dead. One that does not answer may only be cut
+        off from this host: whether it is dead then shows when its entry disappears or changes.
+        """
+        if upstream.is_leaving:
+            return
+        self._guard.note_lost(job, upstream)
+        if upstream.leaving:  # its entry is gone already, without an announcement
+            self._guard.note_death(upstream)
+            return
+        probe = self._probes.get(upstream.process)
+        if probe is None:
+            probe = self.spawn(self._probe(upstream), name=f"probe-{upstream.process}")
+            self._probes[upstream.process] = probe
+            probe.add_done_callback(lambda _: self._probes.pop(upstream.process, None))
+        await asyncio.wait([probe], timeout=PROBE_WAIT_S)
+
+    def note_unanswered(self, job: Job, upstream: Upstream) -> None:
+        """Record that the wait for an answer was given up, as that of an upstream gone silent."""
+        if upstream.is_leaving:
+            return
+        self._guard.note_lost(job, upstream)
+        if upstream.leaving:
+            self._guard.note_death(upstream)
+
+    def note_other_process(self, upstream: Upstream) -> None:
+        """Record that another process answers at an upstream's address."""
+        if self._guard.has_lost(upstream):
+            self._guard.note_death(upstream)
+
+    async def end_isolated_run(
+        self, run: IsolatedRun, job: Job, lost_upstream: Upstream | None
+    ) -> None:
+        """Release an isolated run once it is known whether the upstream died in it.
+
+        :param lost_upstream: the upstream if the answer was lost, else None.
+        """
+        try:
+            if lost_upstream is not None:
+                await self.note_lost(job, lost_upstream)
+                await self._guard.confirm_death(lost_upstream)
+        finally:
+            await run.close()
+
+    async def _probe(self, upstream: Upstream) -> None:
+        if await upstream.pool.probe() is False:
+            self._guard.note_death(upstream)
+
+    def _note_departure(self, upstream: Upstream) -> None:
+        if self._guard.has_lost(upstream):
+            self._guard.note_death(upstream)
+
+    def _hold(self, job: Job) -> Refusal | None:
+        """Return a refusal if an isolated run of the request would take too many upstreams now."""
+        if self._guard.has_no_notes:
+            return None
+        blamed = self._guard.blamed_deaths(job.fingerprint)
+        if len(blamed) < ISOLATE_AFTER_DEATHS:
+            return None
+        left_s = HOLD_S - max(0.0, self._clock.wall() - blamed[-1].at_s)
+        if left_s > 0:
+            return _held(job, blamed, left_s)
+        if len(self._directory.available_for(job.service)) < MIN_UPSTREAMS:
+            return _held(job, blamed, HOLD_S)
+        return None
+
+
+def _held(job: Job, blamed: cabc.Sequence[RecordedDeath], retry_after_s: float) -> Refusal:
+    deaths = ", ".join(f"{death.process} told by {death.reporter}" for death in blamed)
+    detail = f"{len(blamed)} upstreams died running this request ({deaths}): {job.fingerprint}"
+    return Refusal(code=ResultCode.SUSPECT, detail=detail, retry_after_s=retry_after_s)
--- a/src/cassiawalk/ingress/source.py
+++ b/src/cassiawalk/ingress/source.py
@@ -13,7 +13,8 @@
 class PlatformSource:
     """The platform's services, behind interfaces of this package.
 
-    :param records: the log of keyed records, with configuration, upstreams and hosts.
+    :param records: the log of keyed records, with configuration, upstreams, hosts and
+        suspect requests.
     :param log: the log service, for the leases of duties and the usage records.
     :param duties: the interface of the duties, or None on a platform without duties.
     :param config_key: the key of the configuration's record in ``config_stream``.
@@ -26,5 +27,6 @@
     config_key: str
     upstream_stream: str
     host_stream: str
+    suspect_stream: str
     decode_config: ConfigDecoder
     decode_registration: RegistrationDecoder
--- /dev/null
+++ b/src/cassiawalk/ingress/suspects.py
@@ -0,0 +1,133 @@
+"""Keeps notes about crashing requests in the store, for hosts that no other host can tell."""
+
+import collections
+import dataclasses
+import random
+
+import cbor2
+import eliot
+
+from cassiawalk.clients import KeyedList
+from cassiawalk.clients import KeyedLog
+from cassiawalk.clients import KeyedRecord
+from cassiawalk.clock import Clock
+from cassiawalk.crashes.evidence import fingerprint_in
+from cassiawalk.errors import WireError
+from cassiawalk.ids import Fingerprint
+from cassiawalk.ingress.follow import ReadOptions
+from cassiawalk.ingress.follow import StreamFollower
+from cassiawalk.ingress.notes import NoteExchange
+from cassiawalk.peer import Note
+from cassiawalk.peer import NoteStore
+from cassiawalk.peer import NoteTopic
+from cassiawalk.wire import from_plain
+from cassiawalk.wire import load
+from cassiawalk.wire import to_plain
+
+WRITE_INTERVAL_S = 1.0
+MIN_DEATHS = 2  # a request with fewer is forgotten without harm
+
+NoteVersion = tuple[str, float]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SuspectRecord:
+    """All that is known about one suspect request."""
+
+    notes: tuple[Note, ...]
+
+
+class SuspectFollower(StreamFollower):
+    """Reads the records of suspect requests, and writes what they lack.
+
+    Only hosts that read the store write. A record that an outage or an older copy of the store
+    lost is written again, since it is compared with this host's notes.
+    """
+
+    def __init__(
+        self,
+        *,
+        log: KeyedLog,
+        options: ReadOptions,
+        store: NoteStore,
+        exchange: NoteExchange,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        super().__init__(log=log, options=options, clock=clock, rng=rng)
+        self._store = store
+        self._exchange = exchange
+        self._stored: dict[Fingerprint, frozenset[NoteVersion]] = {}
+        self._reads = 0
+
+    async def start(self) -> None:
+        """Start reading and writing."""
+        await super().start()
+        self.spawn(self._write(), name="suspect-records")
+
+    def apply_record(self, record: KeyedRecord) -> None:
+        """Merge the notes of a record."""
+        fingerprint = Fingerprint(record.key)
+        if record.value is None:
+            self._stored.pop(fingerprint, None)
+            return
+        try:
+            notes = from_plain(SuspectRecord, load(record.value)).notes
+        except (WireError, AttributeError, TypeError, ValueError) as exc:
+            eliot.log_message(
+                message_type="suspects:unreadable", fingerprint=record.key, reason=str(exc)
+            )
+            return
+        self._reads += 1
+        self._stored[fingerprint] = _versions(notes)
+        self.spawn(self._exchange.share(notes), name=f"stored-{fingerprint}")
+
+    def apply_list(self, batch: KeyedList) -> None:
+        """Forget what a complete list lacks, so that it is written again."""
+        present = {record.key for record in batch.records}
+        self._stored = {name: kept for name, kept in self._stored.items() if name in present}
+
+    def version(self) -> int:
+        """Return the number of records read."""
+        return self._reads
+
+    async def _write(self) -> None:
+        while True:
+            await self._clock.sleep(WRITE_INTERVAL_S * (0.5 + self._rng.random()))
+            if self._next is not None and self._options.should_read():
+                await self.write_missing()
+
+    async def write_missing(self) -> None:
+        """Write the records that lack notes of this host; remove those that have expired."""
+        if self._store.is_empty() and not self._stored:
+            return
+        known = self._notes_by_request()
+        for fingerprint in [name for name in self._stored if name not in known]:
+            if await self._log.put(stream=self._options.stream, key=fingerprint, value=None):
+                self._stored.pop(fingerprint, None)
+        for fingerprint, notes in known.items():
+            versions = _versions(notes)
+            stored = self._stored.get(fingerprint)
+            if versions == stored or (stored is None and not _is_worth_storing(notes)):
+                continue
+            record = cbor2.dumps(to_plain(SuspectRecord(notes=tuple(notes))))
+            if await self._log.put(stream=self._options.stream, key=fingerprint, value=record):
+                self._stored[fingerprint] = versions
+
+    def _notes_by_request(self) -> dict[Fingerprint, list[Note]]:
+        found = collections.defaultdict(list)
+        for note in self._store.notes().values():
+            fingerprint = fingerprint_in(note)
+            if fingerprint is not None:
+                found[fingerprint].append(note)
+        return found
+
+
+def _versions(notes: tuple[Note, ...] | list[Note]) -> frozenset[NoteVersion]:
+    return frozenset((f"{note.topic.value}/{note.name}", note.at_s) for note in notes)
+
+
+def _is_worth_storing(notes: list[Note]) -> bool:
+    """Return whether a request is quarantined or has enough deaths against it."""
+    deaths = sum(note.topic is NoteTopic.SUSPECT_REQUEST and bool(note.items) for note in notes)
+    return deaths >= MIN_DEATHS or any(note.topic is NoteTopic.QUARANTINE for note in notes)
--- a/src/cassiawalk/peer/notes.py
+++ b/src/cassiawalk/peer/notes.py
@@ -52,6 +52,8 @@
 class NoteStore:
     """The unexpired notes that this host has received or made.
 
+    ``version`` grows with each change.
+
     :param limit: the maximum number of notes; beyond it, the note that was added first is dropped,
         a quarantine only if there is nothing else.
     """
@@ -61,6 +63,7 @@
         self._limit = limit
         self._notes: dict[NoteKey, Note] = {}
         self._listeners: list[cabc.Callable[[Note], None]] = []
+        self.version = 0
 
     def add_listener(self, listener: cabc.Callable[[Note], None]) -> None:
         """Call ``listener`` with each note that is new or replaces an earlier one."""
@@ -76,25 +79,33 @@
     def notes(self) -> dict[NoteKey, Note]:
         """Return all notes that have not expired."""
         now_s = self._clock.wall()
-        self._notes = {key: note for key, note in self._notes.items() if note.until_s > now_s}
+        kept = {key: note for key, note in self._notes.items() if note.until_s > now_s}
+        if len(kept) < len(self._notes):
+            self._notes = kept
+            self.version += 1
         return dict(self._notes)
 
     def is_empty(self) -> bool:
         """Return whether no notes are stored; expired notes count until they are dropped."""
         return not self._notes
 
-    def merge(self, note: Note) -> None:
-        """Store a note, unless the stored note with the same key is as late or later."""
+    def merge(self, note: Note) -> bool:
+        """Store a note, unless the stored note with the same key is as late or later.
+
+        Return whether it was stored.
+        """
         known = self._notes.get(note.key)
         if known is not None and (known.at_s, known.items) >= (note.at_s, note.items):
-            return
+            return False
         self._notes = self.notes()
         self._notes.pop(note.key, None)
         self._notes[note.key] = note
         while len(self._notes) > self._limit:
             del self._notes[self._first_dispensable()]
+        self.version += 1
         for listener in self._listeners:
             listener(note)
+        return True
 
     def _first_dispensable(self) -> NoteKey:
         others = (key for key in self._notes if key[0] is not NoteTopic.QUARANTINE)
--- a/src/cassiawalk/platform/host.py
+++ b/src/cassiawalk/platform/host.py
@@ -126,6 +126,7 @@
         config_key=names.CONFIG_KEY,
         upstream_stream=names.UPSTREAM_STREAM,
         host_stream=names.HOST_STREAM,
+        suspect_stream=names.SUSPECT_STREAM,
         decode_config=decode_config,
         decode_registration=decode_registration,
     )
--- a/src/cassiawalk/platform/names.py
+++ b/src/cassiawalk/platform/names.py
@@ -51,6 +51,7 @@
 CONFIG_KEY = "config"
 UPSTREAM_STREAM = "keyed.servers"
 HOST_STREAM = "keyed.hosts"
+SUSPECT_STREAM = "keyed.suspects"
 KEYED_PREFIX = "keyed."
 
 # Headers of duty calls.
--- a/src/cassiawalk/results.py
+++ b/src/cassiawalk/results.py
@@ -42,6 +42,7 @@
     QUARANTINED = 3006
     DEADLINE_PASSED_WAITING = 3007
     CONFIGURATION_STALE = 3008
+    SUSPECT = 3009
     RETRIES_EXHAUSTED = 4000
     UPSTREAM_REJECTED = 4001
     DEADLINE_PASSED_RUNNING = 4002
@@ -164,6 +165,13 @@
     ResultCode.CONFIGURATION_STALE: _info(
         503, _NOT_RUN, True, "This host has no current configuration.", "Look at the log service."
     ),
+    ResultCode.SUSPECT: _info(
+        503,
+        _NOT_RUN,
+        True,
+        "Upstreams died running the request; it has to wait until it can run alone.",
+        "Run-book.",
+    ),
     ResultCode.RETRIES_EXHAUSTED: _info(
         502, _RAN, True, "Upstreams failed and no retry is left.", "Look at show upstreams."
     ),
--- a/tests/ingress_bed.py
+++ b/tests/ingress_bed.py
@@ -11,9 +11,13 @@
 import typing as t
 
 from cassiawalk.clock import SystemClock
+from cassiawalk.crashes import CrashGuard
+from cassiawalk.crashes import IsolationLeases
+from cassiawalk.crashes import SharedNotesOnly
 from cassiawalk.http1 import CallerLimits
 from cassiawalk.http1 import HttpListener
 from cassiawalk.ids import FailureDomain
+from cassiawalk.ids import HostId
 from cassiawalk.ids import Offset
 from cassiawalk.ids import Revision
 from cassiawalk.ids import ServiceName
@@ -32,11 +36,19 @@
 from cassiawalk.ingress.directory import Presence
 from cassiawalk.ingress.directory import Registration
 from cassiawalk.ingress.forwarder import Forwarder
+from cassiawalk.ingress.hosts import entry_of
 from cassiawalk.ingress.intake import Intake
 from cassiawalk.ingress.placement import Placer
 from cassiawalk.ingress.quotas import Quotas
 from cassiawalk.ingress.quotas import QuotaTolerance
 from cassiawalk.ingress.report import IngressReport
+from cassiawalk.ingress.screening import ISOLATE_AFTER_DEATHS
+from cassiawalk.ingress.screening import Screening
+from cassiawalk.membership import Membership
+from cassiawalk.peer import Note
+from cassiawalk.peer import NoteSharing
+from cassiawalk.peer import NoteStore
+from cassiawalk.peer import PeerLinks
 from cassiawalk.platform.codec import PlatformHeadCodec
 from cassiawalk.settings import Address
 from cassiawalk.sockets import bound_address
@@ -49,6 +61,7 @@
 DOMAIN = FailureDomain("here")
 HOST = b"care.example"
 KEY = b"key-1"
+HOST_ID = HostId("host-0")
 NO_TOLERANCE = QuotaTolerance(window_s=8.0, ratio=0.0, amount=0.0)
 
 Script = cabc.Callable[["UpstreamSide"], cabc.Awaitable[None]]
@@ -192,6 +205,17 @@
         side.write(answer(arrival.request_id, arrival.body or b"empty"))
 
 
+class LocalNotes(NoteSharing):
+    """Notes that stay on one host."""
+
+    def __init__(self, store: NoteStore) -> None:
+        self._store = store
+
+    async def share(self, notes: cabc.Sequence[Note]) -> None:
+        for note in notes:
+            self._store.merge(note)
+
+
 class IngressBed:
     """The ingress between a caller's socket and scripted upstreams, without peers or a store."""
 
@@ -229,6 +253,7 @@
             clock=clock,
             report=self.report,
             meter=DemandMeter(clock=clock),
+            screening=self._screening(),
         )
         self._sock = listen(Address(ip="127.0.0.1", port=0))
         self.listener = HttpListener(
@@ -237,6 +262,32 @@
         self.address = bound_address(self._sock)
         self._stack = contextlib.AsyncExitStack()
 
+    def _screening(self) -> Screening:
+        clock = SystemClock()
+        store = NoteStore(clock=clock)
+        entry = entry_of(HOST_ID, "here", "127.0.0.1:1")
+        membership = Membership(host=HOST_ID, host_list=t.cast(t.Any, None), clock=clock)
+        membership.add_entry(entry)
+        self.guard = CrashGuard(
+            host=HOST_ID,
+            note_store=store,
+            sharing=LocalNotes(store),
+            isolation_leases=IsolationLeases(
+                host=HOST_ID,
+                membership=membership,
+                links=PeerLinks(membership=membership, secret=""),
+                clock=clock,
+            ),
+            quarantines=SharedNotesOnly(),
+            upstreams=self.directory.upstreams,
+            on_released=lambda: None,
+            clock=clock,
+            isolate_after=ISOLATE_AFTER_DEATHS,
+            settle_s=0.0,
+        )
+        self.screening = Screening(guard=self.guard, directory=self.directory, clock=clock)
+        return self.screening
+
     async def __aenter__(self) -> "IngressBed":
         await self.listener.start()
         return self
@@ -244,6 +295,8 @@
     async def __aexit__(self, *_: object) -> None:
         await self.listener.stop()
         await self.forwarder.stop()
+        await self.screening.stop()
+        await self.guard.stop()
         await self._stack.aclose()
 
     async def add(self, script: Script, name: str = "u-1", **changes: t.Any) -> ScriptedUpstream:
