Keep suspects and others off upstreams that are known to be gone

What callers saw: while the store was away, a request with two deaths was never tried alone, and others were refused with 'another upstream answered at this address' after the store's return. Cause: the directory is old then. The isolated run went to the same dead upstream again and again, as it makes one attempt and prefers idle upstreams; and an upstream at whose address another process answers was only paused.

An isolated run that surely did not run goes on to the next upstream and avoids those of whose death any host knows. An upstream whose address a later process has takes no more requests. Why it works: another process at an address proves that the former one is gone, whatever the store says.

--- a/src/cassiawalk/crashes/guard.py
+++ b/src/cassiawalk/crashes/guard.py
@@ -184,8 +184,7 @@
             return
         fingerprint = request.fingerprint
         if self._evidence.deaths(fingerprint):
-            change = self._log_change([fingerprint], self._evidence.clear(fingerprint))
-            self.spawn(change, name=f"clear-{fingerprint}")
+            self.spawn(self._clear(fingerprint), name=f"clear-{fingerprint}")
 
     def note_lost(self, request: GuardedRequest, upstream: GuardedUpstream) -> None:
         """Record that the connection was lost on which an upstream ran the request."""
@@ -202,6 +201,11 @@
         """Return whether requests lost their connection to the upstream recently."""
         return upstream.process in self._lost
 
+    def is_dead(self, upstream: GuardedUpstream) -> bool:
+        """Return whether this host or another one has noticed the death of an upstream."""
+        process = upstream.process
+        return self._deaths.holds(process) or bool(self._evidence.blamed_for(process))
+
     def note_death(self, upstream: GuardedUpstream) -> None:
         """Record that an upstream died, and start a task that finds out the cause."""
         process = upstream.process
@@ -225,8 +229,7 @@
         self._deaths.remove(process)
         blamed = self._evidence.blamed_for(process)
         if blamed:
-            change = self._log_change(blamed, self._evidence.explain(process))
-            self.spawn(change, name=f"explain-{process}")
+            self.spawn(self._explain(process, blamed), name=f"explain-{process}")
         self._notify_changed()
 
     async def confirm_death(self, upstream: GuardedUpstream) -> None:
@@ -298,8 +301,9 @@
             return
         self._deaths.replace(death)
         if len(self._deaths.related(death)) < CERTAIN_DOMAIN_DEATHS:
-            change = self._evidence.add(death.running, death)
-            await self._log_change(death.running, change)
+            before = self._blamed(death.running)
+            await self._evidence.add(death.running, death)
+            self._log_changes(before)
 
     async def _quarantine(
         self, fingerprint: Fingerprint, upstream: GuardedUpstream, death: Death
@@ -324,22 +328,32 @@
             NoteTopic.QUARANTINE, fingerprint, keep_s=QUARANTINE_S, items=tuple(items)
         )
         await self._notes.share([note])
-        await self._log_change([fingerprint], self._evidence.clear(fingerprint))
+        await self._clear(fingerprint)
         eliot.log_message(message_type="crash:quarantined", fingerprint=fingerprint, reason=reason)
         publish = self._quarantines.publish(fingerprint, until_s=until_s, reason=reason)
         self.spawn(publish, name=f"quarantine-{fingerprint}")
 
-    async def _log_change(
-        self, fingerprints: cabc.Collection[Fingerprint], change: cabc.Awaitable[None]
-    ) -> None:
-        """Apply a change of the evidence; log the requests that more or fewer deaths stand against.
+    async def _clear(self, fingerprint: Fingerprint) -> None:
+        before = self._blamed([fingerprint])
+        await self._evidence.clear(fingerprint)
+        self._log_changes(before)
+
+    async def _explain(self, process: str, fingerprints: cabc.Iterable[Fingerprint]) -> None:
+        before = self._blamed(fingerprints)
+        await self._evidence.explain(process)
+        self._log_changes(before)
+
+    def _blamed(
+        self, fingerprints: cabc.Iterable[Fingerprint]
+    ) -> dict[Fingerprint, list[RecordedDeath]]:
+        return {fingerprint: self.blamed_deaths(fingerprint) for fingerprint in fingerprints}
+
+    def _log_changes(self, before: cabc.Mapping[Fingerprint, list[RecordedDeath]]) -> None:
+        """Log the requests that more or fewer deaths stand against than ``before``.
 
         A death that a failure of the domain explains stands against no request.
         """
-        before = {fingerprint: self.blamed_deaths(fingerprint) for fingerprint in fingerprints}
-        await change
-        for fingerprint in fingerprints:
-            blamed = self.blamed_deaths(fingerprint)
+        for fingerprint, blamed in self._blamed(before).items():
             if blamed != before[fingerprint]:
                 eliot.log_message(
                     message_type="crash:suspect",
--- a/src/cassiawalk/ingress/attempt.py
+++ b/src/cassiawalk/ingress/attempt.py
@@ -24,9 +24,8 @@
 class Attempt:
     """Sends a job to one upstream and forwards the answer to the caller.
 
-    ``reason`` says why the attempt failed. ``other_process_answered`` is set if another process
-    than the chosen upstream answered at its address. ``first_s`` is the time to the head or first
-    event of the answer in seconds, or None if there was none.
+    ``reason`` says why the attempt failed. ``first_s`` is the time to the head or first event of
+    the answer in seconds, or None if there was none.
     """
 
     def __init__(
@@ -48,7 +47,6 @@
         self._started_at = clock.monotonic()
         self.reason = ""
         self.first_s: float | None = None
-        self.other_process_answered = False
 
     async def run(self) -> AttemptEnd:
         """Run the attempt and return how it ended; if cancelled, its connection is closed."""
@@ -129,7 +127,7 @@
         self.reason = f"the upstream refused with status {head.status}"
         if metadata.wrong_upstream:
             self.reason = "another upstream answered at this address"
-            self.other_process_answered = True
+            self._upstream.superseded = True
             self._upstream.health.note_failure(definite=True)
         event = await conn.next_event()
         while isinstance(event, AnswerData):
--- a/src/cassiawalk/ingress/directory.py
+++ b/src/cassiawalk/ingress/directory.py
@@ -56,7 +56,7 @@
 
     ``leaving`` is also set when its entry is gone; ``leaving_since`` is when it announced that it
     leaves, in monotonic seconds. ``reserved_for`` is the only request that may be sent to it, or
-    None.
+    None. ``superseded`` is set once another process has its address.
     """
 
     def __init__(self, *, registration: Registration, clock: Clock) -> None:
@@ -67,6 +67,7 @@
         self.leaving = registration.presence is Presence.LEAVING
         self.leaving_since: float | None = None
         self.reserved_for: RequestId | None = None
+        self.superseded = False
 
     @property
     def upstream_id(self) -> UpstreamId:
@@ -101,7 +102,7 @@
     @property
     def takes_work(self) -> bool:
         """Return whether new requests may be sent to it."""
-        return not self.leaving and self.reserved_for is None
+        return not (self.leaving or self.superseded) and self.reserved_for is None
 
 
 UpstreamListener = cabc.Callable[[Upstream], None]
@@ -254,6 +255,7 @@
         upstream = Upstream(registration=registration, clock=self._clock)
         if upstream.leaving:
             upstream.leaving_since = self._clock.monotonic()
+        self._supersede_at(registration)
         self._by_id[upstream.upstream_id] = upstream
         self._by_service.setdefault(registration.service, []).append(upstream)
         eliot.log_message(
@@ -266,6 +268,13 @@
             leaving=upstream.leaving,
         )
 
+    def _supersede_at(self, new: Registration) -> None:
+        """Mark upstreams as superseded whose address a later process has now."""
+        for known in self._by_id.values():
+            before = known.registration
+            if before.address == new.address and before.started_ms < new.started_ms:
+                known.superseded = True
+
     def _discard(self, upstream_id: UpstreamId) -> None:
         upstream = self._by_id.pop(upstream_id)
         if not upstream.leaving:
--- a/src/cassiawalk/ingress/forwarder.py
+++ b/src/cassiawalk/ingress/forwarder.py
@@ -111,22 +111,27 @@
                 return self._retries_exhausted(job, end, reason)
 
     async def _run_alone(self, job: Job, run: IsolatedRun) -> Refusal | None:
-        """Send a suspect request once, to an upstream that it does not share with others."""
+        """Let a suspect request run once, on an upstream that it does not share with others."""
         lost: Upstream | None = None
         run.start()
         try:
-            placement = self._placer.place_alone(
-                job, occupied=run.occupied(), avoided=self._screening.deaths_in(job)
-            )
-            if placement is None:
-                return self._no_upstream(job)
-            if not await run.reserve(placement.upstream):
-                return self._not_alone(job)
-            end, reason = await self._attempt(job, placement)
-            lost = placement.upstream if end.answer_lost else None
-            if end is AttemptEnd.DELIVERED:
-                return None
-            return self._retries_exhausted(job, end, reason)
+            while True:
+                placement = self._placer.place_alone(
+                    job,
+                    occupied=self._screening.unsuitable(run),
+                    avoided=self._screening.deaths_in(job),
+                )
+                if placement is None:
+                    return self._no_upstream(job)
+                if not await run.reserve(placement.upstream):
+                    return self._not_alone(job)
+                end, reason = await self._attempt(job, placement)
+                if end is AttemptEnd.DELIVERED:
+                    return None
+                lost = placement.upstream if end.answer_lost else None
+                job.tried.add(placement.upstream.upstream_id)
+                if not end.surely_not_run or not self._may_retry(job, end):
+                    return self._retries_exhausted(job, end, reason)
         finally:
             ending = self._screening.end_isolated_run(run, job, lost)
             self._screening.spawn(ending, name="isolated-run-end")
@@ -142,8 +147,8 @@
         self._report.note_attempt(job, placement, attempt.first_s, end, attempt.reason)
         if end is AttemptEnd.DELIVERED and job.succeeded:
             self._screening.note_completed(job)
-        if attempt.other_process_answered:
-            self._screening.note_other_process(placement.upstream)
+        if placement.upstream.superseded:
+            self._screening.note_superseded(placement.upstream)
         return end, attempt.reason
 
     async def _note_lost(self, job: Job, upstream: Upstream) -> None:
--- a/src/cassiawalk/ingress/placement.py
+++ b/src/cassiawalk/ingress/placement.py
@@ -96,8 +96,8 @@
         best = min(
             usable,
             key=lambda found: (
-                found.health.paused,
                 found.upstream_id in occupied,
+                found.health.paused,
                 found.failure_domain in avoided,
                 found.load.total,
             ),
--- a/src/cassiawalk/ingress/screening.py
+++ b/src/cassiawalk/ingress/screening.py
@@ -10,6 +10,7 @@
 from cassiawalk.crashes import IsolatedRun
 from cassiawalk.crashes.evidence import RecordedDeath
 from cassiawalk.ids import FailureDomain
+from cassiawalk.ids import UpstreamId
 from cassiawalk.ingress.directory import Directory
 from cassiawalk.ingress.directory import Upstream
 from cassiawalk.ingress.job import Job
@@ -55,6 +56,13 @@
         """Return the failure domains in which upstreams died under the request."""
         return {death.failure_domain for death in self._guard.blamed_deaths(job.fingerprint)}
 
+    def unsuitable(self, run: IsolatedRun) -> frozenset[UpstreamId]:
+        """Return the upstreams that run other requests, or of whose death this host knows."""
+        dead = {
+            found.upstream_id for found in self._directory.upstreams() if self._guard.is_dead(found)
+        }
+        return run.occupied() | dead
+
     def note_completed(self, job: Job) -> None:
         """Record that an upstream has answered the request with success."""
         self._guard.note_completed(job)
@@ -86,8 +94,8 @@
         if upstream.leaving:
             self._guard.note_death(upstream)
 
-    def note_other_process(self, upstream: Upstream) -> None:
-        """Record that another process answers at an upstream's address."""
+    def note_superseded(self, upstream: Upstream) -> None:
+        """Record that another process answers at an upstream's address: it is gone."""
         if self._guard.has_lost(upstream):
             self._guard.note_death(upstream)
 
@@ -123,7 +131,12 @@
         left_s = HOLD_S - max(0.0, self._clock.wall() - blamed[-1].at_s)
         if left_s > 0:
             return _held(job, blamed, left_s)
-        if len(self._directory.available_for(job.service)) < MIN_UPSTREAMS:
+        alive = [
+            found
+            for found in self._directory.available_for(job.service)
+            if not self._guard.is_dead(found)
+        ]
+        if len(alive) < MIN_UPSTREAMS:
             return _held(job, blamed, HOLD_S)
         return None
 
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -10,6 +10,8 @@
 from standins.platform import PlatformStore
 from standins.platform import StandIn
 
+SLOTS = 8
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class UpstreamRun:
@@ -34,6 +36,7 @@
     """
 
     _numbers = itertools.count(1)
+    _births = itertools.count(1_800_000_000_000)
 
     def __init__(
         self,
@@ -56,6 +59,7 @@
         self._down_s = down_s
         self._crash: asyncio.Task[None] | None = None
         self.upstream_id = f"i-{next(self._numbers)}"
+        self._born_ms = next(self._births)
         self.public_address = self.address  # the address that hosts connect to
         self.executed_ids: list[str] = []
         self.workspaces: list[str] = []
@@ -74,9 +78,9 @@
             "service": self._service,
             "address": self.public_address,
             "zone": self._zone,
-            "slots": 8,
+            "slots": SLOTS,
             "state": state,
-            "born": 1,
+            "born": self._born_ms,
         }
         await self._store.put("keyed.servers", self.upstream_id, entry)
 
@@ -94,6 +98,7 @@
         former_id = self.upstream_id
         await self.restart(down_s=self._down_s)
         self.upstream_id = f"i-{next(self._numbers)}"
+        self._born_ms = next(self._births)
         await self.register()
         await self._store.put("keyed.servers", former_id, None)
 
--- a/tests/crash_callers.py
+++ b/tests/crash_callers.py
@@ -63,6 +63,13 @@
             self.others.append(await self.send(path, b"other %d" % len(self.others)))
             await asyncio.sleep(every_s)
 
+    async def repeat_popular(self, path: str, *, for_s: float) -> None:
+        """Send one request that has a body in common with those of others, again and again."""
+        ends_at = time.monotonic() + for_s
+        while time.monotonic() < ends_at:
+            self.others.append(await self.send(path, b"popular"))
+            await asyncio.sleep(0.02)
+
     def crashes_at(self) -> list[float]:
         """Return when upstreams crashed, in order, in monotonic seconds."""
         return sorted(at for upstream in self._fleet.upstreams for at in upstream.crashed_at)
--- /dev/null
+++ b/tests/crash_fleet.py
@@ -0,0 +1,387 @@
+"""Hosts with the real crash guard, heartbeats and notes in one event loop on virtual time.
+
+Links, store, upstreams and requests are fakes; a request names the upstream that it runs on.
+"""
+
+import asyncio
+import collections.abc as cabc
+import dataclasses
+import itertools
+import random
+import typing as t
+
+from cassiawalk.clients import KeyedChanges
+from cassiawalk.clients import KeyedList
+from cassiawalk.clients import KeyedLog
+from cassiawalk.clients import KeyedRecord
+from cassiawalk.clients import ReadFailed
+from cassiawalk.clock import LoopClock
+from cassiawalk.crashes import IsolatedRun
+from cassiawalk.fingerprint import fingerprint
+from cassiawalk.ids import FailureDomain
+from cassiawalk.ids import Fingerprint
+from cassiawalk.ids import HostId
+from cassiawalk.ids import Offset
+from cassiawalk.ids import RequestId
+from cassiawalk.ids import ServiceName
+from cassiawalk.ids import UpstreamId
+from cassiawalk.ingress.correctedtime import CorrectedTime
+from cassiawalk.ingress.crashparts import CrashParts
+from cassiawalk.ingress.directory import Directory
+from cassiawalk.ingress.directory import Presence
+from cassiawalk.ingress.directory import Registration
+from cassiawalk.ingress.directory import Upstream
+from cassiawalk.ingress.follow import ReadOptions
+from cassiawalk.ingress.heartbeat import Heartbeat
+from cassiawalk.ingress.heartbeats import HeartbeatExchange
+from cassiawalk.ingress.hosts import HostRegistry
+from cassiawalk.ingress.hosts import entry_of
+from cassiawalk.membership import Membership
+from cassiawalk.peer import PeerFailure
+from cassiawalk.peer.messages import messages
+from cassiawalk.results import Refusal
+from cassiawalk.results import ResultCode
+
+SERVICE = ServiceName("models")
+LINK_DELAY_S = 0.002
+RUN_S = 0.02
+DOWN_S = 2.0
+STABILITY_S = 3.0
+
+
+class MemoryLog(KeyedLog):
+    """Keyed streams in memory; while ``refusing`` holds a host's name, its calls fail."""
+
+    def __init__(self, host: HostId, streams: dict[str, list[KeyedRecord]]) -> None:
+        self._host = host
+        self._streams = streams
+        self.available = True
+
+    async def newest(self, *, stream: str) -> KeyedList | ReadFailed:
+        await asyncio.sleep(LINK_DELAY_S)
+        if not self.available:
+            return ReadFailed(reason="away")
+        records = self._streams.setdefault(stream, [])
+        newest = {record.key: record for record in records}
+        kept = tuple(record for record in newest.values() if record.value is not None)
+        return KeyedList(records=kept, end=Offset(len(records)))
+
+    async def changes(
+        self, *, stream: str, start: Offset, wait_s: float = 0.0
+    ) -> KeyedChanges | ReadFailed:
+        await asyncio.sleep(max(LINK_DELAY_S, wait_s / 4))
+        if not self.available:
+            return ReadFailed(reason="away")
+        records = tuple(self._streams.setdefault(stream, [])[start:])
+        return KeyedChanges(records=records, end=Offset(start + len(records)))
+
+    async def put(self, *, stream: str, key: str, value: bytes | None) -> bool:
+        await asyncio.sleep(LINK_DELAY_S)
+        if not self.available:
+            return False
+        records = self._streams.setdefault(stream, [])
+        records.append(KeyedRecord(key=key, value=value, offset=Offset(len(records))))
+        return True
+
+
+@dataclasses.dataclass(kw_only=True)
+class FakeJob:
+    """A request, as far as screening looks at it."""
+
+    request_id: RequestId
+    fingerprint: Fingerprint
+    ends_at: float
+    service: ServiceName = SERVICE
+    may_have_run: bool = False
+
+
+@dataclasses.dataclass
+class FakePool:
+    """Connections to an upstream process."""
+
+    alive: bool = True
+
+    async def probe(self) -> bool:
+        await asyncio.sleep(LINK_DELAY_S)
+        return self.alive
+
+    def close(self) -> None:
+        """Do nothing: there are no connections."""
+
+
+class CrashHost:
+    """One process of a host."""
+
+    def __init__(self, fleet: "CrashFleet", host: HostId) -> None:
+        self._fleet = fleet
+        self.host = host
+        self.frozen = False
+        self.log = MemoryLog(host, fleet.streams)
+        clock = LoopClock()
+        self._time = CorrectedTime(clock=clock)
+        self.directory = Directory(clock=clock)
+        records = HostRegistry(
+            log=self.log, stream="hosts", own=entry_of(host, "here", f"{host}:1"), time=self._time
+        )
+        membership = Membership(host=host, host_list=records, clock=clock, poll_interval_s=600.0)
+        links = t.cast(t.Any, _Links(fleet, host))
+        self.heartbeats = HeartbeatExchange(
+            host=host,
+            membership=membership,
+            records=records,
+            links=links,
+            compose=self._compose,
+            clock=clock,
+            rng=random.Random(host),
+        )
+        self._incarnation = f"{next(fleet.numbers)}"
+        self.parts = CrashParts(
+            host=host,
+            directory=self.directory,
+            membership=membership,
+            heartbeats=self.heartbeats,
+            links=links,
+            time=self._time,
+            clock=clock,
+        )
+        self.handlers: dict[type, t.Any] = {Heartbeat: self.heartbeats.handle}
+        self.parts.serve(t.cast(t.Any, self))
+        options = ReadOptions(
+            stream="suspects", wait_s=3.0, pause_s=0.0, should_read=lambda: fleet.reads(host)
+        )
+        self._components = [
+            self.heartbeats,
+            *self.parts.components(log=self.log, options=options, rng=random.Random(host)),
+        ]
+
+    def handle(self, message: type, handler: t.Any) -> None:
+        """Register a handler, as ``PeerServer`` does."""
+        self.handlers[message] = handler
+
+    async def start(self) -> None:
+        for component in self._components:
+            await component.start()
+
+    async def stop(self) -> None:
+        for component in reversed(self._components):
+            await component.stop()
+
+    def put(self, registration: Registration, pool: FakePool) -> None:
+        """Add an upstream's process to the directory."""
+        self.directory.put(registration, Offset(next(self._fleet.numbers)))
+        upstream = self.directory.get(registration.upstream_id)
+        assert upstream is not None
+        upstream.pool = t.cast(t.Any, pool)
+
+    def _compose(self) -> Heartbeat:
+        return Heartbeat(
+            host=self.host,
+            incarnation=self._incarnation,
+            failure_domain="here",
+            peer_address=f"{self.host}:1",
+            now_s=self._time.now(),
+            revision=1,
+            directory=Offset(1),
+            store_ok=True,
+            reads=False,
+            knows=False,
+            duty=None,
+            leaving=False,
+            drawn={},
+            use=(),
+            reading={},
+            usage=(),
+            notes=self.parts.exchange.digest(),
+        )
+
+
+class _Links:
+    def __init__(self, fleet: "CrashFleet", host: HostId) -> None:
+        self._fleet = fleet
+        self._host = host
+
+    async def call(self, host: HostId, message: t.Any, reply: type, *, timeout_s: float) -> t.Any:
+        self._fleet.calls += 1
+        await asyncio.sleep(LINK_DELAY_S)
+        callee = self._fleet.hosts.get(host)
+        if callee is None or not self._fleet.connected(self._host, host):
+            await asyncio.sleep(timeout_s)
+            return PeerFailure(reason="no answer", sent=True)
+        sent = messages.decode(messages.encode([message]))[0]
+        answer = await callee.handlers[type(sent)](sent)
+        await asyncio.sleep(LINK_DELAY_S)
+        return answer
+
+
+class CrashFleet:
+    """Hosts and upstreams; a request whose body is in ``crashing`` crashes the upstream it runs on.
+
+    ``runs`` has the time and body of each run, ``crashes`` the time and body of each crash, and
+    ``refusals`` the code of each refusal by body.
+    """
+
+    def __init__(self, *, hosts: int, upstreams: int, domains: int = 3) -> None:
+        self.numbers = itertools.count(1)
+        self.streams: dict[str, list[KeyedRecord]] = {}
+        self.isolated: set[HostId] = set()
+        self.calls = 0
+        self.hosts: dict[HostId, CrashHost] = {}
+        self._count = hosts
+        self._registrations: dict[UpstreamId, Registration] = {}
+        self._pools: dict[UpstreamId, FakePool] = {}
+        self._returns: set[asyncio.Task[None]] = set()
+        self._upstreams = upstreams
+        self._domains = domains
+        self.rng = random.Random(1)
+        self.crashing: set[bytes] = set()
+        self.runs: list[tuple[float, bytes]] = []
+        self.crashes: list[tuple[float, bytes]] = []
+        self.refusals: list[tuple[bytes, ResultCode]] = []
+
+    async def __aenter__(self) -> "CrashFleet":
+        for number in range(self._upstreams):
+            self._register(UpstreamId(f"u-{number}"), f"d-{number % self._domains}")
+        for number in range(self._count):
+            await self.add_host(HostId(f"h-{number:03}"))
+        await asyncio.sleep(5.0)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for task in self._returns:
+            task.cancel()
+        for host in self.hosts.values():
+            await host.stop()
+
+    async def add_host(self, name: HostId) -> CrashHost:
+        """Start a host, which knows all upstreams."""
+        host = self.hosts[name] = CrashHost(self, name)
+        for upstream_id, registration in self._registrations.items():
+            host.put(registration, self._pools[upstream_id])
+        await host.start()
+        return host
+
+    async def restart(self, name: HostId) -> None:
+        """Kill a host's process and start another."""
+        await self.hosts.pop(name).stop()
+        await self.add_host(name)
+
+    def connected(self, one: HostId, other: HostId) -> bool:
+        """Return whether two hosts reach each other."""
+        return not {one, other} & self.isolated
+
+    def reads(self, host: HostId) -> bool:
+        """Return whether a host reads the store: two of those that are connected, and cut ones."""
+        connected = [name for name in self.hosts if name not in self.isolated]
+        return host in self.isolated or host in connected[:2]
+
+    async def send(self, host: HostId, body: bytes, *, upstream: str | None = None) -> bool:
+        """Send a request through a host; return whether it was answered with success.
+
+        :param upstream: the upstream to run on; by default one at random.
+        """
+        process = self.hosts[host]
+        now = asyncio.get_running_loop().time()
+        job = FakeJob(
+            request_id=RequestId(f"q-{next(self.numbers)}"),
+            fingerprint=fingerprint([body]),
+            ends_at=now + 2.0,
+        )
+        screening = process.parts.screening
+        admitted = await screening.admit(t.cast(t.Any, job))
+        if isinstance(admitted, Refusal):
+            self.refusals.append((body, admitted.code))
+            return False
+        usable = [found for found in process.directory.available_for(SERVICE) if found.pool.alive]
+        if not usable:
+            return False
+        if isinstance(admitted, IsolatedRun):
+            avoided = screening.deaths_in(t.cast(t.Any, job))
+            chosen = min(usable, key=lambda found: found.failure_domain in avoided)
+            return await self._run_alone(process, job, admitted, chosen)
+        chosen = next((found for found in usable if found.upstream_id == upstream), None)
+        chosen = chosen or self.rng.choice(usable)
+        return await self._run(process, job, body, chosen)
+
+    async def _run_alone(
+        self, process: CrashHost, job: FakeJob, run: IsolatedRun, chosen: Upstream
+    ) -> bool:
+        lost: Upstream | None = None
+        run.start()
+        try:
+            if not await run.reserve(chosen):
+                return False
+            body = next(self._body_of(job.fingerprint))
+            ok = await self._run(process, job, body, chosen, alone=True)
+            lost = None if ok else chosen
+            return ok
+        finally:
+            ending = process.parts.screening.end_isolated_run(run, t.cast(t.Any, job), lost)
+            process.parts.screening.spawn(ending, name="end")
+
+    def _body_of(self, wanted: Fingerprint) -> cabc.Iterator[bytes]:
+        bodies = {*self.crashing, *(body for _, body in self.runs)}
+        return (body for body in bodies if fingerprint([body]) == wanted)
+
+    async def _run(
+        self,
+        process: CrashHost,
+        job: FakeJob,
+        body: bytes,
+        chosen: Upstream,
+        *,
+        alone: bool = False,
+    ) -> bool:
+        loop = asyncio.get_running_loop()
+        pool = t.cast(FakePool, chosen.pool)
+        self.runs.append((loop.time(), body))
+        await asyncio.sleep(LINK_DELAY_S)
+        if body in self.crashing and pool.alive:
+            self.crashes.append((loop.time(), body))
+            self.crash(chosen.upstream_id)
+        for _ in range(10):
+            if not pool.alive:
+                break
+            await asyncio.sleep(RUN_S / 10)
+        screening = process.parts.screening
+        if pool.alive:
+            screening.note_completed(t.cast(t.Any, job))
+            return True
+        job.may_have_run = True
+        if not alone:
+            await screening.note_lost(t.cast(t.Any, job), chosen)
+        return False
+
+    def crash(self, upstream_id: UpstreamId) -> None:
+        """Crash an upstream; it is back after ``DOWN_S`` as another process."""
+        self._pools[upstream_id].alive = False
+        task = asyncio.get_running_loop().create_task(self._come_back(upstream_id))
+        self._returns.add(task)
+
+    async def _come_back(self, upstream_id: UpstreamId) -> None:
+        await asyncio.sleep(DOWN_S)
+        self._register(upstream_id, self._registrations[upstream_id].failure_domain)
+        for host in self.hosts.values():
+            host.put(self._registrations[upstream_id], self._pools[upstream_id])
+
+    def _register(self, upstream_id: UpstreamId, domain: str) -> None:
+        self._pools[upstream_id] = FakePool()
+        self._registrations[upstream_id] = Registration(
+            upstream_id=upstream_id,
+            service=SERVICE,
+            address=f"127.0.0.1:{upstream_id[2:]}",
+            failure_domain=FailureDomain(domain),
+            slots=8,
+            presence=Presence.READY,
+            started_ms=next(self.numbers),
+        )
+
+    def late_retries(self, body: bytes) -> int:
+        """Return the runs of a body later than ``STABILITY_S`` after its third crash."""
+        crashes = [at for at, crashed in self.crashes if crashed == body]
+        if len(crashes) < 3:
+            return 0
+        return sum(at > crashes[2] + STABILITY_S for at, ran in self.runs if ran == body)
+
+    def codes(self, body: bytes) -> list[ResultCode]:
+        """Return the codes of the refusals of a body."""
+        return [code for refused, code in self.refusals if refused == body]
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -11,6 +11,7 @@
 from standins.platform_fleet import STREAM
 from standins.platform_fleet import PlatformFleet
 from standins.platform_fleet import wait_until
+from standins.platform_upstream import SLOTS
 from tests.crash_callers import CRASH
 from tests.crash_callers import MAX_LATE_RETRIES
 from tests.crash_callers import CrashCallers
@@ -18,6 +19,10 @@
 HOSTS = 3
 UPSTREAMS = 5
 REPEAT_S = 9.0
+CONVICTED_S = 8.0  # two crashes, the hold after them, the isolated run and its judgement
+STORED_S = 2.5  # until suspects are in the store
+RETURNED_S = 4.5  # until entries that are missing after the store's return count as gone
+NOT_RUN_REFUSAL = 503
 
 
 @pytest.fixture
@@ -32,6 +37,30 @@
         yield running
 
 
+async def _convict(fleet: PlatformFleet, path: str = SAFE) -> CrashCallers:
+    """Repeat a crashing request until hosts refuse it as quarantined."""
+    callers = CrashCallers(fleet)
+    repeating = asyncio.create_task(callers.repeat_crashing(path, for_s=CONVICTED_S))
+    await wait_until(lambda: _has_line(fleet, "crash:quarantined"), CONVICTED_S)
+    repeating.cancel()
+    return callers
+
+
+def _has_line(fleet: PlatformFleet, event: str) -> bool:
+    return any(line["event"] == event for host in fleet.hosts for line in fleet.lines(host))
+
+
+async def _assert_refused_everywhere(fleet: PlatformFleet, callers: CrashCallers) -> None:
+    runs = len(callers.crashing_runs_at())
+    for number in range(len(fleet.hosts)):
+        reply = await callers.send(SAFE, CRASH, host=number)
+        assert reply.status == NOT_RUN_REFUSAL
+        assert b"quarantined" in reply.body
+        other = await callers.send(SAFE, b"another", host=number)
+        assert other.status == 200
+    assert len(callers.crashing_runs_at()) == runs
+
+
 @pytest.mark.parametrize("path", [ONCE, SAFE, STREAM])
 async def test_crashing_request_is_not_sent_on_after_the_third_crash(
     fleet: PlatformFleet, path: str
@@ -40,5 +69,62 @@
     await asyncio.gather(
         callers.repeat_crashing(path, for_s=REPEAT_S), callers.repeat_others(ONCE, for_s=REPEAT_S)
     )
-    assert len(callers.crashes_at()) >= 3
+    crashes = len(callers.crashes_at())
+    assert crashes >= 3
     assert callers.late_retries() <= MAX_LATE_RETRIES
+    # A crash may take the other requests that run there along, and none may be refused for it.
+    not_served = [reply for reply in callers.others if reply.status != 200]
+    assert len(not_served) <= crashes * SLOTS
+    assert [reply for reply in not_served if reply.status == NOT_RUN_REFUSAL] == []
+
+
+async def test_crashing_request_stays_refused_after_all_hosts_were_killed(
+    fleet: PlatformFleet,
+) -> None:
+    callers = await _convict(fleet)
+    await asyncio.sleep(STORED_S)
+    for host in fleet.hosts:
+        host.process.kill()
+        await host.process.wait()
+    for host in fleet.hosts:
+        await fleet.restart(host)
+    for host in fleet.hosts:
+        await wait_until(host.ready)
+    await asyncio.sleep(STORED_S)
+    await _assert_refused_everywhere(fleet, callers)
+
+
+async def test_crashing_request_is_refused_by_a_new_host_while_the_store_refuses(
+    fleet: PlatformFleet,
+) -> None:
+    callers = await _convict(fleet)
+    await fleet.add_host()
+    await wait_until(fleet.hosts[-1].ready)
+    fleet.store.refusal = 503
+    await asyncio.sleep(STORED_S)
+    await _assert_refused_everywhere(fleet, callers)
+
+
+async def test_crashing_request_is_found_while_the_store_refuses(fleet: PlatformFleet) -> None:
+    fleet.store.refusal = 503
+    await asyncio.sleep(1.0)
+    callers = await _convict(fleet)
+    fleet.store.refusal = None
+    await asyncio.sleep(RETURNED_S)
+    await _assert_refused_everywhere(fleet, callers)
+
+
+async def test_popular_request_is_served_while_upstreams_crash_by_themselves(
+    fleet: PlatformFleet,
+) -> None:
+    callers = CrashCallers(fleet)
+    popular = [
+        asyncio.create_task(callers.repeat_popular(path, for_s=6.0)) for path in (SAFE, STREAM) * 3
+    ]
+    for upstream in fleet.upstreams * 2:
+        await asyncio.sleep(0.5)
+        upstream.crash()
+    await asyncio.gather(*popular)
+    assert not _has_line(fleet, "crash:quarantined")
+    assert [r for r in callers.others[-HOSTS * 2 :] if r.status != 200] == []
+    assert len(callers.crashes_at()) >= UPSTREAMS
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -474,3 +474,15 @@
         await bed.add(script)
         await (await bed.caller()).request(post())
         assert bed.started == (["family"] if may_have_run else [])
+
+
+async def test_upstream_whose_address_another_process_has_gets_no_further_request() -> None:
+    async with IngressBed(config(route(RetryRule.ONCE, max_attempts=2))) as bed:
+        gone = await bed.add(_wrong_upstream, "u-1")
+        alive = await bed.add(echo, "u-2")
+        caller = await bed.caller()
+        for number in range(30):
+            assert (await caller.request(post(b"q%d" % number))).status == 200
+            await asyncio.sleep(0.05)
+        assert len(gone.arrivals) <= 1
+        assert len(alive.arrivals) == 30
