Tell an outage of the store from one host being turned away

Cause: a host that regains the store kept upstreams whose removal it then read for 2.3 s, as if they had expired in an outage for all; the store had turned away single hosts only. Ruled out: a lost or late copy, as the host had the removal 0.3 s after the acknowledgement.

The first read after an outage shows whether upstreams went on to renew their entries. Then no entry has expired.

--- a/src/cassiawalk/ingress/directory.py
+++ b/src/cassiawalk/ingress/directory.py
@@ -191,11 +191,16 @@
         self._apply_presence(known, registration)
         return True
 
-    def remove(self, upstream_id: UpstreamId, offset: Offset) -> None:
+    def remove(
+        self, upstream_id: UpstreamId, offset: Offset, *, may_have_expired: bool = True
+    ) -> None:
         """Apply an entry's removal.
 
         Soon after an outage of the source, the entry may only have expired because the upstream
         could not renew it. It is then kept as stale, unless the upstream was leaving.
+
+        :param may_have_expired: False if the upstream is known to have renewed its entry until
+            then.
         """
         if offset <= self._offsets.get(upstream_id, Offset(-1)):
             return
@@ -203,7 +208,8 @@
         self.advance_to(offset)
         if upstream_id not in self._by_id:
             return
-        if self._may_be_expiry() and not self._by_id[upstream_id].leaving:
+        expired = may_have_expired and self._may_be_expiry()
+        if expired and not self._by_id[upstream_id].leaving:
             self._stale.add(upstream_id)
             eliot.log_message(message_type="directory:lapsed", upstream=upstream_id)
             return
--- a/src/cassiawalk/ingress/follow.py
+++ b/src/cassiawalk/ingress/follow.py
@@ -1,6 +1,7 @@
 """Followers of the platform's streams of configuration and upstream records."""
 
 import abc
+import collections
 import collections.abc as cabc
 import dataclasses
 import random
@@ -29,6 +30,10 @@
 # this one stop relying on it before the read itself fails.
 OVERDUE_AFTER_S = 0.35
 MIN_WAIT_RATIO = 0.6  # the shortest wait of a read, as a ratio of ``wait_s``
+# Renewals of one entry in the first read after an outage, from which on the outage was this host's
+# alone. After one of the source there are fewer: one before it, and those since its end.
+MIN_RENEWALS = 4
+MIN_OWN_RENEWALS = 2  # an entry renewed this often in one read has not expired by the end of it
 OUTAGE_AFTER_S = 0.8  # reads that fail for longer count as an outage of the source
 
 ConfigDecoder = cabc.Callable[[bytes], IngressConfig]
@@ -98,7 +103,7 @@
             if isinstance(batch, ReadFailed):
                 await self._handle_failure(batch, started_at)
                 continue
-            self._handle_recovery()
+            self._handle_recovery(batch)
             self._apply(batch)
             await self._clock.sleep(self._options.pause_s)
 
@@ -116,6 +121,7 @@
             self._next = None
             return
         before = self.version()
+        self.on_batch()
         for record in batch.records:
             self.apply_record(record)
         if isinstance(batch, KeyedList):
@@ -135,7 +141,7 @@
         pause_s = min(MAX_RETRY_PAUSE_S, RETRY_PAUSE_S * self._failures)
         await self._clock.sleep(pause_s * (0.5 + self._rng.random()))
 
-    def _handle_recovery(self) -> None:
+    def _handle_recovery(self, batch: KeyedList | KeyedChanges) -> None:
         if self._failing_since is None:
             return
         outage_s = self._clock.monotonic() - self._failing_since
@@ -145,7 +151,7 @@
             away_s=round(outage_s, 3),
         )
         if outage_s > OUTAGE_AFTER_S:
-            self.on_source_recovered()
+            self.on_source_recovered(batch)
         self._failing_since = None
         self._failures = 0
 
@@ -157,14 +163,17 @@
     def version(self) -> int:
         """Return a number that changes when a read has changed something."""
 
+    def on_batch(self) -> None:
+        """Called before the records of a read are applied."""
+
     def apply_list(self, batch: KeyedList) -> None:
         """Called after the records of a complete list; entries that it lacks no longer exist."""
 
     def on_caught_up(self) -> None:
         """Called after each successful read, when all records up to now have been applied."""
 
-    def on_source_recovered(self) -> None:
-        """Called when the source answers again after an outage."""
+    def on_source_recovered(self, batch: KeyedList | KeyedChanges) -> None:
+        """Called when the source answers again after an outage, before ``batch`` is applied."""
 
 
 class ConfigFollower(StreamFollower):
@@ -245,6 +254,7 @@
         self._directory = directory
         self._raw: dict[str, KeyedRecord] = {}
         self._removed: dict[str, Offset] = {}
+        self._renewals: collections.Counter[str] = collections.Counter()  # in the current batch
 
     def changes_since(self, offset: Offset) -> tuple[KeyedRecord, ...]:
         """Return the records of entries that changed after ``offset``, and of removals."""
@@ -253,6 +263,7 @@
 
     def apply_copy(self, records: cabc.Iterable[KeyedRecord]) -> None:
         """Apply records that another host has read, except those older than known ones."""
+        self.on_batch()
         for record in sorted(records, key=lambda record: record.offset):
             newer = record.offset > self._directory.offset_of(UpstreamId(record.key))
             self.apply_record(record)
@@ -265,14 +276,20 @@
         self._directory.note_loaded()
         self._directory.remove_stale()
 
+    def on_batch(self) -> None:
+        """Count renewals anew."""
+        self._renewals.clear()
+
     def apply_record(self, record: KeyedRecord) -> None:
         """Apply an upstream's entry or its removal."""
         upstream_id = UpstreamId(record.key)
         if record.value is None:
             if record.offset > self._directory.offset_of(upstream_id):
                 self._record_removal(record.key, record.offset)
-            self._directory.remove(upstream_id, record.offset)
+            may_have_expired = self._renewals[record.key] < MIN_OWN_RENEWALS
+            self._directory.remove(upstream_id, record.offset, may_have_expired=may_have_expired)
             return
+        self._renewals[record.key] += 1
         registration = self._decode(record.key, record.value)
         if registration is None:
             return
@@ -302,6 +319,14 @@
         """Remove stale entries that were not renewed in time."""
         self._directory.remove_stale()
 
-    def on_source_recovered(self) -> None:
-        """Treat removals that follow as entries that may only have expired in the outage."""
-        self._directory.note_source_recovered()
+    def on_source_recovered(self, batch: KeyedList | KeyedChanges) -> None:
+        """Treat removals that follow as entries that may only have expired in the outage.
+
+        If upstreams went on to renew their entries, only this host was turned away, and no entry
+        has expired for that reason.
+        """
+        renewals = collections.Counter(
+            record.key for record in batch.records if record.value is not None
+        )
+        if isinstance(batch, KeyedList) or max(renewals.values(), default=0) < MIN_RENEWALS:
+            self._directory.note_source_recovered()
