Keep offsets apart that were given out before and after a return of the store

Cause: the store returns from an older copy, its offsets go back and are given out again. A reader whose position is in the new range missed what was rewritten, the directory ignored entries with lower offsets than it knew, and fencing numbers could fall.

The client of the store puts the era into the high part of each offset, so offsets only rise and no rule above it changes; a read from an earlier era asks for the whole list. The list of an older copy does not bring back upstreams that were seen to leave or to be gone, and does not drop those that it lacks before they have had time to write again. The stand-in of the store learns the drill.

--- a/src/cassiawalk/clients/keyed.py
+++ b/src/cassiawalk/clients/keyed.py
@@ -21,12 +21,14 @@
     """Records in offset order; the next read starts at ``end``.
 
     ``missed`` is True if records before these have expired unread or the stream has been replaced,
-    so that the newest record of every key has to be read again.
+    so that the newest record of every key has to be read again. ``restored`` is True if the stream
+    has been replaced by an older copy of it, which lacks the newest records.
     """
 
     records: tuple[KeyedRecord, ...]
     end: Offset
     missed: bool = False
+    restored: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/cassiawalk/http1/client.py
+++ b/src/cassiawalk/http1/client.py
@@ -8,6 +8,7 @@
 from cassiawalk.http1.connection import AnswerHead
 from cassiawalk.http1.connection import UpstreamConnection
 from cassiawalk.http1.heads import Headers
+from cassiawalk.http1.heads import header_value
 from cassiawalk.http1.pool import ConnectError
 from cassiawalk.http1.pool import ConnectionPool
 
@@ -18,6 +19,11 @@
 
     status: int
     body: bytes
+    headers: Headers = ()
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the value of a header, given by its lower-case name, or None if it is missing."""
+        return header_value(self.headers, name)
 
 
 class CallError(Exception):
@@ -106,4 +112,4 @@
         event = await conn.next_event()
     if isinstance(event, AnswerBroken):
         raise CallError(event.reason, sent=True)
-    return CompleteAnswer(status=head.status, body=b"".join(parts))
+    return CompleteAnswer(status=head.status, body=b"".join(parts), headers=head.headers)
--- a/src/cassiawalk/ingress/directory.py
+++ b/src/cassiawalk/ingress/directory.py
@@ -20,6 +20,8 @@
 # Upstreams renew their entries. In an outage of the source they cannot, and entries of upstreams
 # that still run expire. Both times count from the source's recovery.
 STALE_GRACE_S = 2.3  # until running upstreams have entries again
+DEPARTED_S = 60.0  # longer than an older copy of the source is behind
+MAX_DEPARTED = 1024
 EXPIRY_WINDOW_S = 0.4  # while removals from the outage are still being read
 
 
@@ -77,7 +79,7 @@
     @property
     def process(self) -> str:
         """Return a name of the process; a restarted one may have the same id."""
-        return f"{self.upstream_id}/{self.registration.started_ms}"
+        return _process(self.registration)
 
     @property
     def failure_domain(self) -> FailureDomain:
@@ -122,6 +124,8 @@
         self._by_service: dict[ServiceName, list[Upstream]] = {}
         self._stale: set[UpstreamId] = set()
         self._source_recovered_at: float | None = None
+        self._departed: dict[str, float] = {}
+        self._is_restored = False
         self._departure_listeners: list[UpstreamListener] = []
         self._leaving_listeners: list[UpstreamListener] = []
         self.changed: Offset = Offset(-1)
@@ -169,6 +173,19 @@
         """Record that the source answers again after an outage."""
         self._source_recovered_at = self._clock.monotonic()
 
+    def note_restored(self) -> None:
+        """Expect the list of an older copy of the source.
+
+        What upstreams wrote last is missing there until they have written it again. Until then, an
+        upstream that is missing is kept as stale, and one that was leaving or gone stays so.
+        """
+        self._is_restored = True
+        self.note_source_recovered()
+
+    def end_restoration(self) -> None:
+        """Record that the list of the older copy has been applied."""
+        self._is_restored = False
+
     def put(self, registration: Registration, offset: Offset) -> bool:
         """Apply an entry and return whether it changed anything.
 
@@ -180,6 +197,8 @@
         self._offsets[upstream_id] = offset
         self._stale.discard(upstream_id)
         known = self._by_id.get(upstream_id)
+        if self._is_restored and self._has_begun_to_leave(known, registration):
+            return False
         if known is None or _is_other_process(known.registration, registration):
             self._replace(known, registration)
             self.advance_to(offset)
@@ -232,8 +251,15 @@
         """Record that all changes up to ``offset`` have been applied."""
         self.changed = max(self.changed, offset)
 
+    def _has_begun_to_leave(self, known: Upstream | None, entry: Registration) -> bool:
+        """Return whether an entry is of a process that was seen to leave or to be gone."""
+        if known is not None and not _is_other_process(known.registration, entry):
+            return known.leaving
+        departed_at = self._departed.get(_process(entry))
+        return departed_at is not None and self._clock.monotonic() - departed_at < DEPARTED_S
+
     def _may_be_expiry(self) -> bool:
-        return self._since_recovery_s() < EXPIRY_WINDOW_S
+        return self._is_restored or self._since_recovery_s() < EXPIRY_WINDOW_S
 
     def _since_recovery_s(self) -> float:
         if self._source_recovered_at is None:
@@ -283,6 +309,9 @@
 
     def _discard(self, upstream_id: UpstreamId) -> None:
         upstream = self._by_id.pop(upstream_id)
+        self._departed[upstream.process] = self._clock.monotonic()
+        while len(self._departed) > MAX_DEPARTED:
+            del self._departed[next(iter(self._departed))]
         if not upstream.leaving:
             for listener in self._departure_listeners:
                 listener(upstream)
@@ -292,6 +321,10 @@
         eliot.log_message(message_type="directory:gone", upstream=upstream_id)
 
 
+def _process(entry: Registration) -> str:
+    return f"{entry.upstream_id}/{entry.started_ms}"
+
+
 def _is_other_process(known: Registration, new: Registration) -> bool:
     """Return whether two entries with the same id belong to different processes."""
     return (known.started_ms, known.address, known.service) != (
--- a/src/cassiawalk/ingress/follow.py
+++ b/src/cassiawalk/ingress/follow.py
@@ -116,9 +116,14 @@
     def _apply(self, batch: KeyedList | KeyedChanges) -> None:
         if isinstance(batch, KeyedChanges) and batch.missed:
             eliot.log_message(
-                message_type="follow:missed", stream=self._options.stream, start=self._next
+                message_type="follow:missed",
+                stream=self._options.stream,
+                start=self._next,
+                restored=batch.restored,
             )
             self._next = None
+            if batch.restored:
+                self.on_restored()
             return
         before = self.version()
         self.on_batch()
@@ -169,6 +174,9 @@
     def apply_list(self, batch: KeyedList) -> None:
         """Called after the records of a complete list; entries that it lacks no longer exist."""
 
+    def on_restored(self) -> None:
+        """Called when the source has returned from an older copy, before its list is read."""
+
     def on_caught_up(self) -> None:
         """Called after each successful read, when all records up to now have been applied."""
 
@@ -310,6 +318,7 @@
             self._record_removal(key, Offset(batch.end - 1))
         self._directory.reconcile(present, Offset(batch.end - 1))
         self._directory.note_loaded()
+        self._directory.end_restoration()
 
     def version(self) -> int:
         """Return the offset of the directory's last change."""
@@ -319,6 +328,10 @@
         """Remove stale entries that were not renewed in time."""
         self._directory.remove_stale()
 
+    def on_restored(self) -> None:
+        """Expect an older copy of the list, in which upstreams may be missing or be back."""
+        self._directory.note_restored()
+
     def on_source_recovered(self, batch: KeyedList | KeyedChanges) -> None:
         """Treat removals that follow as entries that may only have expired in the outage.
 
--- a/src/cassiawalk/platform/names.py
+++ b/src/cassiawalk/platform/names.py
@@ -46,6 +46,8 @@
 
 WRONG_UPSTREAM_STATUS = 421
 
+STORE_ERA = b"store-era"  # rises each time the store has returned from an older copy
+
 # Streams of the store; each record of a keyed stream replaces older ones of its key.
 CONFIG_STREAM = "keyed.op"
 CONFIG_KEY = "config"
--- a/src/cassiawalk/platform/store.py
+++ b/src/cassiawalk/platform/store.py
@@ -24,11 +24,17 @@
 from cassiawalk.http1 import HttpClient
 from cassiawalk.ids import Offset
 from cassiawalk.platform import _fields as fields
+from cassiawalk.platform import names
 
 CALL_TIMEOUT_S = 1.5
 MAX_READ_KB = 1024  # per read; the store bounds reads by bytes, not by records
 APPEND_RETRY_AFTER_S = 0.3
 
+# The store's offsets go back and are given out again when it returns from an older copy, which it
+# counts as eras. The era is the high part of our offsets, so that these never go back.
+_ERA_SHIFT = 40
+_OFFSET_MASK = (1 << _ERA_SHIFT) - 1
+
 _OFFSETS = struct.Struct(">QQ")
 _LENGTH = struct.Struct(">I")
 
@@ -58,9 +64,8 @@
             reason = f"the store answered with status {answer.status}"
             return AppendRefused(reason=reason, retry_after_s=APPEND_RETRY_AFTER_S)
         try:
-            return Appended(
-                offset=Offset(fields.integer_field(fields.parse_object(answer.body), "offset"))
-            )
+            offset = fields.integer_field(fields.parse_object(answer.body), "offset")
+            return Appended(offset=_in_era(answer, offset))
         except WireError as exc:
             return AppendUnknown(reason=exc.message)
 
@@ -71,15 +76,18 @@
 
         ``limit`` is not used: the store bounds a read by bytes (``MAX_READ_KB``).
         """
-        query = {"topic": stream, "part": "0", "from": str(start), "max_kb": str(MAX_READ_KB)}
+        first = str(start & _OFFSET_MASK)
+        query = {"topic": stream, "part": "0", "from": first, "max_kb": str(MAX_READ_KB)}
         if wait_s > 0:
             query["wait_ms"] = str(int(wait_s * 1000))
         try:
             answer = await self._call("GET", "log-read", query, timeout_s=CALL_TIMEOUT_S + wait_s)
-            if answer.status == 410:
-                return _expired_batch(answer.body)
-            if answer.status != 200:
+            if answer.status not in (200, 410):
                 return _read_failed(answer)
+            if _era(answer) != start >> _ERA_SHIFT:
+                return _other_era_batch(answer)
+            if answer.status == 410:
+                return _expired_batch(answer)
             return _read_batch(answer.body, start)
         except CallError as exc:
             return ReadFailed(reason=str(exc))
@@ -97,9 +105,11 @@
                 if answer.status != 200:
                     return _read_failed(answer)
                 page = fields.parse_object(answer.body)
-                entries = [_listed_record(row) for row in fields.object_list(page, "entries")]
+                rows = fields.object_list(page, "entries")
+                entries = [_listed_record(answer, row) for row in rows]
                 records.extend(entries)
-                end = Offset(fields.integer_field(page, "end")) if end is None else end
+                page_end = _in_era(answer, fields.integer_field(page, "end"))
+                end = page_end if end is None else end
                 if not fields.boolean_field(page, "has_more") or not entries:
                     return KeyedList(records=tuple(records), end=end)
                 query["after"] = entries[-1].key
@@ -115,6 +125,8 @@
         batch = await self.read(stream=stream, start=start, limit=0, wait_s=wait_s)
         if isinstance(batch, ReadFailed):
             return batch
+        if batch.first_offset >> _ERA_SHIFT != start >> _ERA_SHIFT:
+            return KeyedChanges(records=(), end=start, missed=True, restored=True)
         if batch.first_offset > start or batch.end_offset < start:
             return KeyedChanges(records=(), end=start, missed=True)
         records = tuple(
@@ -151,16 +163,34 @@
     return ReadFailed(reason=reason, service_outage=answer.status == 503)
 
 
-def _expired_batch(body: bytes) -> ReadBatch:
+def _era(answer: CompleteAnswer) -> int:
+    """Return the era of an answer; 0 from a store that counts none."""
+    value = answer.header(names.STORE_ERA)
+    return int(value) if value is not None and value.isdigit() else 0
+
+
+def _in_era(answer: CompleteAnswer, offset: int) -> Offset:
+    return Offset((_era(answer) << _ERA_SHIFT) + offset)
+
+
+def _other_era_batch(answer: CompleteAnswer) -> ReadBatch:
+    """Return an empty batch at the beginning of the store's present era."""
+    first = _in_era(answer, 0)
+    return ReadBatch(entries=(), first_offset=first, end_offset=Offset(first + 1))
+
+
+def _expired_batch(answer: CompleteAnswer) -> ReadBatch:
     """Return an empty batch at the oldest retained offset: the records before it have expired."""
-    first = Offset(fields.integer_field(fields.parse_object(body), "first"))
+    first = _in_era(answer, fields.integer_field(fields.parse_object(answer.body), "first"))
     return ReadBatch(entries=(), first_offset=first, end_offset=first)
 
 
 def _read_batch(body: bytes, start: Offset) -> ReadBatch:
+    """Return the records in the body of an answer of the same era as ``start``."""
     if len(body) < _OFFSETS.size:
         raise WireError(f"a read of {len(body)} bytes is too short for its offsets")
     end, first = _OFFSETS.unpack_from(body)
+    era = start & ~_OFFSET_MASK
     entries: list[LogEntry] = []
     at = _OFFSETS.size
     while at < len(body):
@@ -174,10 +204,14 @@
             LogEntry(offset=Offset(start + len(entries)), payload=body[at : at + length])
         )
         at += length
-    return ReadBatch(entries=tuple(entries), first_offset=Offset(first), end_offset=Offset(end))
+    return ReadBatch(
+        entries=tuple(entries),
+        first_offset=Offset(era + first),
+        end_offset=Offset(era + end),
+    )
 
 
-def _listed_record(row: fields.JsonObject) -> KeyedRecord:
+def _listed_record(answer: CompleteAnswer, row: fields.JsonObject) -> KeyedRecord:
     try:
         value = base64.b64decode(fields.string_field(row, "value"), validate=True)
     except binascii.Error as exc:
@@ -185,7 +219,7 @@
     return KeyedRecord(
         key=fields.string_field(row, "key"),
         value=value,
-        offset=Offset(fields.integer_field(row, "offset")),
+        offset=_in_era(answer, fields.integer_field(row, "offset")),
     )
 
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import struct
+import time
 import typing as t
 import urllib.parse
 
@@ -58,12 +59,14 @@
     """Topics of records, with one partition each.
 
     While ``refusal`` is set, every call is answered with that status. ``calls`` counts the calls
-    by name.
+    by name. ``era`` counts the returns from an older copy.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self._topics: dict[str, list[bytes]] = collections.defaultdict(list)
+        self._appended_at: dict[str, list[float]] = collections.defaultdict(list)
+        self.era = 1
         self._appended = asyncio.Condition()
         self.refusal: int | None = None
         self.calls: collections.Counter[str] = collections.Counter()
@@ -77,6 +80,15 @@
         data = b"" if value is None else orjson.dumps(value)
         return await self._append(topic, [bytes((len(raw),)) + raw + data])
 
+    def return_from_copy(self, *, age_s: float) -> None:
+        """Lose all records of the last ``age_s`` s; their offsets are given out again."""
+        oldest = time.monotonic() - age_s
+        for topic, times in self._appended_at.items():
+            kept = sum(at <= oldest for at in times)
+            del self._topics[topic][kept:]
+            del times[kept:]
+        self.era += 1
+
     async def handle(self, exchange: Exchange) -> None:
         """Answer one call."""
         path, _, text = exchange.target.decode().partition("?")
@@ -84,20 +96,26 @@
         name = path.rpartition("/")[2]
         self.calls[name] += 1
         if self.refusal is not None:
-            exchange.answer(self.refusal, [], b"")
+            self._answer(exchange, self.refusal, [], b"")
         elif name == "log-append":
             await self._serve_append(exchange, query)
         elif name == "log-read":
             await self._serve_read(exchange, query)
         elif name == "log-newest":
-            exchange.answer(200, JSON, orjson.dumps(self._newest(query)))
+            self._answer(exchange, 200, JSON, orjson.dumps(self._newest(query)))
         else:
-            exchange.answer(404, [], b"")
+            self._answer(exchange, 404, [], b"")
+
+    def _answer(
+        self, exchange: Exchange, status: int, headers: list[tuple[bytes, bytes]], body: bytes
+    ) -> None:
+        exchange.answer(status, [*headers, (b"Store-Era", str(self.era).encode())], body)
 
     async def _append(self, topic: str, records: list[bytes]) -> int:
         async with self._appended:
             offset = len(self._topics[topic])
             self._topics[topic].extend(records)
+            self._appended_at[topic].extend([time.monotonic()] * len(records))
             self._appended.notify_all()
         return offset
 
@@ -108,10 +126,15 @@
             records.append(exchange.body[position + 4 : position + 4 + length])
             position += 4 + length
         offset = await self._append(query["topic"], records)
-        exchange.answer(200, JSON, orjson.dumps({"offset": offset, "end": offset + len(records)}))
+        self._answer(
+            exchange, 200, JSON, orjson.dumps({"offset": offset, "end": offset + len(records)})
+        )
 
     async def _serve_read(self, exchange: Exchange, query: dict[str, str]) -> None:
         topic, start = self._topics[query["topic"]], int(query["from"])
+        if start > len(topic):
+            self._answer(exchange, 410, JSON, orjson.dumps({"first": 0}))
+            return
         wait_s = int(query.get("wait_ms", "0")) / 1000
         try:
             async with asyncio.timeout(wait_s), self._appended:
@@ -121,7 +144,7 @@
         records = topic[start:]
         body = struct.pack(">QQ", len(topic), 0)
         body += b"".join(struct.pack(">I", len(record)) + record for record in records)
-        exchange.answer(200, [], body)
+        self._answer(exchange, 200, [], body)
 
     def _newest(self, query: dict[str, str]) -> dict[str, t.Any]:
         newest: dict[str, tuple[int, bytes]] = {}
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -153,6 +153,12 @@
         self.hosts.append(host)
         return host
 
+    async def write_again(self) -> None:
+        """Write what the operator and the upstreams wrote last, after the store has lost it."""
+        await self.store.put("keyed.op", "config", platform_config(1))
+        for upstream in self.upstreams:
+            await upstream.register()
+
     async def restart(self, host: Host) -> None:
         """Start a new process for a host whose process has ended."""
         host.process = await self._run(host.name)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from soak.record import RunRecord
 from standins.platform_fleet import ONCE
 from standins.platform_fleet import SAFE
 from standins.platform_fleet import STREAM
@@ -22,6 +23,7 @@
 CONVICTED_S = 8.0  # two crashes, the hold after them, the isolated run and its judgement
 STORED_S = 2.5  # until suspects are in the store
 RETURNED_S = 4.5  # until entries that are missing after the store's return count as gone
+RETURNED_DUTIES_S = 20.0
 NOT_RUN_REFUSAL = 503
 
 
@@ -114,6 +116,43 @@
     await _assert_refused_everywhere(fleet, callers)
 
 
+async def test_crashing_request_stays_refused_after_the_store_returns_from_an_older_copy(
+    fleet: PlatformFleet,
+) -> None:
+    callers = await _convict(fleet)
+    await asyncio.sleep(STORED_S)
+    fleet.store.return_from_copy(age_s=60.0)
+    await fleet.write_again()
+    await asyncio.sleep(RETURNED_S)
+    for host in fleet.hosts:
+        host.process.kill()
+        await host.process.wait()
+        await fleet.restart(host)
+    for host in fleet.hosts:
+        await wait_until(host.ready)
+    await asyncio.sleep(STORED_S)
+    await _assert_refused_everywhere(fleet, callers)
+
+
+async def test_duties_go_on_after_the_store_returns_from_an_older_copy(
+    fleet: PlatformFleet,
+) -> None:
+    calls = fleet.duties.calls
+    await wait_until(lambda: len(calls) >= 3)
+    fleet.store.return_from_copy(age_s=60.0)
+    await fleet.write_again()
+    before = len(calls)
+    holder = next(host for host in fleet.hosts if host.name == calls[-1].holder)
+    await wait_until(lambda: len(calls) >= before + 2, RETURNED_DUTIES_S)
+    holder.process.kill()
+    await wait_until(lambda: calls[-1].holder != holder.name, RETURNED_DUTIES_S)
+    await wait_until(lambda: len(calls) >= before + 6, RETURNED_DUTIES_S)
+    record = RunRecord()
+    assert record.violations(upstreams=[], duties=calls, logs={}) == []
+    tokens = [call.fencing_token for call in calls]
+    assert tokens == sorted(tokens)
+
+
 async def test_popular_request_is_served_while_upstreams_crash_by_themselves(
     fleet: PlatformFleet,
 ) -> None:
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -141,3 +141,38 @@
     directory.put(entry(started_ms=1), Offset(1))
     directory.put(entry(OTHER, started_ms=2), Offset(2))
     assert ready(directory) == [OTHER]
+
+
+def _restore(directory: Directory, *entries: Registration) -> None:
+    """Apply the list of an older copy; its offsets are in a later era, so they are higher."""
+    directory.note_restored()
+    for number, restored in enumerate(entries):
+        directory.put(restored, Offset(1000 + number))
+    directory.reconcile([restored.upstream_id for restored in entries], Offset(1010))
+    directory.end_restoration()
+
+
+@pytest.mark.parametrize("is_gone", [True, False])
+def test_upstream_that_left_stays_out_when_an_older_copy_lists_it(is_gone: bool) -> None:
+    directory = Directory(clock=FakeClock())
+    directory.put(entry(), Offset(1))
+    directory.put(entry(presence=Presence.LEAVING), Offset(2))
+    if is_gone:
+        directory.remove(ID, Offset(3))
+    _restore(directory, entry())
+    assert ready(directory) == []
+    directory.put(entry(started_ms=7), Offset(2000))
+    assert ready(directory) == [ID]
+
+
+def test_upstream_that_an_older_copy_lacks_is_kept_until_it_has_written_again() -> None:
+    clock = FakeClock()
+    directory = Directory(clock=clock)
+    directory.put(entry(), Offset(1))
+    directory.put(entry(OTHER, address="127.0.0.1:2"), Offset(2))
+    _restore(directory)
+    assert ready(directory) == [ID, OTHER]
+    directory.put(entry(), Offset(2000))
+    clock.now += STALE_GRACE_S + 0.1
+    directory.remove_stale()
+    assert ready(directory) == [ID]
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -171,3 +171,36 @@
 
 def _row(key: str, offset: int) -> dict[str, t.Any]:
     return {"key": key, "value": base64.b64encode(b"x").decode(), "offset": offset}
+
+
+def _era_reply(era: int, body: bytes, status: str = "200 OK") -> bytes:
+    return (
+        f"HTTP/1.1 {status}\r\nStore-Era: {era}\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+        + body
+    )
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        pytest.param(_era_reply(3, read_body(90, 0, b"\x01aa")), id="offset given out again"),
+        pytest.param(_era_reply(3, b'{"first":0}', "410 Gone"), id="offset not there"),
+    ],
+)
+async def test_read_from_an_offset_of_an_earlier_era_asks_for_the_whole_list(data: bytes) -> None:
+    async with served(_era_reply(2, b'{"offset":7,"end":8}')) as (store, _):
+        appended = await store.append(stream="work", payload=b"ab")
+        assert isinstance(appended, Appended)
+    async with served(data) as (store, _):
+        found = await store.changes(stream="keyed.work", start=appended.offset)
+        assert found == KeyedChanges(records=(), end=appended.offset, missed=True, restored=True)
+
+
+async def test_offsets_rise_with_each_era_though_those_of_the_store_go_back() -> None:
+    offsets = []
+    for era, offset in ((1, 700), (2, 3), (2, 4), (5, 0)):
+        async with served(_era_reply(era, b'{"offset":%d,"end":0}' % offset)) as (store, _):
+            appended = await store.append(stream="work", payload=b"ab")
+            assert isinstance(appended, Appended)
+            offsets.append(appended.offset)
+    assert offsets == sorted(offsets)
