Assemble the duties of a host in a module of their own

node.py had 432 lines, of which a fifth built the duties and knew their holder; they are in dutyparts.py now, without a change of behaviour. Screening asks the guard once for the dead processes in place of once for each upstream, and a held request's refusal says how old each death is that counts against it.

--- a/src/cassiawalk/crashes/deaths.py
+++ b/src/cassiawalk/crashes/deaths.py
@@ -46,9 +46,9 @@
         """Remove a death that is no evidence of a failure of its domain."""
         self._deaths = [other for other in self._deaths if other.process != process]
 
-    def holds(self, process: str) -> bool:
-        """Return whether the death of a process is in the log."""
-        return any(death.process == process for death in self._deaths)
+    def processes(self) -> set[str]:
+        """Return the processes whose deaths are in the log."""
+        return {death.process for death in self._deaths}
 
     def replace(self, death: Death) -> None:
         """Replace what is known of the death of a process."""
--- a/src/cassiawalk/crashes/guard.py
+++ b/src/cassiawalk/crashes/guard.py
@@ -201,10 +201,10 @@
         """Return whether requests lost their connection to the upstream recently."""
         return upstream.process in self._lost
 
-    def is_dead(self, upstream: GuardedUpstream) -> bool:
-        """Return whether this host or another one has noticed the death of an upstream."""
-        process = upstream.process
-        return self._deaths.holds(process) or bool(self._evidence.blamed_for(process))
+    def dead_processes(self) -> set[str]:
+        """Return the processes of whose death this host or another one has noticed lately."""
+        own = self._deaths.processes()
+        return own | {death.process for death in self._evidence.all_deaths()}
 
     def note_death(self, upstream: GuardedUpstream) -> None:
         """Record that an upstream died, and start a task that finds out the cause."""
--- /dev/null
+++ b/src/cassiawalk/ingress/dutyparts.py
@@ -0,0 +1,130 @@
+"""Assembles the parts of a host that hold the duties which one host has at a time."""
+
+import collections.abc as cabc
+import random
+
+from cassiawalk.app import Component
+from cassiawalk.clock import Clock
+from cassiawalk.duties import DutyApi
+from cassiawalk.duties.candidacy import DutyCandidacy
+from cassiawalk.duties.holder import DUTY_LEASE_TIMES
+from cassiawalk.duties.holder import DUTY_STREAM
+from cassiawalk.duties.holder import DutyHolder
+from cassiawalk.duties.reporter import UsageReporter
+from cassiawalk.duties.scaler import Scaler
+from cassiawalk.duties.usage import UsageCounts
+from cassiawalk.ids import HostId
+from cassiawalk.ids import ServiceName
+from cassiawalk.ingress.config import ConfigView
+from cassiawalk.ingress.correctedtime import CorrectedTime
+from cassiawalk.ingress.demandmeter import DemandMeter
+from cassiawalk.ingress.directory import Directory
+from cassiawalk.ingress.heartbeats import HeartbeatExchange
+from cassiawalk.ingress.profile import HostProfile
+from cassiawalk.ingress.scaling import ScalingView
+from cassiawalk.ingress.source import PlatformSource
+from cassiawalk.leases import LeaseManager
+
+
+class DutyParts:
+    """The duties of a host, if its platform has any, and what it knows of their holder.
+
+    :param incarnation: identifies this process.
+    :param can_act: returns whether this host could carry out the duties now.
+    """
+
+    def __init__(
+        self,
+        *,
+        profile: HostProfile,
+        incarnation: str,
+        source: PlatformSource,
+        config: ConfigView,
+        directory: Directory,
+        heartbeats: HeartbeatExchange,
+        time: CorrectedTime,
+        usage: UsageCounts,
+        demand: DemandMeter,
+        can_act: cabc.Callable[[], bool],
+        clock: Clock,
+        boot_clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._host = profile.host_id
+        self._heartbeats = heartbeats
+        self._demand = demand
+        self._can_act = can_act
+        self._candidacy = DutyCandidacy(host=self._host, clock=clock)
+        self.holder: DutyHolder | None = None
+        if source.duties is None:
+            return
+        leases = LeaseManager(
+            host=self._host,
+            holder=f"{self._host}/{incarnation}",
+            log=source.log,
+            clock=boot_clock,
+            times=DUTY_LEASE_TIMES,
+            stream=DUTY_STREAM,
+        )
+        view = ScalingView(
+            config=config, directory=directory, prefill_demand=self._prefill_demand, clock=clock
+        )
+        reporter = self._reporter(source.duties, profile, source, time, usage)
+        scaler = Scaler(api=source.duties, services=view.services, clock=boot_clock)
+        self.holder = DutyHolder(
+            host=self._host,
+            leases=leases,
+            duties=[scaler, reporter],
+            is_candidate=self._is_candidate,
+            clock=boot_clock,
+            rng=rng,
+        )
+
+    def components(self) -> list[Component]:
+        """Return the components to run."""
+        return [] if self.holder is None else [self.holder]
+
+    def known_holder(self) -> HostId | None:
+        """Return the host that holds the duties, as reported by itself or else by a hub."""
+        if self.holder is not None and self.holder.advertised:
+            return self._host
+        live = self._heartbeats.live_hosts
+        received = [self._heartbeats.peers[host].heartbeat for host in live]
+        for heartbeat in received:
+            if heartbeat.duty == heartbeat.host:
+                return heartbeat.host
+        hub = None if self._heartbeats.is_hub else self._heartbeats.primary_hub()
+        return None if hub is None else hub.duty
+
+    def _reporter(
+        self,
+        api: DutyApi,
+        profile: HostProfile,
+        source: PlatformSource,
+        time: CorrectedTime,
+        usage: UsageCounts,
+    ) -> UsageReporter:
+        return UsageReporter(
+            api=api,
+            log=source.log,
+            counts=usage,
+            now=time.now,
+            max_delay_s=profile.bounds.usage_late_s,
+        )
+
+    def _is_candidate(self) -> bool:
+        """Return whether this host should take over duties that no host holds."""
+        if not self._can_act() or not self._heartbeats.is_hub:
+            return False
+        peers = self._heartbeats.peers
+        with_store = {
+            host for host in self._heartbeats.live_hosts if peers[host].heartbeat.store_ok
+        }
+        with_store.add(self._host)
+        order = [host for host in self._heartbeats.ranking() if host in with_store]
+        return self._candidacy.is_candidate(holder=self.known_holder(), order=order)
+
+    def _prefill_demand(self, service: ServiceName) -> float:
+        """Return the prefill demand of a service over all hosts, in tokens per second."""
+        own = self._demand.rates().get(service, 0.0)
+        return own + self._heartbeats.prefill_demand(service)
--- a/src/cassiawalk/ingress/node.py
+++ b/src/cassiawalk/ingress/node.py
@@ -9,18 +9,10 @@
 from cassiawalk.app import Application
 from cassiawalk.app import Component
 from cassiawalk.clock import Clock
-from cassiawalk.duties.candidacy import DutyCandidacy
-from cassiawalk.duties.holder import DUTY_LEASE_TIMES
-from cassiawalk.duties.holder import DUTY_STREAM
-from cassiawalk.duties.holder import DutyHolder
-from cassiawalk.duties.reporter import UsageReporter
-from cassiawalk.duties.scaler import Scaler
 from cassiawalk.duties.usage import UsageCounts
 from cassiawalk.http1 import Exchange
 from cassiawalk.http1 import ExchangeHandler
 from cassiawalk.http1 import HttpListener
-from cassiawalk.ids import HostId
-from cassiawalk.ids import ServiceName
 from cassiawalk.ids import new_uuid7
 from cassiawalk.ingress.aggregates import UpstreamUse
 from cassiawalk.ingress.budgets import RetryBudgets
@@ -32,6 +24,7 @@
 from cassiawalk.ingress.crashparts import CrashParts
 from cassiawalk.ingress.demandmeter import DemandMeter
 from cassiawalk.ingress.directory import Directory
+from cassiawalk.ingress.dutyparts import DutyParts
 from cassiawalk.ingress.follow import ConfigFollower
 from cassiawalk.ingress.follow import DirectoryFollower
 from cassiawalk.ingress.follow import ReadOptions
@@ -47,9 +40,7 @@
 from cassiawalk.ingress.quotas import Quotas
 from cassiawalk.ingress.receiver import HeartbeatReceiver
 from cassiawalk.ingress.report import IngressReport
-from cassiawalk.ingress.scaling import ScalingView
 from cassiawalk.ingress.source import PlatformSource
-from cassiawalk.leases import LeaseManager
 from cassiawalk.membership import Membership
 from cassiawalk.peer import PeerLinks
 from cassiawalk.peer import PeerServer
@@ -292,72 +283,22 @@
         )
 
     def _build_duties(self) -> None:
-        self.duties: DutyHolder | None = None
-        api = self._source.duties
-        if api is None:
-            return
-        host = self._profile.host_id
-        leases = LeaseManager(
-            host=host,
-            holder=f"{host}/{self._incarnation}",
-            log=self._source.log,
-            clock=self._boot_clock,
-            times=DUTY_LEASE_TIMES,
-            stream=DUTY_STREAM,
-        )
-        reporter = UsageReporter(
-            api=api,
-            log=self._source.log,
-            counts=self.usage,
-            now=self.time.now,
-            max_delay_s=self._profile.bounds.usage_late_s,
-        )
-        self._candidacy = DutyCandidacy(host=host, clock=self._clock)
-        view = ScalingView(
+        self.duties = DutyParts(
+            profile=self._profile,
+            incarnation=self._incarnation,
+            source=self._source,
             config=self.config,
             directory=self.directory,
-            prefill_demand=self._prefill_demand,
+            heartbeats=self.heartbeats,
+            time=self.time,
+            usage=self.usage,
+            demand=self.demand,
+            can_act=lambda: self.ready and self.copier.store_ok,
             clock=self._clock,
-        )
-        scaler = Scaler(api=api, services=view.services, clock=self._boot_clock)
-        self.duties = DutyHolder(
-            host=host,
-            leases=leases,
-            duties=[scaler, reporter],
-            is_candidate=self._is_candidate,
-            clock=self._boot_clock,
+            boot_clock=self._boot_clock,
             rng=self._rng,
         )
 
-    def _is_candidate(self) -> bool:
-        """Return whether this host should take over duties that no host holds."""
-        if not self.ready or not self.copier.store_ok or not self.heartbeats.is_hub:
-            return False
-        with_store = {
-            host
-            for host in self.heartbeats.live_hosts
-            if self.heartbeats.peers[host].heartbeat.store_ok
-        }
-        order = [
-            host for host in self.heartbeats.ranking() if host in with_store or host == self._host
-        ]
-        return self._candidacy.is_candidate(holder=self._duty_holder(), order=order)
-
-    @property
-    def _host(self) -> HostId:
-        return self._profile.host_id
-
-    def _duty_holder(self) -> HostId | None:
-        """Return the host that holds the duties, as reported by itself or else by a hub."""
-        if self.duties is not None and self.duties.advertised:
-            return self._host
-        received = [self.heartbeats.peers[host].heartbeat for host in self.heartbeats.live_hosts]
-        for heartbeat in received:
-            if heartbeat.duty == heartbeat.host:
-                return heartbeat.host
-        hub = None if self.heartbeats.is_hub else self.heartbeats.primary_hub()
-        return None if hub is None else hub.duty
-
     def _compose_heartbeat(self) -> Heartbeat:
         config = self.config.current
         return Heartbeat(
@@ -371,7 +312,7 @@
             store_ok=self.copier.store_ok,
             reads=self.copier.store_ok and self.copier.reads_store,
             knows=self.copier.is_current,
-            duty=self._duty_holder(),
+            duty=self.duties.known_holder(),
             leaving=self._draining,
             drawn=self.quotas.consumed(),
             use=self._upstream_use(),
@@ -381,10 +322,6 @@
             notes=self.crashes.exchange.digest(),
         )
 
-    def _prefill_demand(self, service: ServiceName) -> float:
-        """Return the prefill demand of a service over all hosts, in tokens per second."""
-        return self.demand.rates().get(service, 0.0) + self.heartbeats.prefill_demand(service)
-
     def _upstream_use(self) -> tuple[UpstreamUse, ...]:
         return tuple(
             UpstreamUse(
@@ -410,7 +347,6 @@
             sock=listen(Address(ip=self._profile.peer_address.ip, port=self._metrics_port)),
             handler=_MetricsHandler(report=self.report),
         )
-        duties = [] if self.duties is None else [self.duties]
         suspects = dataclasses.replace(
             self._read_options(self._source.suspect_stream, SUSPECT_WAIT_S, 0.0),
             on_change=lambda: None,
@@ -426,7 +362,7 @@
             self.heartbeats,
             self.copier,
             *crashes,
-            *duties,
+            *self.duties.components(),
             self.forwarder,
             self._callers,
         ]
--- a/src/cassiawalk/ingress/screening.py
+++ b/src/cassiawalk/ingress/screening.py
@@ -58,10 +58,9 @@
 
     def unsuitable(self, run: IsolatedRun) -> frozenset[UpstreamId]:
         """Return the upstreams that run other requests, or of whose death this host knows."""
-        dead = {
-            found.upstream_id for found in self._directory.upstreams() if self._guard.is_dead(found)
-        }
-        return run.occupied() | dead
+        dead = self._guard.dead_processes()
+        gone = {found.upstream_id for found in self._directory.upstreams() if found.process in dead}
+        return run.occupied() | gone
 
     def note_completed(self, job: Job) -> None:
         """Record that an upstream has answered the request with success."""
@@ -130,18 +129,21 @@
             return None
         left_s = HOLD_S - max(0.0, self._clock.wall() - blamed[-1].at_s)
         if left_s > 0:
-            return _held(job, blamed, left_s)
-        alive = [
-            found
-            for found in self._directory.available_for(job.service)
-            if not self._guard.is_dead(found)
-        ]
+            return self._held(job, blamed, left_s)
+        dead = self._guard.dead_processes()
+        available = self._directory.available_for(job.service)
+        alive = [found for found in available if found.process not in dead]
         if len(alive) < MIN_UPSTREAMS:
-            return _held(job, blamed, HOLD_S)
+            return self._held(job, blamed, HOLD_S)
         return None
 
-
-def _held(job: Job, blamed: cabc.Sequence[RecordedDeath], retry_after_s: float) -> Refusal:
-    deaths = ", ".join(f"{death.process} told by {death.reporter}" for death in blamed)
-    detail = f"{len(blamed)} upstreams died running this request ({deaths}): {job.fingerprint}"
-    return Refusal(code=ResultCode.SUSPECT, detail=detail, retry_after_s=retry_after_s)
+    def _held(
+        self, job: Job, blamed: cabc.Sequence[RecordedDeath], retry_after_s: float
+    ) -> Refusal:
+        now_s = self._clock.wall()
+        deaths = ", ".join(
+            f"{death.process} told by {death.reporter} {now_s - death.at_s:.1f} s ago"
+            for death in blamed
+        )
+        detail = f"{len(blamed)} upstreams died running this request ({deaths}): {job.fingerprint}"
+        return Refusal(code=ResultCode.SUSPECT, detail=detail, retry_after_s=retry_after_s)
