Choose hubs in a module of their own; try the guard with a store in trouble and frozen hosts

No change of behaviour. New cases of the crash guard: the store refuses, is silent, slow or loses answers, for one host of seven and for all; hosts freeze in turn; repeats come in chunks and with long bodies. The fake of the store counts eras.

--- a/src/cassiawalk/ingress/aggregates.py
+++ b/src/cassiawalk/ingress/aggregates.py
@@ -2,12 +2,15 @@
 
 import collections.abc as cabc
 import dataclasses
+import typing as t
 
 from cassiawalk.ids import HostId
 from cassiawalk.ids import ServiceName
 from cassiawalk.ids import UpstreamId
 from cassiawalk.ids import WorkspaceName
 
+_K = t.TypeVar("_K", bound=str)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class UpstreamUse:
@@ -63,13 +66,9 @@
 
     def total(self, *, without: str = "") -> dict[WorkspaceName, float]:
         """Return the consumption of all processes except ``without``, since their first reports."""
-        total: dict[WorkspaceName, float] = {}
-        for process, increase in self._increase.items():
-            if process == without:
-                continue
-            for name, amount in increase.items():
-                total[name] = total.get(name, 0.0) + amount
-        return total
+        return sum_amounts(
+            increase for process, increase in self._increase.items() if process != without
+        )
 
 
 def sum_use(parts: cabc.Iterable[cabc.Iterable[UpstreamUse]]) -> tuple[UpstreamUse, ...]:
@@ -88,12 +87,10 @@
     )
 
 
-def sum_rates(
-    parts: cabc.Iterable[cabc.Mapping[ServiceName, float]],
-) -> dict[ServiceName, float]:
-    """Return the sum of several hosts' rates by service."""
-    total: dict[ServiceName, float] = {}
+def sum_amounts(parts: cabc.Iterable[cabc.Mapping[_K, float]]) -> dict[_K, float]:
+    """Return the sum of the amounts of each key."""
+    total: dict[_K, float] = {}
     for part in parts:
-        for service, rate in part.items():
-            total[service] = total.get(service, 0.0) + rate
+        for name, amount in part.items():
+            total[name] = total.get(name, 0.0) + amount
     return total
--- a/src/cassiawalk/ingress/heartbeats.py
+++ b/src/cassiawalk/ingress/heartbeats.py
@@ -21,12 +21,13 @@
 from cassiawalk.ingress.aggregates import EMPTY_AGGREGATE
 from cassiawalk.ingress.aggregates import ConsumptionTotals
 from cassiawalk.ingress.aggregates import HostAggregate
-from cassiawalk.ingress.aggregates import sum_rates
+from cassiawalk.ingress.aggregates import sum_amounts
 from cassiawalk.ingress.aggregates import sum_use
 from cassiawalk.ingress.heartbeat import Heartbeat
 from cassiawalk.ingress.heartbeat import PeerView
 from cassiawalk.ingress.hosts import HostRegistry
 from cassiawalk.ingress.hosts import entry_of
+from cassiawalk.ingress.hubs import HubRanking
 from cassiawalk.membership import Membership
 from cassiawalk.membership.rendezvous import rank
 from cassiawalk.peer import PeerFailure
@@ -34,8 +35,6 @@
 
 HEARTBEAT_INTERVAL_S = 0.5
 MAX_FULL_MESH_HOSTS = 12  # including this host
-MIN_HUBS = 3
-HOSTS_PER_HUB = 12
 HUBS_PER_HOST = 2
 CALL_TIMEOUT_S = 1.0
 LIVE_TIMEOUT_S = 2.0
@@ -47,8 +46,6 @@
 RECORD_CHECK_INTERVAL_S = 2.5
 MAX_LOOKUP_INTERVAL_S = 40.0
 INITIAL_REFRESH_DELAYS_S = (1.0, 2.0)
-FAILED_HUB_EXCLUSION_S = 5.0
-_HUB_KEY = "hubs"
 
 
 HeartbeatListener = cabc.Callable[[Heartbeat], None]
@@ -82,12 +79,10 @@
         self._rng = rng
         self._listeners: list[HeartbeatListener] = []
         self._seen_at: dict[HostId, float] = {}
-        self._failed_at: dict[HostId, float] = {}
+        self._hub_ranking = HubRanking(host=host, records=records, clock=clock)
         self._pending_calls: set[HostId] = set()
         self._send_requested = asyncio.Event()
         self._consumption = ConsumptionTotals()
-        self._ranking_key: tuple[frozenset[HostId], int] = (frozenset(), 0)
-        self._ranking: list[HostId] = []
         self._last_lookup_at = 0.0
         self._lookup_pause_s = 0.0
         self.peers: dict[HostId, PeerView] = {}
@@ -117,7 +112,7 @@
     @property
     def is_hub(self) -> bool:
         """Return whether this host is a hub; in a full mesh every host is one."""
-        return self.full_mesh or self._host in self._hub_candidates()[: self._hub_count()]
+        return self.full_mesh or self._host in self._hub_ranking.hubs(self._others())
 
     @property
     def live_hosts(self) -> list[HostId]:
@@ -162,21 +157,11 @@
             if heartbeat.first or heartbeat.counted is not None
         ]
         theirs = [heartbeat.counted.reading for heartbeat in live if heartbeat.counted is not None]
-        return sum_rates([*own, *theirs]).get(service, 0.0)
+        return sum_amounts([*own, *theirs]).get(service, 0.0)
 
     def ranking(self) -> list[HostId]:
-        """Return all hosts in order of preference as hubs: the highest strength first.
-
-        Hosts of the same strength are in rendezvous order, which is the same on every host.
-        """
-        known = frozenset((*self._others(), self._host))
-        key = (known, self._records.strengths_version)
-        if key != self._ranking_key:
-            self._ranking_key = key
-            strengths = self._records.strengths
-            by_rendezvous = rank(_HUB_KEY, known)
-            self._ranking = sorted(by_rendezvous, key=lambda host: -strengths.get(host, 0.0))
-        return self._ranking
+        """Return all hosts in order of preference as hubs, see ``HubRanking``."""
+        return self._hub_ranking.ranking(self._others())
 
     def primary_hub(self, *, within_s: float = LIVE_TIMEOUT_S) -> Heartbeat | None:
         """Return the newest answer of this host's primary hub, or None if it is too old.
@@ -207,19 +192,11 @@
     def _others(self) -> list[HostId]:
         return [host for host in self._membership.all_entries() if host != self._host]
 
-    def _hub_candidates(self) -> list[HostId]:
-        """Return the ranking without hosts that failed as hubs in ``FAILED_HUB_EXCLUSION_S`` s."""
-        limit = self._clock.monotonic() - FAILED_HUB_EXCLUSION_S
-        return [host for host in self.ranking() if self._failed_at.get(host, limit) <= limit]
-
     def _hubs(self) -> list[HostId]:
         """Return the other hosts that are hubs, in this host's own order of preference."""
-        hubs = self._hub_candidates()[: self._hub_count()]
+        hubs = self._hub_ranking.hubs(self._others())
         return rank(self._host, [host for host in hubs if host != self._host])
 
-    def _hub_count(self) -> int:
-        return max(MIN_HUBS, len(self.ranking()) // HOSTS_PER_HUB)
-
     def _possibly_live(self) -> list[HostId]:
         """Return the other hosts that are live or may be live, see ``_may_be_live``.
 
@@ -276,7 +253,7 @@
             hosts=tuple(heartbeat.host for heartbeat in spokes),
             drawn=self._consumption.total(without=without),
             use=sum_use(heartbeat.use for heartbeat in spokes),
-            reading=sum_rates(heartbeat.reading for heartbeat in spokes),
+            reading=sum_amounts(heartbeat.reading for heartbeat in spokes),
         )
 
     def _aggregate_of_others(self, sender: Heartbeat) -> HostAggregate:
@@ -292,23 +269,13 @@
             if self.peers[host].heartbeat.counted is not None and host != sender.host
         ]
         theirs = [heartbeat.counted or EMPTY_AGGREGATE for heartbeat in hubs]
-        consumed = dict(mine.drawn)
-        for part in [
-            own.drawn,
-            *(heartbeat.drawn for heartbeat in hubs),
-            *(aggregate.drawn for aggregate in theirs),
-        ]:
-            for name, amount in part.items():
-                consumed[name] = consumed.get(name, 0.0) + amount
-        use = sum_use(
-            [
-                mine.use,
-                own.use,
-                *(heartbeat.use for heartbeat in hubs),
-                *(aggregate.use for aggregate in theirs),
-            ]
+        parts: list[HostAggregate | Heartbeat] = [mine, own, *hubs, *theirs]
+        return HostAggregate(
+            hosts=(),
+            drawn=sum_amounts(part.drawn for part in parts),
+            use=sum_use(part.use for part in parts),
+            reading={},
         )
-        return HostAggregate(hosts=(), drawn=consumed, use=use, reading={})
 
     async def _run_heartbeats(self) -> None:
         while True:
@@ -363,12 +330,12 @@
         finally:
             self._pending_calls.discard(host)
         if isinstance(reply, PeerFailure):
-            self._failed_at[host] = self._clock.monotonic()
+            self._hub_ranking.note_failure(host)
             return
         if is_primary and reply.rest is None:
-            self._failed_at[host] = self._clock.monotonic()
+            self._hub_ranking.note_failure(host)
         else:
-            self._failed_at.pop(host, None)
+            self._hub_ranking.note_success(host)
         self._receive(reply)
 
     def _add_aggregate_for(self, host: HostId, heartbeat: Heartbeat) -> Heartbeat:
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -6,6 +6,7 @@
 import asyncio
 import collections.abc as cabc
 import dataclasses
+import enum
 import itertools
 import random
 import typing as t
@@ -47,41 +48,65 @@
 RUN_S = 0.02
 DOWN_S = 2.0
 STABILITY_S = 3.0
+STORE_TIMEOUT_S = 1.5
+STORE_SLOW_S = 0.8
+
+
+class StoreTrouble(enum.Enum):
+    """What is wrong with the store, as one host sees it."""
+
+    REFUSES = "refuses"
+    SILENT = "silent"
+    SLOW = "slow"
+    LOSES_ANSWERS = "loses answers"
 
 
 class MemoryLog(KeyedLog):
-    """Keyed streams in memory; while ``refusing`` holds a host's name, its calls fail."""
+    """One host's view of the keyed streams of a fleet, which are in memory."""
 
-    def __init__(self, host: HostId, streams: dict[str, list[KeyedRecord]]) -> None:
-        self._host = host
-        self._streams = streams
-        self.available = True
+    def __init__(self, fleet: "CrashFleet") -> None:
+        self._fleet = fleet
+        self.trouble: StoreTrouble | None = None
 
     async def newest(self, *, stream: str) -> KeyedList | ReadFailed:
-        await asyncio.sleep(LINK_DELAY_S)
-        if not self.available:
+        if await self._fails():
             return ReadFailed(reason="away")
-        records = self._streams.setdefault(stream, [])
+        records = self._records(stream)
         newest = {record.key: record for record in records}
         kept = tuple(record for record in newest.values() if record.value is not None)
-        return KeyedList(records=kept, end=Offset(len(records)))
+        return KeyedList(records=kept, end=self._coded(len(records)))
 
     async def changes(
         self, *, stream: str, start: Offset, wait_s: float = 0.0
     ) -> KeyedChanges | ReadFailed:
-        await asyncio.sleep(max(LINK_DELAY_S, wait_s / 4))
-        if not self.available:
+        await asyncio.sleep(wait_s / 4)
+        if await self._fails():
             return ReadFailed(reason="away")
-        records = tuple(self._streams.setdefault(stream, [])[start:])
+        if start < self._coded(0):
+            return KeyedChanges(records=(), end=start, missed=True, restored=True)
+        records = tuple(self._records(stream)[start - self._coded(0) :])
         return KeyedChanges(records=records, end=Offset(start + len(records)))
 
     async def put(self, *, stream: str, key: str, value: bytes | None) -> bool:
-        await asyncio.sleep(LINK_DELAY_S)
-        if not self.available:
+        if await self._fails():
             return False
-        records = self._streams.setdefault(stream, [])
-        records.append(KeyedRecord(key=key, value=value, offset=Offset(len(records))))
-        return True
+        records = self._records(stream)
+        records.append(KeyedRecord(key=key, value=value, offset=self._coded(len(records))))
+        return self.trouble is not StoreTrouble.LOSES_ANSWERS
+
+    async def _fails(self) -> bool:
+        """Wait as long as the store takes; return whether it gives no answer to be used."""
+        if self.trouble is StoreTrouble.SILENT:
+            await asyncio.sleep(STORE_TIMEOUT_S)
+            return True
+        await asyncio.sleep(STORE_SLOW_S if self.trouble is StoreTrouble.SLOW else LINK_DELAY_S)
+        return self.trouble is StoreTrouble.REFUSES
+
+    def _records(self, stream: str) -> list[KeyedRecord]:
+        return self._fleet.streams.setdefault(stream, [])
+
+    def _coded(self, offset: int) -> Offset:
+        return Offset((self._fleet.era << 40) + offset)
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -115,8 +140,7 @@
     def __init__(self, fleet: "CrashFleet", host: HostId) -> None:
         self._fleet = fleet
         self.host = host
-        self.frozen = False
-        self.log = MemoryLog(host, fleet.streams)
+        self.log = MemoryLog(fleet)
         clock = LoopClock()
         self._time = CorrectedTime(clock=clock)
         self.directory = Directory(clock=clock)
@@ -217,13 +241,16 @@
     """Hosts and upstreams; a request whose body is in ``crashing`` crashes the upstream it runs on.
 
     ``runs`` has the time and body of each run, ``crashes`` the time and body of each crash, and
-    ``refusals`` the code of each refusal by body.
+    ``refusals`` the code of each refusal by body. Hosts in ``isolated`` are cut off from all
+    others, those in ``frozen`` besides take no requests.
     """
 
     def __init__(self, *, hosts: int, upstreams: int, domains: int = 3) -> None:
         self.numbers = itertools.count(1)
         self.streams: dict[str, list[KeyedRecord]] = {}
+        self.era = 0
         self.isolated: set[HostId] = set()
+        self.frozen: set[HostId] = set()
         self.calls = 0
         self.hosts: dict[HostId, CrashHost] = {}
         self._count = hosts
@@ -267,7 +294,7 @@
 
     def connected(self, one: HostId, other: HostId) -> bool:
         """Return whether two hosts reach each other."""
-        return not {one, other} & self.isolated
+        return not {one, other} & (self.isolated | self.frozen)
 
     def reads(self, host: HostId) -> bool:
         """Return whether a host reads the store: two of those that are connected, and cut ones."""
--- a/tests/test_crash_fleet.py
+++ b/tests/test_crash_fleet.py
@@ -10,6 +10,7 @@
 from cassiawalk.ids import UpstreamId
 from cassiawalk.results import ResultCode
 from tests.crash_fleet import CrashFleet
+from tests.crash_fleet import StoreTrouble
 
 pytestmark = pytest.mark.looptime
 
@@ -27,7 +28,7 @@
     for host in itertools.cycle(hosts):
         if loop.time() >= ends_at:
             return
-        if host in fleet.hosts:
+        if host in fleet.hosts and host not in fleet.frozen:
             await fleet.send(host, body)
         await asyncio.sleep(every_s)
 
@@ -72,11 +73,15 @@
         assert fleet.late_retries(BAD) <= MAX_LATE_RETRIES
 
 
-async def test_repeats_stay_in_bound_while_the_store_is_away() -> None:
+@pytest.mark.parametrize("trouble", StoreTrouble)
+@pytest.mark.parametrize("hosts_in_trouble", [1, 7])
+async def test_repeats_stay_in_bound_while_the_store_is_in_trouble(
+    trouble: StoreTrouble, hosts_in_trouble: int
+) -> None:
     async with CrashFleet(hosts=7, upstreams=6) as fleet:
         fleet.crashing.add(BAD)
-        for host in fleet.hosts.values():
-            host.log.available = False
+        for host in list(fleet.hosts.values())[:hosts_in_trouble]:
+            host.log.trouble = trouble
         await _repeat(fleet, BAD, _names(fleet), for_s=25.0, every_s=0.1)
         assert len(fleet.crashes) >= 3
         assert fleet.late_retries(BAD) <= MAX_LATE_RETRIES
@@ -89,6 +94,7 @@
         await _repeat(fleet, BAD, names, for_s=10.0, every_s=0.1)
         assert fleet.streams["suspects"]
         fleet.streams["suspects"].clear()
+        fleet.era += 1
         await asyncio.sleep(8.0)
         await asyncio.gather(*(fleet.restart(name) for name in names))
         await asyncio.sleep(3.0)
@@ -96,6 +102,19 @@
         assert fleet.late_retries(BAD) <= MAX_LATE_RETRIES
 
 
+async def test_repeats_stay_in_bound_while_hosts_freeze_in_turn() -> None:
+    async with CrashFleet(hosts=7, upstreams=6) as fleet:
+        fleet.crashing.add(BAD)
+        names = _names(fleet)
+        repeats = asyncio.create_task(_repeat(fleet, BAD, names, for_s=25.0, every_s=0.1))
+        for name in names[:5]:
+            fleet.frozen.add(name)
+            await asyncio.sleep(4.0)
+            fleet.frozen.discard(name)
+        await repeats
+        assert fleet.late_retries(BAD) <= MAX_LATE_RETRIES
+
+
 async def test_many_copies_at_once_do_not_escape() -> None:
     async with CrashFleet(hosts=7, upstreams=18) as fleet:
         fleet.crashing.add(BAD)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -486,3 +486,19 @@
             await asyncio.sleep(0.05)
         assert len(gone.arrivals) <= 1
         assert len(alive.arrivals) == 30
+
+
+@pytest.mark.parametrize("size", [5, 300_000])
+async def test_repeat_in_chunks_is_known_as_the_request_that_died_before(size: int) -> None:
+    async with IngressBed(config(route(RetryRule.ONCE, max_attempts=1))) as bed:
+        lost: list[str] = []
+        bed.guard.note_lost = lambda job, _: lost.append(job.fingerprint)  # type: ignore
+        await bed.add(_reset, "u-1")
+        body = b"x" * size
+        await (await bed.caller()).request(post(b"q1", body))
+        chunked = post(b"q2", b"", more=b"Transfer-Encoding: chunked\r\n")
+        chunked = chunked.replace(b"Content-Length: 0\r\n", b"") + chunk(body[:3])
+        chunked += (chunk(body[3:]) if body[3:] else b"") + b"0\r\n\r\n"
+        await (await bed.caller()).request(chunked)
+        await (await bed.caller()).request(post(b"q3", body + b"."))
+        assert lost[0] == lost[1] != lost[2]
