--- a/src/cassiawalk/crashes/evidence.py
+++ b/src/cassiawalk/crashes/evidence.py
@@ -45,6 +45,7 @@
         self._host = host
         self._notes = notes
         self._processes: dict[Fingerprint, set[str]] = {}
+        self._all_deaths: tuple[int, list[Death]] = (0, [])
 
     def note_changed(self, note: Note) -> None:
         """Take a new or changed note into account."""
@@ -65,12 +66,15 @@
 
     def all_deaths(self) -> list[Death]:
         """Return all deaths that stand against some request, each process once."""
-        found = {
-            death.process: death.as_death()
-            for fingerprint in list(self._processes)
-            for death in self.deaths(fingerprint)
-        }
-        return list(found.values())
+        version = self._notes.version
+        if self._all_deaths[0] != version:
+            found = {
+                death.process: death.as_death()
+                for fingerprint in list(self._processes)
+                for death in self.deaths(fingerprint)
+            }
+            self._all_deaths = (version, list(found.values()))
+        return self._all_deaths[1]
 
     async def add(self, fingerprints: cabc.Iterable[Fingerprint], death: Death) -> None:
         """Attribute a death to requests, on all hosts."""
--- a/src/cassiawalk/crashes/guard.py
+++ b/src/cassiawalk/crashes/guard.py
@@ -319,6 +319,8 @@
         own = {recorded.process for recorded in blamed}
         others = [other for other in self._evidence.all_deaths() if other.process not in own]
         if any(other.process not in own for other in self._deaths.related(death, others)):
+            # It counts again as soon as nothing else explains it.
+            await self._evidence.add([fingerprint], death)
             return
         items = [f"{recorded.process} told by {recorded.reporter}" for recorded in blamed]
         items.append(f"{death.process} alone, told by {self._host}")
--- a/src/cassiawalk/crashes/notes.py
+++ b/src/cassiawalk/crashes/notes.py
@@ -20,6 +20,11 @@
         self._sharing = sharing
         self._clock = clock
 
+    @property
+    def version(self) -> int:
+        """Return a number that grows with each change of the notes."""
+        return self._note_store.version
+
     def get(self, topic: NoteTopic, name: str) -> Note | None:
         """Return a note, or None if there is none or it has expired."""
         return self._note_store.get(topic, name)
--- a/src/cassiawalk/ingress/screening.py
+++ b/src/cassiawalk/ingress/screening.py
@@ -21,8 +21,10 @@
 # Deaths after which a request runs only in isolation; the next one then convicts it. It has to be
 # refused after its third, and each earlier one may have another cause.
 ISOLATE_AFTER_DEATHS = 2
-HOLD_S = 3.0  # from a request's last death to its isolated run: dead upstreams come back meanwhile
-MIN_UPSTREAMS = 2  # an isolated run must not take the last upstream of a service
+# From a request's last death to its isolated run: dead upstreams come back meanwhile. It is longer
+# if the run could take the last upstream of its service.
+HOLD_S = 3.0
+LAST_UPSTREAM_HOLD_S = 15.0
 ISOLATION_WAIT_S = 0.3
 PROBE_WAIT_S = 0.3
 
@@ -121,21 +123,18 @@
             self._guard.note_death(upstream)
 
     def _hold(self, job: Job) -> Refusal | None:
-        """Return a refusal if an isolated run of the request would take too many upstreams now."""
+        """Return a refusal if it is too early for an isolated run of the request."""
         if self._guard.has_no_notes:
             return None
         blamed = self._guard.blamed_deaths(job.fingerprint)
         if len(blamed) < ISOLATE_AFTER_DEATHS:
             return None
-        left_s = HOLD_S - max(0.0, self._clock.wall() - blamed[-1].at_s)
-        if left_s > 0:
-            return self._held(job, blamed, left_s)
         dead = self._guard.dead_processes()
         available = self._directory.available_for(job.service)
-        alive = [found for found in available if found.process not in dead]
-        if len(alive) < MIN_UPSTREAMS:
-            return self._held(job, blamed, HOLD_S)
-        return None
+        alive = sum(found.process not in dead for found in available)
+        hold_s = HOLD_S if alive > 1 else LAST_UPSTREAM_HOLD_S
+        left_s = hold_s - max(0.0, self._clock.wall() - blamed[-1].at_s)
+        return self._held(job, blamed, left_s) if left_s > 0 else None
 
     def _held(
         self, job: Job, blamed: cabc.Sequence[RecordedDeath], retry_after_s: float
--- a/tests/test_crash_fleet.py
+++ b/tests/test_crash_fleet.py
@@ -9,6 +9,7 @@
 from cassiawalk.ids import HostId
 from cassiawalk.ids import UpstreamId
 from cassiawalk.results import ResultCode
+from tests.crash_fleet import STABILITY_S
 from tests.crash_fleet import CrashFleet
 from tests.crash_fleet import StoreTrouble
 
@@ -171,3 +172,72 @@
         assert len([code for code in fleet.codes(POPULAR) if code in BLAMED]) <= len(names)
         await asyncio.sleep(5.0)
         assert await fleet.send(names[0], POPULAR)
+
+
+async def test_request_of_a_service_with_one_upstream_is_tried_again_in_the_end() -> None:
+    async with CrashFleet(hosts=3, upstreams=1) as fleet:
+        names = _names(fleet)
+        for name in names[:2]:
+            run = asyncio.create_task(fleet.send(name, b"unlucky"))
+            await asyncio.sleep(0.01)
+            fleet.crash(UpstreamId("u-0"))
+            await run
+            await asyncio.sleep(2.5)
+        assert not await fleet.send(names[2], b"unlucky")
+        assert await fleet.send(names[2], b"another")
+        await asyncio.sleep(15.0)
+        assert await fleet.send(names[2], b"unlucky")
+
+
+async def _convict_without(fleet: CrashFleet, absent: HostId) -> int:
+    """Let the other hosts convict the crashing request; return how often it has run."""
+    fleet.crashing.add(BAD)
+    others = [name for name in _names(fleet) if name != absent]
+    await _repeat(fleet, BAD, others, for_s=9.0, every_s=0.1)
+    assert fleet.codes(BAD)[-1] is ResultCode.QUARANTINED
+    return len(fleet.runs)
+
+
+async def test_host_that_missed_all_messages_learns_of_the_request_from_its_peers() -> None:
+    async with CrashFleet(hosts=7, upstreams=6) as fleet:
+        late = _names(fleet)[4]
+        fleet.isolated.add(late)
+        fleet.hosts[late].log.trouble = StoreTrouble.REFUSES
+        runs = await _convict_without(fleet, late)
+        fleet.isolated.discard(late)
+        await asyncio.sleep(STABILITY_S)
+        fleet.refusals.clear()
+        assert not await fleet.send(late, BAD)
+        assert fleet.codes(BAD) == [ResultCode.QUARANTINED]
+        assert len(fleet.runs) == runs
+
+
+async def test_host_without_peers_learns_of_the_request_from_the_store() -> None:
+    async with CrashFleet(hosts=7, upstreams=6) as fleet:
+        alone = _names(fleet)[4]
+        fleet.isolated.add(alone)
+        await asyncio.sleep(STABILITY_S)
+        runs = await _convict_without(fleet, alone)
+        await asyncio.sleep(STABILITY_S)
+        fleet.refusals.clear()
+        assert not await fleet.send(alone, BAD)
+        assert fleet.codes(BAD) == [ResultCode.QUARANTINED]
+        assert len(fleet.runs) == runs
+
+
+async def test_request_on_two_of_the_upstreams_of_a_failing_domain_is_not_held() -> None:
+    async with CrashFleet(hosts=7, upstreams=12, domains=2) as fleet:
+        names = _names(fleet)
+        failing = [f"u-{number}" for number in range(0, 12, 2)]
+        runs = [
+            asyncio.create_task(fleet.send(host, body, upstream=name))
+            for host, body, name in zip(
+                names, [b"unlucky"] * 2 + [b"a", b"b", b"c", b"d"], failing, strict=False
+            )
+        ]
+        await asyncio.sleep(0.01)
+        for name in failing:
+            fleet.crash(UpstreamId(name))
+        await asyncio.gather(*runs)
+        await asyncio.sleep(0.1)
+        assert await fleet.send(names[6], b"unlucky")
