Ask hosts that all agree on for the lease of an isolated run

Cause: the lease of an isolated run is granted by one of all known hosts; the cut-off one did not answer for 2 s, longer than the request waits, time after time. Evidence: the request was refused as suspect to the end; with leases asked of live hosts only, within 0.3 s, it is convicted.

--- a/src/cassiawalk/crashes/leases.py
+++ b/src/cassiawalk/crashes/leases.py
@@ -1,5 +1,6 @@
 """Exclusive leases that limit a suspect request to one isolated run at a time."""
 
+import collections.abc as cabc
 import dataclasses
 import typing as t
 
@@ -53,25 +54,39 @@
 
 
 class IsolationLeases:
-    """Leases by fingerprint; the first host in the fingerprint's rendezvous order grants them."""
+    """Leases by fingerprint; the first host in the fingerprint's rendezvous order grants them.
+
+    :param hosts: returns the hosts that may grant leases, as far as possible the same on all
+        hosts; by default all that are reachable.
+    :param timeout_s: how long to wait for an answer of the granting host, in seconds.
+    """
 
     def __init__(
-        self, *, host: HostId, membership: Membership, links: PeerLinks, clock: Clock
+        self,
+        *,
+        host: HostId,
+        membership: Membership,
+        links: PeerLinks,
+        clock: Clock,
+        hosts: cabc.Callable[[], cabc.Sequence[HostId]] | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
     ) -> None:
         self._host = host
         self._membership = membership
         self._links = links
         self._clock = clock
+        self._hosts = hosts or membership.reachable_entry_hosts
+        self._timeout_s = timeout_s
         self._leases: dict[Fingerprint, _Lease] = {}
         self._quarantined_until: dict[Fingerprint, float] = {}
 
     async def request(self, call: IsolationLeaseCall) -> IsolationLeaseReply:
         """Return the reply of the lease's owner; not granted if the owner can't be reached."""
-        hosts = self._membership.reachable_entry_hosts()
+        hosts = self._hosts()
         owner = rank(call.fingerprint, hosts)[0] if hosts else self._host
         if owner == self._host:
             return await self.handle_call(call)
-        reply = await self._links.call(owner, call, IsolationLeaseReply, timeout_s=CALL_TIMEOUT_S)
+        reply = await self._links.call(owner, call, IsolationLeaseReply, timeout_s=self._timeout_s)
         if isinstance(reply, PeerFailure):
             self._membership.mark_unreachable(owner)
             return IsolationLeaseReply(granted=False)
--- a/src/cassiawalk/ingress/crashparts.py
+++ b/src/cassiawalk/ingress/crashparts.py
@@ -25,6 +25,8 @@
 from cassiawalk.peer import PeerLinks
 from cassiawalk.peer import PeerServer
 
+LEASE_TIMEOUT_S = 0.3  # a request waits for it
+
 
 class CrashParts:
     """The crash guard of a host, and what it shares with other hosts.
@@ -50,7 +52,12 @@
         )
         heartbeats.add_listener(self.exchange.compare)
         self._leases = IsolationLeases(
-            host=host, membership=membership, links=links, clock=self._clock
+            host=host,
+            membership=membership,
+            links=links,
+            clock=self._clock,
+            hosts=heartbeats.coordinators,
+            timeout_s=LEASE_TIMEOUT_S,
         )
         self._guard = CrashGuard(
             host=host,
--- a/src/cassiawalk/ingress/heartbeats.py
+++ b/src/cassiawalk/ingress/heartbeats.py
@@ -133,6 +133,16 @@
         live = set(self.live_hosts)
         return [host for host in found if host in live]
 
+    def coordinators(self) -> list[HostId]:
+        """Return the hosts that may decide for all, as far as possible the same on all hosts.
+
+        These are the live hosts, or in a large fleet the hubs that are not known to be unreachable.
+        """
+        if self.full_mesh:
+            return [self._host, *self.live_hosts]
+        reachable = set(self._membership.reachable_entry_hosts())
+        return [host for host in self._hub_ranking.hubs(self._others()) if host in reachable]
+
     @property
     def host_count(self) -> int:
         """Return the number of hosts that are or may be live, including this one."""
