Judge an isolated run also if its upstream falls silent

What callers saw: nothing yet; a new test of the bound had 5 sends later than 3 s after the third crash (bound 3) when upstreams fall silent under the request, as if their hosts had lost power. Cause: such a death shows only when the upstream's entry goes or changes, after the request's deadline. The isolated run was closed by then, and its announcement had expired with the deadline, so that the death counted as one among others and the request was tried alone again and again.

The isolated run stays open until the death of a silent upstream has had time to show, and is announced for that long. Tests for two rule lines that had none: the number of upstreams that one request reaches, the time that a second send is handed; and for routes that are added later.

--- a/src/cassiawalk/crashes/guard.py
+++ b/src/cassiawalk/crashes/guard.py
@@ -232,14 +232,18 @@
             self.spawn(self._explain(process, blamed), name=f"explain-{process}")
         self._notify_changed()
 
-    async def confirm_death(self, upstream: GuardedUpstream) -> None:
+    async def confirm_death(
+        self, upstream: GuardedUpstream, *, timeout_s: float = DEATH_CONFIRM_TIMEOUT_S
+    ) -> None:
         """Wait until it is known whether a lost connection was the death of the upstream.
 
         The caller must keep the request counted as running (see ``running``) meanwhile.
+
+        :param timeout_s: how long the death may take to be noticed, in seconds.
         """
         process = upstream.process
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(DEATH_CONFIRM_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 while process not in self._pending_deaths and not upstream.is_leaving:
                     await self._changed.wait()
         task = self._pending_deaths.get(process)
--- a/src/cassiawalk/crashes/isolation.py
+++ b/src/cassiawalk/crashes/isolation.py
@@ -19,6 +19,7 @@
 from cassiawalk.peer import NoteTopic
 
 ENDED_RUN_RETENTION_S = 600.0
+JUDGEMENT_S = 10.0  # from a request's deadline until it is known whether its upstream died
 
 
 class IsolatedRuns(Component):
@@ -116,8 +117,9 @@
             self._contested.add(process)
         self._own_runs[call.fingerprint] = process
         left_s = max(0.0, run.ends_at - self._clock.monotonic())
+        keep_s = left_s + JUDGEMENT_S
         announced = self._notes.new(
-            NoteTopic.ISOLATED_RUN, process, keep_s=left_s, items=(call.fingerprint,)
+            NoteTopic.ISOLATED_RUN, process, keep_s=keep_s, items=(call.fingerprint,)
         )
         try:
             await self._notes.share([announced])
--- a/src/cassiawalk/ingress/forwarder.py
+++ b/src/cassiawalk/ingress/forwarder.py
@@ -125,10 +125,12 @@
                     return self._no_upstream(job)
                 if not await run.reserve(placement.upstream):
                     return self._not_alone(job)
+                lost = placement.upstream  # also if the attempt is cancelled
                 end, reason = await self._attempt(job, placement)
+                if not end.answer_lost:
+                    lost = None
                 if end is AttemptEnd.DELIVERED:
                     return None
-                lost = placement.upstream if end.answer_lost else None
                 job.tried.add(placement.upstream.upstream_id)
                 if not end.surely_not_run or not self._may_retry(job, end):
                     return self._retries_exhausted(job, end, reason)
--- a/src/cassiawalk/ingress/screening.py
+++ b/src/cassiawalk/ingress/screening.py
@@ -27,6 +27,7 @@
 LAST_UPSTREAM_HOLD_S = 15.0
 ISOLATION_WAIT_S = 0.3
 PROBE_WAIT_S = 0.3
+SILENCE_JUDGEMENT_S = 6.0  # until the entry of an upstream that fell silent is gone
 
 
 class Screening(Component):
@@ -36,7 +37,7 @@
         self._guard = guard
         self._directory = directory
         self._clock = clock
-        self._probes: dict[str, asyncio.Task[None]] = {}
+        self._probes: dict[str, asyncio.Task[bool | None]] = {}
         directory.add_departure_listener(self._note_departure)
         directory.add_leaving_listener(guard.note_leaving)
 
@@ -68,24 +69,26 @@
         """Record that an upstream has answered the request with success."""
         self._guard.note_completed(job)
 
-    async def note_lost(self, job: Job, upstream: Upstream) -> None:
-        """Record that the answer to a request was lost; return once the cause may be known.
+    async def note_lost(self, job: Job, upstream: Upstream) -> bool | None:
+        """Record that the answer to a request was lost; return whether the upstream is alive.
 
         An upstream that refuses new connections is dead. One that does not answer may only be cut
-        off from this host: whether it is dead then shows when its entry disappears or changes.
+        off from this host, and None is returned: whether it is dead then shows when its entry
+        disappears or changes.
         """
         if upstream.is_leaving:
-            return
+            return True
         self._guard.note_lost(job, upstream)
         if upstream.leaving:  # its entry is gone already, without an announcement
             self._guard.note_death(upstream)
-            return
+            return False
         probe = self._probes.get(upstream.process)
         if probe is None:
             probe = self.spawn(self._probe(upstream), name=f"probe-{upstream.process}")
             self._probes[upstream.process] = probe
             probe.add_done_callback(lambda _: self._probes.pop(upstream.process, None))
         await asyncio.wait([probe], timeout=PROBE_WAIT_S)
+        return probe.result() if probe.done() else None
 
     def note_unanswered(self, job: Job, upstream: Upstream) -> None:
         """Record that the wait for an answer was given up, as that of an upstream gone silent."""
@@ -108,15 +111,16 @@
         :param lost_upstream: the upstream if the answer was lost, else None.
         """
         try:
-            if lost_upstream is not None:
-                await self.note_lost(job, lost_upstream)
-                await self._guard.confirm_death(lost_upstream)
+            if lost_upstream is not None and not await self.note_lost(job, lost_upstream):
+                await self._guard.confirm_death(lost_upstream, timeout_s=SILENCE_JUDGEMENT_S)
         finally:
             await run.close()
 
-    async def _probe(self, upstream: Upstream) -> None:
-        if await upstream.pool.probe() is False:
+    async def _probe(self, upstream: Upstream) -> bool | None:
+        is_alive = await upstream.pool.probe()
+        if is_alive is False:
             self._guard.note_death(upstream)
+        return is_alive
 
     def _note_departure(self, upstream: Upstream) -> None:
         if self._guard.has_lost(upstream):
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -47,9 +47,11 @@
 LINK_DELAY_S = 0.002
 RUN_S = 0.02
 DOWN_S = 2.0
+SILENT_S = 3.5  # until the entry of a silent upstream changes
 STABILITY_S = 3.0
 STORE_TIMEOUT_S = 1.5
 STORE_SLOW_S = 0.8
+CONNECT_TIMEOUT_S = 0.6
 
 
 class StoreTrouble(enum.Enum):
@@ -125,10 +127,11 @@
     """Connections to an upstream process."""
 
     alive: bool = True
+    is_silent: bool = False
 
-    async def probe(self) -> bool:
-        await asyncio.sleep(LINK_DELAY_S)
-        return self.alive
+    async def probe(self) -> bool | None:
+        await asyncio.sleep(CONNECT_TIMEOUT_S if self.is_silent else LINK_DELAY_S)
+        return None if self.is_silent else self.alive
 
     def close(self) -> None:
         """Do nothing: there are no connections."""
@@ -242,7 +245,8 @@
 
     ``runs`` has the time and body of each run, ``crashes`` the time and body of each crash, and
     ``refusals`` the code of each refusal by body. Hosts in ``isolated`` are cut off from all
-    others, those in ``frozen`` besides take no requests.
+    others, those in ``frozen`` besides take no requests. With ``silent_crashes``, crashed upstreams
+    neither refuse nor answer, as if their hosts had lost power.
     """
 
     def __init__(self, *, hosts: int, upstreams: int, domains: int = 3) -> None:
@@ -261,6 +265,7 @@
         self._domains = domains
         self.rng = random.Random(1)
         self.crashing: set[bytes] = set()
+        self.silent_crashes = False
         self.runs: list[tuple[float, bytes]] = []
         self.crashes: list[tuple[float, bytes]] = []
         self.refusals: list[tuple[bytes, ResultCode]] = []
@@ -373,6 +378,10 @@
         if pool.alive:
             screening.note_completed(t.cast(t.Any, job))
             return True
+        if pool.is_silent:
+            await asyncio.sleep(max(0.0, job.ends_at - loop.time()))
+            screening.note_unanswered(t.cast(t.Any, job), chosen)
+            return False
         job.may_have_run = True
         if not alone:
             await screening.note_lost(t.cast(t.Any, job), chosen)
@@ -381,11 +390,12 @@
     def crash(self, upstream_id: UpstreamId) -> None:
         """Crash an upstream; it is back after ``DOWN_S`` as another process."""
         self._pools[upstream_id].alive = False
+        self._pools[upstream_id].is_silent = self.silent_crashes
         task = asyncio.get_running_loop().create_task(self._come_back(upstream_id))
         self._returns.add(task)
 
     async def _come_back(self, upstream_id: UpstreamId) -> None:
-        await asyncio.sleep(DOWN_S)
+        await asyncio.sleep(SILENT_S if self.silent_crashes else DOWN_S)
         self._register(upstream_id, self._registrations[upstream_id].failure_domain)
         for host in self.hosts.values():
             host.put(self._registrations[upstream_id], self._pools[upstream_id])
--- a/tests/test_crash_fleet.py
+++ b/tests/test_crash_fleet.py
@@ -243,3 +243,12 @@
         await asyncio.gather(*runs)
         await asyncio.sleep(0.1)
         assert await fleet.send(names[6], b"unlucky")
+
+
+async def test_upstreams_that_fall_silent_under_a_request_count_as_dead() -> None:
+    async with CrashFleet(hosts=7, upstreams=6) as fleet:
+        fleet.crashing.add(BAD)
+        fleet.silent_crashes = True
+        await _repeat(fleet, BAD, _names(fleet), for_s=40.0, every_s=0.5)
+        assert fleet.late_retries(BAD) <= MAX_LATE_RETRIES
+        assert fleet.codes(BAD)[-1] is ResultCode.QUARANTINED
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -502,3 +502,30 @@
         await (await bed.caller()).request(chunked)
         await (await bed.caller()).request(post(b"q3", body + b"."))
         assert lost[0] == lost[1] != lost[2]
+
+
+@pytest.mark.parametrize("max_attempts", [1, 2, 3])
+async def test_one_request_reaches_no_more_upstreams_than_its_route_allows(
+    max_attempts: int,
+) -> None:
+    rule = route(RetryRule.REPEATABLE, max_attempts=max_attempts)
+    async with IngressBed(config(rule)) as bed:
+        upstreams = [await bed.add(_reset, f"u-{number}") for number in range(5)]
+        got = await (await bed.caller()).request(post())
+        assert got.status == 502
+        assert sum(len(upstream.arrivals) for upstream in upstreams) == max_attempts
+
+
+async def test_second_send_is_handed_only_the_time_that_is_left() -> None:
+    async def reset_late(side: UpstreamSide) -> None:
+        await side.take()
+        await asyncio.sleep(0.4)
+        side.reset()
+
+    async with IngressBed(config(route(RetryRule.REPEATABLE, max_attempts=2))) as bed:
+        upstreams = [await bed.add(reset_late, f"u-{number}") for number in range(2)]
+        await (await bed.caller()).request(post())
+        arrivals = [arrival for upstream in upstreams for arrival in upstream.arrivals]
+        left_ms = sorted(int(arrival.header(b"x-deadline-ms") or b"0") for arrival in arrivals)
+        assert len(left_ms) == 2
+        assert left_ms[0] <= 1100 < left_ms[1] <= 1500
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -64,6 +64,18 @@
     assert len(remaining.executed_ids) >= 10
 
 
+async def test_route_that_is_added_later_is_served_by_every_host(platform: PlatformFleet) -> None:
+    added = platform_config(5)
+    added["routes"].append({**added["routes"][1], "name": "later", "path_prefix": "/later/"})
+    await platform.store.put("keyed.op", "config", added)
+    for host in platform.hosts:
+        await wait_until(lambda host=host: _serves_later(host), 2.0)
+
+
+async def _serves_later(host: Host) -> bool:
+    return (await host.request(build_request("later", "/later/"))).status == 200
+
+
 async def _status(host: Host, key: str, status: int) -> bool:
     return (await host.request(build_request("check", key=key))).status == status
 
