--- a/src/cassiawalk/http1/__init__.py
+++ b/src/cassiawalk/http1/__init__.py
@@ -12,11 +12,11 @@
 from cassiawalk.http1.connection import AnswerEvent as AnswerEvent
 from cassiawalk.http1.connection import AnswerHead as AnswerHead
 from cassiawalk.http1.connection import UpstreamConnection as UpstreamConnection
+from cassiawalk.http1.exchange import CallerLimits as CallerLimits
+from cassiawalk.http1.exchange import Exchange as Exchange
+from cassiawalk.http1.exchange import ExchangeHandler as ExchangeHandler
 from cassiawalk.http1.heads import HeadError as HeadError
 from cassiawalk.http1.heads import Headers as Headers
 from cassiawalk.http1.pool import ConnectError as ConnectError
 from cassiawalk.http1.pool import ConnectionPool as ConnectionPool
-from cassiawalk.http1.server import CallerLimits as CallerLimits
-from cassiawalk.http1.server import Exchange as Exchange
-from cassiawalk.http1.server import ExchangeHandler as ExchangeHandler
 from cassiawalk.http1.server import HttpListener as HttpListener
--- a/src/cassiawalk/http1/server.py
+++ b/src/cassiawalk/http1/server.py
@@ -1,9 +1,7 @@
 """HTTP/1.1 server: reads requests and writes answers, one at a time on each connection."""
 
-import abc
 import asyncio
 import collections.abc as cabc
-import dataclasses
 import enum
 import socket
 import typing as t
@@ -13,82 +11,16 @@
 
 from cassiawalk.app import Component
 from cassiawalk.http1 import heads
+from cassiawalk.http1.exchange import AnswerWriter
+from cassiawalk.http1.exchange import CallerLimits
+from cassiawalk.http1.exchange import Exchange
+from cassiawalk.http1.exchange import ExchangeHandler
 
 LINGER_TIMEOUT_S = 1.0  # discard what still arrives: a reset could make the caller lose its answer
 MAX_PIPELINED_BYTES = 65536
 DRAIN_POLL_S = 0.02
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class CallerLimits:
-    """Limits on callers: sizes in bytes, time-outs in seconds."""
-
-    max_head_bytes: int = 16384
-    max_body_bytes: int = 4194304
-    head_timeout_s: float = 5.0
-    idle_timeout_s: float = 30.0
-
-
-class ExchangeHandler(abc.ABC):
-    """Answers requests."""
-
-    @abc.abstractmethod
-    async def handle(self, exchange: "Exchange") -> None:
-        """Answer one request; if the caller disconnects, the task is cancelled unless shielded."""
-
-
-class Exchange:
-    """One request of a caller, with methods that write its answer.
-
-    ``received_at`` is the event loop's time in seconds when the request had arrived completely.
-    """
-
-    def __init__(
-        self, *, request: h11.Request, body: bytes, conn: "_Connection", received_at: float
-    ) -> None:
-        self.method = bytes(request.method)
-        self.target = bytes(request.target)
-        self.headers: heads.Headers = list(request.headers.raw_items())
-        self.body = body
-        self.received_at = received_at
-        self.head_sent = False
-        self.caller_left = False
-        self._conn = conn
-
-    @property
-    def ended(self) -> bool:
-        """Return whether the complete answer has been written, or the connection is closed."""
-        return self.caller_left or not self._conn.serves(self)
-
-    def send_head(self, status: int, headers: heads.Headers, reason: bytes = b"") -> None:
-        """Write the head of the answer; without a Content-Length the body is sent in chunks."""
-        self.head_sent = True
-        self._conn.write_head(self, status, headers, reason)
-
-    def send_data(self, data: bytes) -> None:
-        """Write a piece of the body."""
-        self._conn.write(self, h11.Data(data=data))
-
-    def finish(self) -> None:
-        """End the answer as complete."""
-        self._conn.write(self, h11.EndOfMessage())
-
-    def answer(self, status: int, headers: heads.Headers, body: bytes) -> None:
-        """Write a complete answer."""
-        self.send_head(status, [*headers, (b"Content-Length", str(len(body)).encode())])
-        if body and self.method != b"HEAD":
-            self.send_data(body)
-        self.finish()
-
-    def abort(self) -> None:
-        """Reset the connection, so that a partial answer can't look complete."""
-        self._conn.reset(self)
-
-    async def writable(self) -> None:
-        """Wait while the connection's write buffer is too full for more data."""
-        await self._conn.can_write.wait()
-
-
 class _Stage(enum.Enum):
     IDLE = "idle"
     HEAD = "head"
@@ -98,7 +30,7 @@
     CLOSED = "closed"
 
 
-class _Connection(asyncio.Protocol):
+class _Connection(asyncio.Protocol, AnswerWriter):
     """One connection of a caller."""
 
     def __init__(self, *, listener: "HttpListener") -> None:
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -5,17 +5,10 @@
 
 import asyncio
 import collections.abc as cabc
-import dataclasses
-import enum
 import itertools
 import random
 import typing as t
 
-from cassiawalk.clients import KeyedChanges
-from cassiawalk.clients import KeyedList
-from cassiawalk.clients import KeyedLog
-from cassiawalk.clients import KeyedRecord
-from cassiawalk.clients import ReadFailed
 from cassiawalk.clock import LoopClock
 from cassiawalk.crashes import IsolatedRun
 from cassiawalk.fingerprint import fingerprint
@@ -24,7 +17,6 @@
 from cassiawalk.ids import HostId
 from cassiawalk.ids import Offset
 from cassiawalk.ids import RequestId
-from cassiawalk.ids import ServiceName
 from cassiawalk.ids import UpstreamId
 from cassiawalk.ingress.correctedtime import CorrectedTime
 from cassiawalk.ingress.crashparts import CrashParts
@@ -42,99 +34,17 @@
 from cassiawalk.peer.messages import messages
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
+from tests.crash_fakes import LINK_DELAY_S
+from tests.crash_fakes import SERVICE
+from tests.crash_fakes import FakeJob
+from tests.crash_fakes import FakePool
+from tests.crash_fakes import MemoryLog
+from tests.crash_fakes import Streams
 
-SERVICE = ServiceName("models")
-LINK_DELAY_S = 0.002
 RUN_S = 0.02
 DOWN_S = 2.0
 SILENT_S = 3.5  # until the entry of a silent upstream changes
 STABILITY_S = 3.0
-STORE_TIMEOUT_S = 1.5
-STORE_SLOW_S = 0.8
-CONNECT_TIMEOUT_S = 0.6
-
-
-class StoreTrouble(enum.Enum):
-    """What is wrong with the store, as one host sees it."""
-
-    REFUSES = "refuses"
-    SILENT = "silent"
-    SLOW = "slow"
-    LOSES_ANSWERS = "loses answers"
-
-
-class MemoryLog(KeyedLog):
-    """One host's view of the keyed streams of a fleet, which are in memory."""
-
-    def __init__(self, fleet: "CrashFleet") -> None:
-        self._fleet = fleet
-        self.trouble: StoreTrouble | None = None
-
-    async def newest(self, *, stream: str) -> KeyedList | ReadFailed:
-        if await self._fails():
-            return ReadFailed(reason="away")
-        records = self._records(stream)
-        newest = {record.key: record for record in records}
-        kept = tuple(record for record in newest.values() if record.value is not None)
-        return KeyedList(records=kept, end=self._coded(len(records)))
-
-    async def changes(
-        self, *, stream: str, start: Offset, wait_s: float = 0.0
-    ) -> KeyedChanges | ReadFailed:
-        await asyncio.sleep(wait_s / 4)
-        if await self._fails():
-            return ReadFailed(reason="away")
-        if start < self._coded(0):
-            return KeyedChanges(records=(), end=start, missed=True, restored=True)
-        records = tuple(self._records(stream)[start - self._coded(0) :])
-        return KeyedChanges(records=records, end=Offset(start + len(records)))
-
-    async def put(self, *, stream: str, key: str, value: bytes | None) -> bool:
-        if await self._fails():
-            return False
-        records = self._records(stream)
-        records.append(KeyedRecord(key=key, value=value, offset=self._coded(len(records))))
-        return self.trouble is not StoreTrouble.LOSES_ANSWERS
-
-    async def _fails(self) -> bool:
-        """Wait as long as the store takes; return whether it gives no answer to be used."""
-        if self.trouble is StoreTrouble.SILENT:
-            await asyncio.sleep(STORE_TIMEOUT_S)
-            return True
-        await asyncio.sleep(STORE_SLOW_S if self.trouble is StoreTrouble.SLOW else LINK_DELAY_S)
-        return self.trouble is StoreTrouble.REFUSES
-
-    def _records(self, stream: str) -> list[KeyedRecord]:
-        return self._fleet.streams.setdefault(stream, [])
-
-    def _coded(self, offset: int) -> Offset:
-        return Offset((self._fleet.era << 40) + offset)
-
-
-@dataclasses.dataclass(kw_only=True)
-class FakeJob:
-    """A request, as far as screening looks at it."""
-
-    request_id: RequestId
-    fingerprint: Fingerprint
-    ends_at: float
-    service: ServiceName = SERVICE
-    may_have_run: bool = False
-
-
-@dataclasses.dataclass
-class FakePool:
-    """Connections to an upstream process."""
-
-    alive: bool = True
-    is_silent: bool = False
-
-    async def probe(self) -> bool | None:
-        await asyncio.sleep(CONNECT_TIMEOUT_S if self.is_silent else LINK_DELAY_S)
-        return None if self.is_silent else self.alive
-
-    def close(self) -> None:
-        """Do nothing: there are no connections."""
 
 
 class CrashHost:
@@ -143,7 +53,7 @@
     def __init__(self, fleet: "CrashFleet", host: HostId) -> None:
         self._fleet = fleet
         self.host = host
-        self.log = MemoryLog(fleet)
+        self.log = MemoryLog(fleet.streams)
         clock = LoopClock()
         self._time = CorrectedTime(clock=clock)
         self.directory = Directory(clock=clock)
@@ -251,8 +161,7 @@
 
     def __init__(self, *, hosts: int, upstreams: int, domains: int = 3) -> None:
         self.numbers = itertools.count(1)
-        self.streams: dict[str, list[KeyedRecord]] = {}
-        self.era = 0
+        self.streams = Streams()
         self.isolated: set[HostId] = set()
         self.frozen: set[HostId] = set()
         self.calls = 0
--- a/tests/test_crash_fleet.py
+++ b/tests/test_crash_fleet.py
@@ -9,9 +9,9 @@
 from cassiawalk.ids import HostId
 from cassiawalk.ids import UpstreamId
 from cassiawalk.results import ResultCode
+from tests.crash_fakes import StoreTrouble
 from tests.crash_fleet import STABILITY_S
 from tests.crash_fleet import CrashFleet
-from tests.crash_fleet import StoreTrouble
 
 pytestmark = pytest.mark.looptime
 
@@ -93,9 +93,9 @@
         fleet.crashing.add(BAD)
         names = _names(fleet)
         await _repeat(fleet, BAD, names, for_s=10.0, every_s=0.1)
-        assert fleet.streams["suspects"]
-        fleet.streams["suspects"].clear()
-        fleet.era += 1
+        assert fleet.streams.records["suspects"]
+        fleet.streams.records["suspects"].clear()
+        fleet.streams.era += 1
         await asyncio.sleep(8.0)
         await asyncio.gather(*(fleet.restart(name) for name in names))
         await asyncio.sleep(3.0)
