Give each engine of the prompt load an address of its own

Cause: the load gave all engines one address. Since an upstream takes no more requests once a later process has its address, each new engine shut out those before it. Two live processes can't have one address, so the fake was wrong and the rule stays.

--- a/benchmarks/prompt_load.py
+++ b/benchmarks/prompt_load.py
@@ -185,7 +185,7 @@
             registration = Registration(
                 upstream_id=name,
                 service=SERVICE,
-                address="127.0.0.1:1",
+                address=f"{name}:1",
                 failure_domain=FAILURE_DOMAIN,
                 slots=self._load.model.slots,
                 presence=presence,
