--- a/src/cassiawalk/http1/__init__.py
+++ b/src/cassiawalk/http1/__init__.py
@@ -15,6 +15,8 @@
 from cassiawalk.http1.exchange import CallerLimits as CallerLimits
 from cassiawalk.http1.exchange import Exchange as Exchange
 from cassiawalk.http1.exchange import ExchangeHandler as ExchangeHandler
+from cassiawalk.http1.framing import Ending as Ending
+from cassiawalk.http1.framing import Framing as Framing
 from cassiawalk.http1.heads import HeadError as HeadError
 from cassiawalk.http1.heads import Headers as Headers
 from cassiawalk.http1.pool import ConnectError as ConnectError
--- a/src/cassiawalk/http1/connection.py
+++ b/src/cassiawalk/http1/connection.py
@@ -11,6 +11,9 @@
 import h11
 
 from cassiawalk.http1 import heads
+from cassiawalk.http1.framing import Ending
+from cassiawalk.http1.framing import Framing
+from cassiawalk.http1.framing import answer_framing
 
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -26,6 +29,7 @@
     status: int
     reason: bytes
     headers: heads.Headers
+    framing: Framing
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -37,7 +41,12 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class AnswerEnd:
-    """The answer is complete."""
+    """The answer is complete, as far as its framing tells.
+
+    ``ending`` is CLOSED if only the end of the connection tells it, else COMPLETE.
+    """
+
+    ending: Ending
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -48,6 +57,7 @@
     """
 
     reason: str
+    ending: Ending
     closed_before_answer: bool = False
 
 
@@ -76,6 +86,7 @@
         self._events: collections.deque[AnswerEvent] = collections.deque()
         self._waiter: asyncio.Future[None] | None = None
         self._answer_started = False
+        self._framing = Framing.LENGTH
         self._close_after = False
         self.closed = False
         self.idle_since = self._loop.time()
@@ -148,7 +159,7 @@
             self._http.receive_data(data)
             self._read_events()
         except h11.RemoteProtocolError as exc:
-            self._fail_answer(f"not a valid HTTP answer: {exc}")
+            self._fail_answer(f"not a valid HTTP answer: {exc}", Ending.INVALID)
 
     def eof_received(self) -> bool:
         """Handle the end of the stream, which also ends an answer that announces no length."""
@@ -159,19 +170,20 @@
             self._http.receive_data(b"")
             self._read_events()
         except h11.RemoteProtocolError as exc:
-            self._fail_answer(f"answer truncated: {exc}", closed_before_answer=before_answer)
+            reason = f"answer truncated: {exc}"
+            self._fail_answer(reason, Ending.CLOSED, closed_before_answer=before_answer)
         if self._request is not None:
-            self._fail_answer(
-                "connection closed before the end of the answer", closed_before_answer=before_answer
-            )
+            reason = "connection closed before the end of the answer"
+            self._fail_answer(reason, Ending.CLOSED, closed_before_answer=before_answer)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Mark the connection closed; an answer under way ends as broken."""
         self.closed = True
         if self._request is not None:
-            reason = "connection reset" if exc is not None else "connection closed"
-            self._fail_answer(reason, closed_before_answer=not self._answer_started)
+            ending = Ending.CLOSED if exc is None else Ending.RESET
+            reason = f"connection {ending.value}"
+            self._fail_answer(reason, ending, closed_before_answer=not self._answer_started)
         self._on_closed(self)
 
     def _start_exchange_state(self, body: bytes) -> bytes:
@@ -201,12 +213,17 @@
                 return
 
     def _handle_head(self, event: h11.Response) -> None:
+        assert self._request is not None and self._is_foreign is not None
+        headers = list(event.headers.raw_items())
+        self._framing = answer_framing(
+            method=self._request.method, status=event.status_code, headers=headers
+        )
         head = AnswerHead(
             status=event.status_code,
             reason=bytes(event.reason),
-            headers=list(event.headers.raw_items()),
+            headers=headers,
+            framing=self._framing,
         )
-        assert self._is_foreign is not None
         self._skipping = self._is_foreign(head)
         self._read_keepalive(head.headers)
         if not self._skipping:
@@ -224,14 +241,16 @@
             self._close_after = True
         self._request = None
         self.idle_since = self._loop.time()
-        self._queue(AnswerEnd())
+        by_connection = self._framing is Framing.CONNECTION
+        self._queue(AnswerEnd(ending=Ending.CLOSED if by_connection else Ending.COMPLETE))
 
     def _await_own_answer(self, rest: bytes) -> None:
         """Discard an answer to another request and wait for the next one."""
         eliot.log_message(message_type="upstream:foreign-answer", more_bytes=len(rest))
         self._skipping = False
         if self._close_after:
-            self._fail_answer("received only an answer to another request")
+            reason = "received only an answer to another request"
+            self._fail_answer(reason, Ending.CLOSED)
             self.close()
             return
         self._start_exchange_state(self._body)
@@ -247,10 +266,15 @@
             if name.lower() == b"timeout" and value.isdigit():
                 self.keepalive_timeout_s = float(value)
 
-    def _fail_answer(self, reason: str, *, closed_before_answer: bool = False) -> None:
+    def _fail_answer(
+        self, reason: str, ending: Ending, *, closed_before_answer: bool = False
+    ) -> None:
         self._request = None
         self._close_after = True
-        self._queue(AnswerBroken(reason=reason, closed_before_answer=closed_before_answer))
+        broken = AnswerBroken(
+            reason=reason, ending=ending, closed_before_answer=closed_before_answer
+        )
+        self._queue(broken)
 
     def _queue(self, event: AnswerEvent) -> None:
         self._events.append(event)
--- a/src/cassiawalk/ingress/attempt.py
+++ b/src/cassiawalk/ingress/attempt.py
@@ -4,6 +4,7 @@
 from cassiawalk.http1 import AnswerBroken
 from cassiawalk.http1 import AnswerData
 from cassiawalk.http1 import AnswerEnd
+from cassiawalk.http1 import AnswerEvent
 from cassiawalk.http1 import AnswerHead
 from cassiawalk.http1 import ConnectError
 from cassiawalk.http1 import UpstreamConnection
@@ -12,6 +13,7 @@
 from cassiawalk.ingress.codec import HeadCodec
 from cassiawalk.ingress.job import BufferedAnswer
 from cassiawalk.ingress.job import Job
+from cassiawalk.ingress.outcome import AnswerTrace
 from cassiawalk.ingress.outcome import AttemptEnd
 from cassiawalk.ingress.placement import Placement
 from cassiawalk.ingress.report import IngressReport
@@ -24,8 +26,7 @@
 class Attempt:
     """Sends a job to one upstream and forwards the answer to the caller.
 
-    ``reason`` says why the attempt failed. ``first_s`` is the time to the head or first event of
-    the answer in seconds, or None if there was none.
+    ``trace`` is what it saw of the answer.
     """
 
     def __init__(
@@ -45,8 +46,7 @@
         self._report = report
         self._is_resumed = job.head_sent
         self._started_at = clock.monotonic()
-        self.reason = ""
-        self.first_s: float | None = None
+        self.trace = AnswerTrace()
 
     async def run(self) -> AttemptEnd:
         """Run the attempt and return how it ended; if cancelled, its connection is closed."""
@@ -57,12 +57,14 @@
         try:
             conn = await upstream.pool.acquire()
             if upstream.leaving:
-                self.reason = "the upstream began to leave while a connection was being opened"
+                self.trace.reason = (
+                    "the upstream began to leave while a connection was being opened"
+                )
                 return AttemptEnd.UNSENT
             self._send(conn)
             return await self._forward_answer(conn)
         except ConnectError as exc:
-            self.reason = str(exc)
+            self.trace.reason = str(exc)
             upstream.health.note_failure(definite=True)
             return AttemptEnd.UNSENT
         finally:
@@ -100,8 +102,16 @@
         answered = self._codec.parse_answer_head(head.status, head.headers).request_id
         return answered is not None and answered != self._job.request_id
 
+    async def _next_event(self, conn: UpstreamConnection) -> AnswerEvent:
+        event = await conn.next_event()
+        if isinstance(event, AnswerHead):
+            self.trace.framing = event.framing
+        elif isinstance(event, AnswerEnd | AnswerBroken):
+            self.trace.ending = event.ending
+        return event
+
     async def _forward_answer(self, conn: UpstreamConnection) -> AttemptEnd:
-        head = await conn.next_event()
+        head = await self._next_event(conn)
         if isinstance(head, AnswerBroken):
             return self._broken(head)
         assert isinstance(head, AnswerHead)
@@ -112,7 +122,7 @@
             return await self._read_refusal(conn, head, metadata)
         good = 200 <= head.status < 300
         if good and not metadata.signed:
-            self.reason = "the answer reports success without the upstream's signature"
+            self.trace.reason = "the answer reports success without the upstream's signature"
             self._upstream.health.note_failure()
             return self._answer_lost()
         if good and self._job.route.rule.is_stream:
@@ -124,14 +134,14 @@
         self, conn: UpstreamConnection, head: AnswerHead, metadata: AnswerMetadata
     ) -> AttemptEnd:
         """Read a refusal to its end, so that the connection can be reused."""
-        self.reason = f"the upstream refused with status {head.status}"
+        self.trace.reason = f"the upstream refused with status {head.status}"
         if metadata.wrong_upstream:
-            self.reason = "another upstream answered at this address"
+            self.trace.reason = "another upstream answered at this address"
             self._upstream.superseded = True
             self._upstream.health.note_failure(definite=True)
-        event = await conn.next_event()
+        event = await self._next_event(conn)
         while isinstance(event, AnswerData):
-            event = await conn.next_event()
+            event = await self._next_event(conn)
         return AttemptEnd.NOT_RUN
 
     async def _forward_buffered(self, conn: UpstreamConnection, head: AnswerHead) -> AttemptEnd:
@@ -139,7 +149,7 @@
         parts: list[bytes] = []
         size = 0
         while True:
-            event = await conn.next_event()
+            event = await self._next_event(conn)
             if isinstance(event, AnswerBroken):
                 return self._broken(event)
             if isinstance(event, AnswerEnd):
@@ -154,7 +164,7 @@
         )
         self._job.buffered = buffered
         if head.status >= 500:
-            self.reason = f"the upstream answered with status {head.status}"
+            self.trace.reason = f"the upstream answered with status {head.status}"
             self._upstream.health.note_failure()
             return AttemptEnd.FAILED
         self._upstream.health.note_success()
@@ -167,12 +177,12 @@
         exchange.send_head(head.status, self._codec.build_caller_head(head.headers), head.reason)
         exchange.send_data(prefix)
         while True:
-            event = await conn.next_event()
+            event = await self._next_event(conn)
             if isinstance(event, AnswerEnd):
                 exchange.finish()
                 return AttemptEnd.DELIVERED
             if not isinstance(event, AnswerData):
-                self.reason = "the connection was lost in the middle of the answer"
+                self.trace.reason = "the connection was lost in the middle of the answer"
                 return AttemptEnd.BROKEN_MIDWAY
             exchange.send_data(event.data)
             await exchange.writable()
@@ -180,7 +190,7 @@
     async def _forward_stream(self, conn: UpstreamConnection, head: AnswerHead) -> AttemptEnd:
         job = self._job
         while True:
-            event = await conn.next_event()
+            event = await self._next_event(conn)
             if isinstance(event, AnswerData):
                 complete = job.events.feed(event.data)
                 if complete:
@@ -190,7 +200,7 @@
             if isinstance(event, AnswerEnd):
                 return self._end_stream(head)
             assert isinstance(event, AnswerBroken)
-            job.events.drop_incomplete()
+            self.trace.incomplete_bytes = len(job.events.take_incomplete())
             return self._broken(event)
 
     def _forward_events(self, head: AnswerHead, complete: bytes) -> None:
@@ -206,6 +216,7 @@
     def _end_stream(self, head: AnswerHead) -> AttemptEnd:
         job = self._job
         rest = job.events.take_incomplete()
+        self.trace.incomplete_bytes = len(rest)
         if rest or not job.head_sent:
             (
                 self._forward_events(head, rest)
@@ -219,14 +230,14 @@
         return AttemptEnd.DELIVERED
 
     def _note_started(self) -> None:
-        if self.first_s is None:
-            self.first_s = self._clock.monotonic() - self._started_at
+        if self.trace.first_s is None:
+            self.trace.first_s = self._clock.monotonic() - self._started_at
         if not self._job.started:
             self._job.started = True
             self._report.note_started(self._job)
 
     def _broken(self, event: AnswerBroken) -> AttemptEnd:
-        self.reason = event.reason
+        self.trace.reason = event.reason
         if not event.closed_before_answer:
             self._upstream.health.note_failure()
         return self._answer_lost()
--- a/src/cassiawalk/ingress/events.py
+++ b/src/cassiawalk/ingress/events.py
@@ -18,11 +18,6 @@
         self.last_id: bytes | None = None
         self.events = 0
 
-    @property
-    def has_incomplete(self) -> bool:
-        """Return whether an incomplete event is held back."""
-        return bool(self._incomplete)
-
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return those up to the end of the last whole event."""
         self._incomplete += data
@@ -32,10 +27,6 @@
             self._note_ids(whole)
         return whole
 
-    def drop_incomplete(self) -> None:
-        """Discard an incomplete event after its connection broke."""
-        self._incomplete = b""
-
     def take_incomplete(self) -> bytes:
         """Remove and return the bytes after the last whole event."""
         incomplete, self._incomplete = self._incomplete, b""
--- a/src/cassiawalk/ingress/forwarder.py
+++ b/src/cassiawalk/ingress/forwarder.py
@@ -146,12 +146,12 @@
         except asyncio.CancelledError:
             self._screening.note_unanswered(job, placement.upstream)
             raise
-        self._report.note_attempt(job, placement, attempt.first_s, end, attempt.reason)
+        self._report.note_attempt(job, placement, end, attempt.trace)
         if end is AttemptEnd.DELIVERED and job.succeeded:
             self._screening.note_completed(job)
         if placement.upstream.superseded:
             self._screening.note_superseded(placement.upstream)
-        return end, attempt.reason
+        return end, attempt.trace.reason
 
     async def _note_lost(self, job: Job, upstream: Upstream) -> None:
         """Find out whether the upstream died; wait for it only if the request may be retried."""
--- a/src/cassiawalk/ingress/outcome.py
+++ b/src/cassiawalk/ingress/outcome.py
@@ -1,7 +1,11 @@
 """How an attempt at an upstream ends."""
 
+import dataclasses
 import enum
 
+from cassiawalk.http1 import Ending
+from cassiawalk.http1 import Framing
+
 
 class AttemptEnd(enum.Enum):
     """How an attempt ended, and what this says about the request.
@@ -30,3 +34,21 @@
     def answer_lost(self) -> bool:
         """Return whether the upstream may have died while it ran the request."""
         return self in (AttemptEnd.BROKEN, AttemptEnd.BROKEN_MIDWAY)
+
+
+@dataclasses.dataclass(kw_only=True)
+class AnswerTrace:
+    """What an attempt saw of its answer.
+
+    :param reason: why the attempt failed; empty if it did not.
+    :param first_s: time to the head or first event of the answer in seconds; None if none came.
+    :param framing: how the answer was framed; None if no head came.
+    :param ending: how the answer ended; None if the attempt gave it up or did not read on.
+    :param incomplete_bytes: how many bytes of an incomplete event came at the end of a stream.
+    """
+
+    reason: str = ""
+    first_s: float | None = None
+    framing: Framing | None = None
+    ending: Ending | None = None
+    incomplete_bytes: int = 0
--- a/src/cassiawalk/ingress/report.py
+++ b/src/cassiawalk/ingress/report.py
@@ -12,6 +12,7 @@
 from cassiawalk.ids import WorkspaceName
 from cassiawalk.ingress.codec import Demand
 from cassiawalk.ingress.job import Job
+from cassiawalk.ingress.outcome import AnswerTrace
 from cassiawalk.ingress.outcome import AttemptEnd
 from cassiawalk.ingress.placement import Placement
 from cassiawalk.results import Refusal
@@ -41,6 +42,9 @@
         self._attempts = self._counter(
             "cassiawalk_ingress_attempts", "Attempts, by how they ended."
         )
+        self._answers = self._counter(
+            "cassiawalk_ingress_answers", "Upstreams' answers, by framing and how they ended."
+        )
         self._first_seconds = self._histogram(
             "cassiawalk_ingress_first_seconds", "Time to the head or first event of an answer."
         )
@@ -59,10 +63,14 @@
             self._on_started(job.workspace.name)
 
     def note_attempt(
-        self, job: Job, placement: Placement, first_s: float | None, end: AttemptEnd, reason: str
+        self, job: Job, placement: Placement, end: AttemptEnd, trace: AnswerTrace
     ) -> None:
         """Count and log the end of an attempt, with the values that led to its upstream."""
         self._attempts.inc({"service": job.service, "end": end.value})
+        framing = None if trace.framing is None else trace.framing.value
+        ending = None if trace.ending is None else trace.ending.value
+        if framing is not None:
+            self._answers.inc({"service": job.service, "framing": framing, "ending": str(ending)})
         load = placement.upstream.load
         eliot.log_message(
             message_type="request:attempt",
@@ -72,14 +80,17 @@
             fingerprint=job.fingerprint if end.answer_lost else None,
             upstream=placement.upstream.upstream_id,
             expected_first_s=round(placement.first_s, 4),
-            first_s=None if first_s is None else round(first_s, 4),
+            first_s=None if trace.first_s is None else round(trace.first_s, 4),
             unread_tokens=placement.unread_tokens,
             candidates=placement.candidates,
             holder=None if placement.holder is None else placement.holder.upstream_id,
             own=load.own,
             others=load.others,
             end=end.value,
-            reason=reason,
+            reason=trace.reason,
+            framing=framing,
+            ending=ending,
+            incomplete_bytes=trace.incomplete_bytes,
             age_s=round(self._age_s(job), 4),
         )
 
--- /dev/null
+++ b/tests/test_answer_ends.py
@@ -0,0 +1,42 @@
+"""What callers get when an upstream's answer ends: whole, or visibly broken."""
+
+import typing as t
+
+import pytest
+
+from cassiawalk.http1 import Ending
+from cassiawalk.http1 import Framing
+from cassiawalk.ingress.config import RetryRule
+from tests.answer_ends import answering
+from tests.answer_ends import call
+from tests.ingress_bed import IngressBed
+from tests.ingress_bed import config
+from tests.ingress_bed import event
+from tests.ingress_bed import post
+from tests.ingress_bed import route
+
+
+@pytest.mark.parametrize(
+    ("framing", "ending", "logged"),
+    [
+        (Framing.LENGTH, Ending.COMPLETE, ("length", "complete")),
+        (Framing.LENGTH, Ending.CLOSED, ("length", "closed")),
+        (Framing.CHUNKS, Ending.COMPLETE, ("chunks", "complete")),
+        (Framing.CHUNKS, Ending.RESET, ("chunks", "reset")),
+        (Framing.CONNECTION, Ending.CLOSED, ("connection", "closed")),
+        (Framing.CONNECTION, Ending.RESET, ("connection", "reset")),
+    ],
+)
+async def test_log_line_says_how_an_answer_was_framed_and_ended(
+    framing: Framing, ending: Ending, logged: tuple[str, str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    lines: list[dict[str, t.Any]] = []
+    monkeypatch.setattr("eliot.log_message", lambda **fields: lines.append(fields))
+    async with IngressBed(config(route(RetryRule.STREAM_ONCE))) as bed:
+        await bed.add(answering([event(1), b"id: 2\n"], framing, ending))
+        await call(bed, post())
+        metrics = bed.report.render()[0].decode()
+    (line,) = [line for line in lines if line["message_type"] == "request:attempt"]
+    assert (line["framing"], line["ending"]) == logged
+    assert line["incomplete_bytes"] == len(b"id: 2\n")
+    assert f'ending="{logged[1]}",framing="{logged[0]}"' in metrics
