--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -1,5 +1,6 @@
 """What callers get when an upstream's answer ends: whole, or visibly broken."""
 
+import json
 import typing as t
 
 import pytest
@@ -15,6 +16,34 @@
 from tests.ingress_bed import post
 from tests.ingress_bed import route
 
+STREAM_RULES = (RetryRule.STREAM_ONCE, RetryRule.STREAM_RESUMABLE)
+BREAKS = {
+    "inside a line": b"id: 2\nda",
+    "between lines": b"id: 2\n",
+    "after the last line": b"id: 2\ndata: piece 2\n",
+}
+
+
+@pytest.mark.parametrize("rule", STREAM_RULES)
+@pytest.mark.parametrize("ending", [Ending.COMPLETE, Ending.CLOSED, Ending.RESET])
+@pytest.mark.parametrize("framing", Framing)
+@pytest.mark.parametrize("name", BREAKS)
+async def test_stream_that_ends_inside_an_event_does_not_look_complete(
+    name: str, framing: Framing, ending: Ending, rule: RetryRule
+) -> None:
+    for before in (b"", event(1)):
+        pieces = [piece for piece in (before, BREAKS[name]) if piece]
+        async with IngressBed(config(route(rule))) as bed:
+            upstream = await bed.add(answering(pieces, framing, ending))
+            got = await call(bed, post())
+        if before:
+            assert (got.status, got.looks_complete) == (200, False)
+            assert got.body == before
+        else:
+            assert (got.status, got.looks_complete) == (502, True)
+            assert json.loads(got.body)["ran"] == "unknown"
+        assert len(upstream.arrivals) == 1
+
 
 @pytest.mark.parametrize(
     ("framing", "ending", "logged"),
