Take a stream that ends inside an event for a broken one

What callers saw: 200 with the upstream's signature, framed as complete, with part of an event.

Cause: at the end of a stream's body the forwarder sent what stood after the last whole event and ended the answer as complete. On an answer without length or chunks the end of the connection is the end of the body, so a crash that closes the connection in order went through this path, as did a body that its upstream framed as complete around half an event.

Why it works: the grammar of event streams tells whether the stream ended between events, whatever the framing says. If not, the attempt is broken: its bytes are dropped, the upstream's health and the crash guard hear of it, a stream that may be resumed goes on at another upstream, and the caller gets 502 before the first byte, or a visibly broken answer after it. The connection is closed. A body of another media type is no event stream and is judged by its framing alone.

--- a/src/cassiawalk/ingress/attempt.py
+++ b/src/cassiawalk/ingress/attempt.py
@@ -8,6 +8,7 @@
 from cassiawalk.http1 import AnswerHead
 from cassiawalk.http1 import ConnectError
 from cassiawalk.http1 import UpstreamConnection
+from cassiawalk.http1.heads import header_value
 from cassiawalk.ingress.codec import AnswerMetadata
 from cassiawalk.ingress.codec import AttemptHeaders
 from cassiawalk.ingress.codec import HeadCodec
@@ -21,6 +22,7 @@
 # Answers up to this size, other than streams, are sent to the caller only if they are complete.
 MAX_BUFFERED_ANSWER_BYTES = 262144
 URGENCY_LEVELS = 10
+EVENT_STREAM = b"text/event-stream"
 
 
 class Attempt:
@@ -122,10 +124,8 @@
             return await self._read_refusal(conn, head, metadata)
         good = 200 <= head.status < 300
         if good and not metadata.signed:
-            self.trace.reason = "the answer reports success without the upstream's signature"
-            self._upstream.health.note_failure()
-            return self._answer_lost()
-        if good and self._job.route.rule.is_stream:
+            return self._lose_answer("the answer reports success without the upstream's signature")
+        if good and self._job.route.rule.is_stream and _may_hold_events(head):
             return await self._forward_stream(conn, head)
         self._note_started()
         return await self._forward_buffered(conn, head)
@@ -174,7 +174,7 @@
         self, conn: UpstreamConnection, head: AnswerHead, prefix: bytes
     ) -> AttemptEnd:
         exchange = self._job.exchange
-        exchange.send_head(head.status, self._codec.build_caller_head(head.headers), head.reason)
+        self._send_head(head)
         exchange.send_data(prefix)
         while True:
             event = await self._next_event(conn)
@@ -198,7 +198,7 @@
                     await job.exchange.writable()
                 continue
             if isinstance(event, AnswerEnd):
-                return self._end_stream(head)
+                return self._end_stream(conn, head)
             assert isinstance(event, AnswerBroken)
             self.trace.incomplete_bytes = len(job.events.take_incomplete())
             return self._broken(event)
@@ -206,25 +206,24 @@
     def _forward_events(self, head: AnswerHead, complete: bytes) -> None:
         job = self._job
         if not job.head_sent:
-            job.exchange.send_head(
-                head.status, self._codec.build_caller_head(head.headers), head.reason
-            )
+            self._send_head(head)
         job.exchange.send_data(complete)
         self._upstream.load.note_first_token(job.request_id)
         self._note_started()
 
-    def _end_stream(self, head: AnswerHead) -> AttemptEnd:
+    def _send_head(self, head: AnswerHead) -> None:
+        headers = self._codec.build_caller_head(head.headers)
+        self._job.exchange.send_head(head.status, headers, head.reason)
+
+    def _end_stream(self, conn: UpstreamConnection, head: AnswerHead) -> AttemptEnd:
+        """Finish the caller's answer, unless the stream ended inside an event."""
         job = self._job
-        rest = job.events.take_incomplete()
-        self.trace.incomplete_bytes = len(rest)
-        if rest or not job.head_sent:
-            (
-                self._forward_events(head, rest)
-                if rest
-                else job.exchange.send_head(
-                    head.status, self._codec.build_caller_head(head.headers), head.reason
-                )
-            )
+        self.trace.incomplete_bytes = len(job.events.take_incomplete())
+        if self.trace.incomplete_bytes:
+            conn.close()
+            return self._lose_answer("the stream ended inside an event")
+        if not job.head_sent:
+            self._send_head(head)
         job.exchange.finish()
         self._upstream.health.note_success()
         return AttemptEnd.DELIVERED
@@ -237,13 +236,20 @@
             self._report.note_started(self._job)
 
     def _broken(self, event: AnswerBroken) -> AttemptEnd:
-        self.trace.reason = event.reason
-        if not event.closed_before_answer:
-            self._upstream.health.note_failure()
-        return self._answer_lost()
+        # A kept connection that the upstream closed as we sent says nothing of its health.
+        return self._lose_answer(event.reason, faulty=not event.closed_before_answer)
 
-    def _answer_lost(self) -> AttemptEnd:
+    def _lose_answer(self, reason: str, *, faulty: bool = True) -> AttemptEnd:
         """Treat a request whose answer was lost as one that may have run, and count it as usage."""
+        self.trace.reason = reason
+        if faulty:
+            self._upstream.health.note_failure()
         self._job.may_have_run = True
         self._note_started()
         return AttemptEnd.BROKEN_MIDWAY if self._job.head_sent else AttemptEnd.BROKEN
+
+
+def _may_hold_events(head: AnswerHead) -> bool:
+    """Return whether a body is an event stream, which its head need not say on a stream's route."""
+    media_type = header_value(head.headers, b"content-type")
+    return media_type is None or media_type.strip().lower().startswith(EVENT_STREAM)
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -45,6 +45,15 @@
         assert len(upstream.arrivals) == 1
 
 
+@pytest.mark.parametrize("framing", Framing)
+async def test_plain_answer_on_a_route_of_streams_is_no_broken_stream(framing: Framing) -> None:
+    script = answering([b'{"text":', b'"all"}'], framing, Ending.COMPLETE, media_type=b"text/json")
+    async with IngressBed(config(route(RetryRule.STREAM_ONCE))) as bed:
+        await bed.add(script)
+        got = await call(bed, post())
+    assert (got.status, got.body, got.looks_complete) == (200, b'{"text":"all"}', True)
+
+
 @pytest.mark.parametrize(
     ("framing", "ending", "logged"),
     [
