Take a connection that ends before the first event for a broken stream

What callers saw: 200, framed as complete, without a single event, if an upstream that sends neither length nor chunks crashed after its head and its connection was closed in order.

Cause: the end of the connection alone was taken for the end of a stream. Between two events nothing on this connection can tell a crash from the end, but an answer without any event shows nothing that was sent on purpose. Framed by a length or chunks, an empty stream is complete as before.

Both cases of the first new test failed before (200 instead of 502).

--- a/src/cassiawalk/ingress/attempt.py
+++ b/src/cassiawalk/ingress/attempt.py
@@ -7,6 +7,7 @@
 from cassiawalk.http1 import AnswerEvent
 from cassiawalk.http1 import AnswerHead
 from cassiawalk.http1 import ConnectError
+from cassiawalk.http1 import Ending
 from cassiawalk.http1 import UpstreamConnection
 from cassiawalk.http1.heads import header_value
 from cassiawalk.ingress.codec import AnswerMetadata
@@ -48,6 +49,7 @@
         self._report = report
         self._is_resumed = job.head_sent
         self._started_at = clock.monotonic()
+        self._has_events = False
         self.trace = AnswerTrace()
 
     async def run(self) -> AttemptEnd:
@@ -209,6 +211,7 @@
             self._send_head(head)
         job.exchange.send_data(complete)
         self._upstream.load.note_first_token(job.request_id)
+        self._has_events = True
         self._note_started()
 
     def _send_head(self, head: AnswerHead) -> None:
@@ -222,6 +225,8 @@
         if self.trace.incomplete_bytes:
             conn.close()
             return self._lose_answer("the stream ended inside an event")
+        if self.trace.ending is Ending.CLOSED and not self._has_events:
+            return self._lose_answer("the connection ended before the first event")
         if not job.head_sent:
             self._send_head(head)
         job.exchange.finish()
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -45,6 +45,25 @@
         assert len(upstream.arrivals) == 1
 
 
+@pytest.mark.parametrize("rule", STREAM_RULES)
+async def test_connection_that_ends_before_the_first_event_is_no_complete_stream(
+    rule: RetryRule,
+) -> None:
+    async with IngressBed(config(route(rule))) as bed:
+        upstream = await bed.add(answering([], Framing.CONNECTION, Ending.CLOSED))
+        got = await call(bed, post())
+    assert (got.status, json.loads(got.body)["ran"]) == (502, "unknown")
+    assert len(upstream.arrivals) == 1
+
+
+@pytest.mark.parametrize("framing", [Framing.LENGTH, Framing.CHUNKS])
+async def test_stream_that_its_framing_ends_without_events_is_complete(framing: Framing) -> None:
+    async with IngressBed(config(route(RetryRule.STREAM_ONCE))) as bed:
+        await bed.add(answering([], framing, Ending.COMPLETE))
+        got = await call(bed, post())
+    assert (got.status, got.body, got.looks_complete) == (200, b"", True)
+
+
 @pytest.mark.parametrize("framing", Framing)
 async def test_plain_answer_on_a_route_of_streams_is_no_broken_stream(framing: Framing) -> None:
     script = answering([b'{"text":', b'"all"}'], framing, Ending.COMPLETE, media_type=b"text/json")
