Reset the connection of an HTTP/1.0 caller whose answer is broken off

What callers saw: a caller that speaks HTTP/1.0 gets a stream that ends with its connection; one that was broken off ended by the same orderly close as a whole one.

Cause: aborting a transport closes its socket, and the kernel resets a connection only if bytes are left unread; chunks or a length are missed by the caller, the end of a connection is not.

From the head of such an answer to its end the socket is now set to be reset by any close, so that the end of this process shows too. An answer that ends in order closes as before.

--- a/src/cassiawalk/http1/server.py
+++ b/src/cassiawalk/http1/server.py
@@ -4,6 +4,7 @@
 import collections.abc as cabc
 import enum
 import socket
+import struct
 import typing as t
 
 import eliot
@@ -122,6 +123,8 @@
         if self._exchange is not exchange or self._stage is not _Stage.ANSWERING:
             return
         data = self._http.send(event)
+        if isinstance(event, h11.Response) and self._is_ended_by_close(event):
+            self._set_reset_on_close(True)
         if data:
             self._transport.write(data)
         if isinstance(event, h11.EndOfMessage):
@@ -237,6 +240,7 @@
         close_after = self._http.our_state is not h11.DONE
         self._exchange, self._task = None, None
         if close_after:
+            self._set_reset_on_close(False)
             self._linger()
             return
         self._enter_stage(_Stage.IDLE, self._listener.limits.idle_timeout_s)
@@ -244,6 +248,16 @@
         if self._raw:
             self._refuse_on_error(self._read_head)
 
+    def _is_ended_by_close(self, head: h11.Response) -> bool:
+        """Return whether only the end of the connection tells an HTTP/1.0 caller the answer's."""
+        is_old = self._http.their_http_version == b"1.0"
+        return is_old and heads.header_value(list(head.headers), b"content-length") is None
+
+    def _set_reset_on_close(self, enabled: bool) -> None:
+        """Make any close a reset, also that by the end of this process, or an orderly one again."""
+        sock = self._transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", enabled, 0))
+
     def _refuse(self, status: int, reason: str) -> None:
         """Answer a malformed or late request with an error and close the connection."""
         eliot.log_message(message_type="caller:malformed", status=status, reason=reason)
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -24,6 +24,10 @@
 }
 
 
+def _by_http_1_0(data: bytes) -> bytes:
+    return data.replace(b" HTTP/1.1\r\n", b" HTTP/1.0\r\n", 1)
+
+
 @pytest.mark.parametrize("rule", STREAM_RULES)
 @pytest.mark.parametrize("ending", [Ending.COMPLETE, Ending.CLOSED, Ending.RESET])
 @pytest.mark.parametrize("framing", Framing)
@@ -73,6 +77,25 @@
     assert (got.status, got.body, got.looks_complete) == (200, b'{"text":"all"}', True)
 
 
+@pytest.mark.parametrize("rule", STREAM_RULES)
+@pytest.mark.parametrize("framing", Framing)
+async def test_caller_of_http_1_0_sees_a_broken_stream_as_broken(
+    framing: Framing, rule: RetryRule
+) -> None:
+    async with IngressBed(config(route(rule))) as bed:
+        await bed.add(answering([event(1), b"id: 2\n"], framing, Ending.CLOSED))
+        got = await call(bed, _by_http_1_0(post()))
+    assert (got.status, got.body, got.looks_complete) == (200, event(1), False)
+
+
+@pytest.mark.parametrize("framing", Framing)
+async def test_caller_of_http_1_0_gets_a_whole_stream_that_ends_in_order(framing: Framing) -> None:
+    async with IngressBed(config(route(RetryRule.STREAM_ONCE))) as bed:
+        await bed.add(answering([event(1), event(2)], framing, Ending.COMPLETE))
+        got = await call(bed, _by_http_1_0(post()))
+    assert (got.status, got.body, got.looks_complete) == (200, event(1) + event(2), True)
+
+
 @pytest.mark.parametrize(
     ("framing", "ending", "logged"),
     [
