Forward streams without the length of their first upstream's part

What callers saw: a stream with a length that broke off and was resumed ended visibly broken, though the upstream that took over sent all of the rest.

Cause: the head that the caller gets is that of the first upstream, with its Content-Length; the resumed part of a different length does not fit it, and h11 refuses to send more.

--- a/src/cassiawalk/ingress/attempt.py
+++ b/src/cassiawalk/ingress/attempt.py
@@ -208,14 +208,17 @@
     def _forward_events(self, head: AnswerHead, complete: bytes) -> None:
         job = self._job
         if not job.head_sent:
-            self._send_head(head)
+            # The length is that of one upstream's part; the stream may go on at another one.
+            self._send_head(head, with_length=False)
         job.exchange.send_data(complete)
         self._upstream.load.note_first_token(job.request_id)
         self._has_events = True
         self._note_started()
 
-    def _send_head(self, head: AnswerHead) -> None:
+    def _send_head(self, head: AnswerHead, *, with_length: bool = True) -> None:
         headers = self._codec.build_caller_head(head.headers)
+        if not with_length:
+            headers = [field for field in headers if field[0].lower() != b"content-length"]
         self._job.exchange.send_head(head.status, headers, head.reason)
 
     def _end_stream(self, conn: UpstreamConnection, head: AnswerHead) -> AttemptEnd:
--- /dev/null
+++ b/tests/test_resumed_streams.py
@@ -0,0 +1,126 @@
+"""Streams that break off and go on at another upstream within one answer."""
+
+import asyncio
+import collections.abc as cabc
+
+import pytest
+
+from cassiawalk.http1 import Ending
+from cassiawalk.http1 import Framing
+from cassiawalk.ingress.config import RetryRule
+from tests.answer_ends import answer_head
+from tests.answer_ends import answering
+from tests.answer_ends import call
+from tests.ingress_bed import IngressBed
+from tests.ingress_bed import Script
+from tests.ingress_bed import ScriptedUpstream
+from tests.ingress_bed import UpstreamSide
+from tests.ingress_bed import chunk
+from tests.ingress_bed import config
+from tests.ingress_bed import event
+from tests.ingress_bed import post
+from tests.ingress_bed import route
+
+EVENTS = 4
+WHOLE = b"".join(map(event, range(1, EVENTS + 1)))
+BROKEN_ENDS = [
+    (Framing.LENGTH, Ending.COMPLETE),
+    (Framing.LENGTH, Ending.CLOSED),
+    (Framing.LENGTH, Ending.RESET),
+    (Framing.CHUNKS, Ending.COMPLETE),
+    (Framing.CHUNKS, Ending.CLOSED),
+    (Framing.CHUNKS, Ending.RESET),
+    (Framing.CONNECTION, Ending.CLOSED),
+    (Framing.CONNECTION, Ending.RESET),
+]
+
+
+def _rest(framing: Framing, *, seal: bytes = b"other", until: int = EVENTS) -> Script:
+    """Return a script that goes on after ``Last-Event-Id``, whole if until the last event."""
+
+    async def script(side: UpstreamSide) -> None:
+        arrival = await side.take()
+        first = int(arrival.header(b"last-event-id") or 0) + 1
+        events = [event(number) for number in range(first, EVENTS + 1)]
+        head = answer_head(arrival.request_id, framing, length=sum(map(len, events)))
+        side.write(head.replace(b"Seal: seal", b"Seal: " + seal))
+        for number, data in enumerate(events, first):
+            part = data if number <= until else data[:9]
+            side.write(chunk(part) if framing is Framing.CHUNKS else part)
+            if number > until:
+                return
+        if framing is Framing.CHUNKS:
+            side.write(b"0\r\n\r\n")
+        if framing is not Framing.CONNECTION:
+            await asyncio.sleep(0.3)
+
+    return script
+
+
+async def _add_in_order(bed: IngressBed, scripts: cabc.Sequence[Script]) -> list[ScriptedUpstream]:
+    """Add upstreams that are tried in this order, as each looks busier than the one before."""
+    added = []
+    for number, script in enumerate(scripts):
+        added.append(await bed.add(script, f"u-{number}"))
+        view = next(u for u in bed.directory.upstreams() if u.upstream_id == f"u-{number}")
+        for other in range(number):
+            view.load.note_sent(f"other-{number}-{other}", 0)  # type: ignore[arg-type]
+    return added
+
+
+@pytest.mark.parametrize("second", Framing)
+@pytest.mark.parametrize(("framing", "ending"), BROKEN_ENDS)
+async def test_broken_stream_goes_on_whole_under_one_head(
+    framing: Framing, ending: Ending, second: Framing
+) -> None:
+    cfg = config(route(RetryRule.STREAM_RESUMABLE))
+    for pieces in ([event(1), event(2), b"id: 3\nda"], [b"id: 1\nda"]):
+        async with IngressBed(cfg) as bed:
+            tried = await _add_in_order(bed, [answering(pieces, framing, ending), _rest(second)])
+            got = await call(bed, post())
+        assert (got.body, got.looks_complete, got.heads) == (WHOLE, True, 1)
+        seal = b"seal" if len(pieces) > 1 else b"other"
+        assert got.received.count(b"X-Response-Seal: " + seal) == 1
+        last_id = b"2" if len(pieces) > 1 else None
+        assert tried[1].arrivals[0].header(b"last-event-id") == last_id
+
+
+@pytest.mark.parametrize("framing", Framing)
+async def test_second_break_in_the_resumed_part_goes_on_at_a_third_upstream(
+    framing: Framing,
+) -> None:
+    cfg = config(route(RetryRule.STREAM_RESUMABLE, max_attempts=3))
+    scripts = [
+        answering([event(1), b"id: 2\n"], framing, Ending.CLOSED),
+        _rest(framing, until=2),
+        _rest(framing),
+    ]
+    async with IngressBed(cfg) as bed:
+        tried = await _add_in_order(bed, scripts)
+        got = await call(bed, post())
+    assert (got.body, got.looks_complete, got.heads) == (WHOLE, True, 1)
+    assert tried[2].arrivals[0].header(b"last-event-id") == b"2"
+
+
+@pytest.mark.parametrize("framing", Framing)
+async def test_second_break_without_a_third_upstream_shows(framing: Framing) -> None:
+    cfg = config(route(RetryRule.STREAM_RESUMABLE, max_attempts=3))
+    scripts = [answering([event(1), b"id: 2\n"], framing, Ending.CLOSED), _rest(framing, until=2)]
+    async with IngressBed(cfg) as bed:
+        await _add_in_order(bed, scripts)
+        got = await call(bed, post())
+    assert (got.body, got.looks_complete) == (event(1) + event(2), False)
+
+
+@pytest.mark.parametrize(("framing", "ending"), BROKEN_ENDS)
+async def test_broken_stream_that_may_run_once_is_not_sent_again(
+    framing: Framing, ending: Ending
+) -> None:
+    for pieces in ([event(1), b"id: 2\nda"], [b"id: 1\nda"]):
+        async with IngressBed(config(route(RetryRule.STREAM_ONCE))) as bed:
+            tried = await _add_in_order(
+                bed, [answering(pieces, framing, ending), _rest(Framing.CHUNKS)]
+            )
+            got = await call(bed, post())
+        assert [len(upstream.arrivals) for upstream in tried] == [1, 0]
+        assert got.status == 502 or not got.looks_complete
