Let only an event stream go on with a broken one

What callers saw: a resumed stream that the second upstream answered with 404 or a plain body ended broken, which was right, but the metrics counted an answer in full; a long failure sent a second head and ended as a fault of ours. A third upstream was not tried.

Cause: the answer to a resumed attempt was treated like that to a first one, buffered or forwarded with a head of its own. It now fails the attempt, which may be made again elsewhere, and the cut is counted and logged.

--- a/src/cassiawalk/ingress/attempt.py
+++ b/src/cassiawalk/ingress/attempt.py
@@ -129,6 +129,8 @@
             return self._lose_answer("the answer reports success without the upstream's signature")
         if good and self._job.route.rule.is_stream and _may_hold_events(head):
             return await self._forward_stream(conn, head)
+        if self._is_resumed:
+            return self._reject_rest(conn, head)
         self._note_started()
         return await self._forward_buffered(conn, head)
 
@@ -146,6 +148,14 @@
             event = await self._next_event(conn)
         return AttemptEnd.NOT_RUN
 
+    def _reject_rest(self, conn: UpstreamConnection, head: AnswerHead) -> AttemptEnd:
+        """Give up an answer that can't go on with the stream whose head the caller has."""
+        self.trace.reason = f"the rest of a stream was answered with status {head.status}"
+        if head.status >= 500:
+            self._upstream.health.note_failure()
+        conn.close()
+        return AttemptEnd.FAILED
+
     async def _forward_buffered(self, conn: UpstreamConnection, head: AnswerHead) -> AttemptEnd:
         """Buffer the answer until it is complete, or forward it as it arrives if it is long."""
         parts: list[bytes] = []
--- a/src/cassiawalk/ingress/outcome.py
+++ b/src/cassiawalk/ingress/outcome.py
@@ -13,7 +13,8 @@
     - DELIVERED: the answer was complete.
     - UNSENT: the request was not sent.
     - NOT_RUN: the upstream refused to run the request, or another upstream answered.
-    - FAILED: the answer was complete, with a status of 500 or more.
+    - FAILED: the answer was complete, with a status of 500 or more; or it was none that could go on
+      with a stream.
     - BROKEN: the answer was lost or unusable before any of it was sent to the caller.
     - BROKEN_MIDWAY: the answer was lost after a part of it had been sent to the caller.
     """
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc as cabc
+import typing as t
 
 import pytest
 
@@ -15,6 +16,7 @@
 from tests.ingress_bed import Script
 from tests.ingress_bed import ScriptedUpstream
 from tests.ingress_bed import UpstreamSide
+from tests.ingress_bed import answer
 from tests.ingress_bed import chunk
 from tests.ingress_bed import config
 from tests.ingress_bed import event
@@ -33,6 +35,13 @@
     (Framing.CONNECTION, Ending.CLOSED),
     (Framing.CONNECTION, Ending.RESET),
 ]
+SECOND_ANSWERS: dict[str, t.Callable[[bytes], bytes]] = {
+    "not found": lambda name: answer(name, b"no", status=b"404 Not Found"),
+    "failed": lambda name: answer(name, b"no", status=b"500 Error"),
+    "long failure": lambda name: answer(name, b"x" * 300_000, status=b"404 Not Found"),
+    "plain": lambda name: answer(name, b"{}", more=b"Content-Type: application/json\r\n"),
+    "unsigned": lambda name: answer(name, event(2)).replace(b"X-Response-Seal: seal\r\n", b""),
+}
 
 
 def _rest(framing: Framing, *, seal: bytes = b"other", until: int = EVENTS) -> Script:
@@ -124,3 +133,24 @@
             got = await call(bed, post())
         assert [len(upstream.arrivals) for upstream in tried] == [1, 0]
         assert got.status == 502 or not got.looks_complete
+
+
+@pytest.mark.parametrize("name", SECOND_ANSWERS)
+async def test_answer_that_is_no_stream_does_not_end_a_resumed_one(
+    name: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def second(side: UpstreamSide) -> None:
+        arrival = await side.take()
+        side.write(SECOND_ANSWERS[name](arrival.request_id))
+        await asyncio.sleep(0.3)
+
+    logged: list[str] = []
+    monkeypatch.setattr("eliot.log_message", lambda message_type, **_: logged.append(message_type))
+    first = answering([event(1), b"id: 2\nda"], Framing.CONNECTION, Ending.CLOSED)
+    async with IngressBed(config(route(RetryRule.STREAM_RESUMABLE))) as bed:
+        await _add_in_order(bed, [first, second])
+        got = await call(bed, post())
+        metrics = bed.report.render()[0].decode()
+    assert (got.body, got.looks_complete, got.heads) == (event(1), False, 1)
+    assert "request:cut" in logged and "exchange:fault" not in logged
+    assert "cassiawalk_ingress_answered{" not in metrics
