Do not run a long answer again that was broken off, and judge it by its status

What callers saw: nothing wrong, a long plain answer that broke off was visibly broken. But a request that may be repeated was then run at a second upstream, whose answer could not be used any more, and a long answer was counted as 200 and as a success of its upstream whatever its status was; one broken off was no failure of its upstream.

Cause: forwarding a long answer had an end of its own, that told neither health nor report. It now ends like the others. After a head only events can be gone on with, so nothing else is sent again. 10 of 18 cases of the new test failed before (two arrivals instead of one).

--- a/src/cassiawalk/ingress/attempt.py
+++ b/src/cassiawalk/ingress/attempt.py
@@ -175,12 +175,16 @@
             status=head.status, reason=head.reason, headers=head.headers, body=b"".join(parts)
         )
         self._job.buffered = buffered
-        if head.status >= 500:
-            self.trace.reason = f"the upstream answered with status {head.status}"
-            self._upstream.health.note_failure()
-            return AttemptEnd.FAILED
-        self._upstream.health.note_success()
-        return AttemptEnd.DELIVERED
+        self._note_status(head.status)
+        return AttemptEnd.FAILED if head.status >= 500 else AttemptEnd.DELIVERED
+
+    def _note_status(self, status: int) -> None:
+        """Record the status of a complete answer as success or failure of the upstream."""
+        if status < 500:
+            self._upstream.health.note_success()
+            return
+        self.trace.reason = f"the upstream answered with status {status}"
+        self._upstream.health.note_failure()
 
     async def _forward_long(
         self, conn: UpstreamConnection, head: AnswerHead, prefix: bytes
@@ -190,14 +194,16 @@
         exchange.send_data(prefix)
         while True:
             event = await self._next_event(conn)
+            if isinstance(event, AnswerBroken):
+                return self._broken(event)
             if isinstance(event, AnswerEnd):
-                exchange.finish()
-                return AttemptEnd.DELIVERED
-            if not isinstance(event, AnswerData):
-                self.trace.reason = "the connection was lost in the middle of the answer"
-                return AttemptEnd.BROKEN_MIDWAY
+                break
+            assert isinstance(event, AnswerData)
             exchange.send_data(event.data)
             await exchange.writable()
+        exchange.finish()
+        self._note_status(head.status)
+        return AttemptEnd.DELIVERED
 
     async def _forward_stream(self, conn: UpstreamConnection, head: AnswerHead) -> AttemptEnd:
         job = self._job
@@ -222,7 +228,7 @@
             self._send_head(head, with_length=False)
         job.exchange.send_data(complete)
         self._upstream.load.note_first_token(job.request_id)
-        self._has_events = True
+        self._has_events = job.sent_events = True
         self._note_started()
 
     def _send_head(self, head: AnswerHead, *, with_length: bool = True) -> None:
@@ -230,6 +236,7 @@
         if not with_length:
             headers = [field for field in headers if field[0].lower() != b"content-length"]
         self._job.exchange.send_head(head.status, headers, head.reason)
+        self._job.sent_status = head.status
 
     def _end_stream(self, conn: UpstreamConnection, head: AnswerHead) -> AttemptEnd:
         """Finish the caller's answer, unless the stream ended inside an event."""
--- a/src/cassiawalk/ingress/forwarder.py
+++ b/src/cassiawalk/ingress/forwarder.py
@@ -175,6 +175,8 @@
             return True
         if not end.surely_not_run and not job.route.rule.repeatable:
             return False
+        if job.head_sent and not job.sent_events:
+            return False
         if job.sends >= job.route.max_attempts:
             return False
         return self._budgets.take(job.service)
@@ -225,7 +227,8 @@
             exchange.finish()
             self._report.note_answered(job, buffered.status)
         elif refusal is None:
-            self._report.note_answered(job, 200)
+            assert job.sent_status is not None
+            self._report.note_answered(job, job.sent_status)
         elif job.head_sent:
             self._report.note_cut(job, refusal)
             exchange.abort()
--- a/src/cassiawalk/ingress/job.py
+++ b/src/cassiawalk/ingress/job.py
@@ -39,6 +39,8 @@
     :param may_have_run: whether an upstream may have run the request without a complete answer.
     :param started: whether an upstream is known or assumed to have begun to run the request.
     :param buffered: the last complete answer; it is sent if no later attempt succeeds.
+    :param sent_status: the status in the head that was sent to the caller as it arrived.
+    :param sent_events: whether events of a stream were sent to the caller.
     :param tried: upstreams whose attempt failed.
     """
 
@@ -55,6 +57,8 @@
     may_have_run: bool = False
     started: bool = False
     buffered: BufferedAnswer | None = None
+    sent_status: int | None = None
+    sent_events: bool = False
     tried: set[UpstreamId] = dataclasses.field(default_factory=set)
     events: EventSplitter = dataclasses.field(default_factory=EventSplitter)
 
@@ -78,7 +82,10 @@
     @property
     def succeeded(self) -> bool:
         """Return whether a delivered answer reports success."""
-        return self.buffered is None or 200 <= self.buffered.status < 300
+        status = self.sent_status
+        if status is None and self.buffered is not None:
+            status = self.buffered.status
+        return status is not None and 200 <= status < 300
 
     @property
     def head_sent(self) -> bool:
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -7,6 +7,7 @@
 
 from cassiawalk.http1 import Ending
 from cassiawalk.http1 import Framing
+from cassiawalk.ingress.attempt import MAX_BUFFERED_ANSWER_BYTES
 from cassiawalk.ingress.config import RetryRule
 from tests.answer_ends import answering
 from tests.answer_ends import call
@@ -96,6 +97,41 @@
     assert (got.status, got.body, got.looks_complete) == (200, event(1) + event(2), True)
 
 
+@pytest.mark.parametrize("rule", [RetryRule.ONCE, RetryRule.REPEATABLE])
+@pytest.mark.parametrize("ending", [Ending.COMPLETE, Ending.CLOSED, Ending.RESET])
+@pytest.mark.parametrize("framing", Framing)
+async def test_plain_answer_is_whole_or_a_failure(
+    framing: Framing, ending: Ending, rule: RetryRule
+) -> None:
+    script = answering([b"all ", b"of it"], framing, ending, media_type=b"text/plain")
+    async with IngressBed(config(route(rule))) as bed:
+        await bed.add(script)
+        got = await call(bed, post())
+    if ending is Ending.COMPLETE or (framing, ending) == (Framing.CONNECTION, Ending.CLOSED):
+        assert (got.status, got.body, got.looks_complete) == (200, b"all of it", True)
+    else:
+        assert (got.status, json.loads(got.body)["ran"]) == (502, "unknown")
+
+
+@pytest.mark.parametrize("to_caller", [_by_http_1_0, bytes])
+@pytest.mark.parametrize("ending", [Ending.COMPLETE, Ending.CLOSED, Ending.RESET])
+@pytest.mark.parametrize("framing", Framing)
+async def test_long_answer_that_is_broken_off_shows_and_is_sent_to_no_other_upstream(
+    framing: Framing, ending: Ending, to_caller: t.Callable[[bytes], bytes]
+) -> None:
+    pieces = [b"x" * MAX_BUFFERED_ANSWER_BYTES, b"y"]
+    script = answering(pieces, framing, ending, media_type=b"text/plain")
+    async with IngressBed(config(route(RetryRule.REPEATABLE))) as bed:
+        upstreams = [await bed.add(script, "u-1"), await bed.add(script, "u-2")]
+        got = await call(bed, to_caller(post()))
+        metrics = bed.report.render()[0].decode()
+    assert sum(len(upstream.arrivals) for upstream in upstreams) == 1
+    whole = ending is Ending.COMPLETE or (framing, ending) == (Framing.CONNECTION, Ending.CLOSED)
+    assert got.looks_complete == whole
+    assert ("cassiawalk_ingress_answered{" in metrics) == whole
+    assert ("cassiawalk_ingress_cut{" in metrics) != whole
+
+
 @pytest.mark.parametrize(
     ("framing", "ending", "logged"),
     [
