Do not resume a stream after an event without an id

What callers would see: the data of events without ids twice, or events missing, as Last-Event-Id names an earlier event than the last one sent. No report of it; found by reading, while the resumed streams were gone through. The platform's streams have an id in each event.

The first new test failed before (the event was followed by a whole second run's rest).

--- a/src/cassiawalk/ingress/events.py
+++ b/src/cassiawalk/ingress/events.py
@@ -16,7 +16,7 @@
     """Returns whole events and holds back an incomplete one.
 
     ``last_id`` is the id of the last whole event that has one, and ``events`` the number of these
-    events.
+    events. ``resumable`` tells whether ``last_id`` covers all data that was returned.
     """
 
     def __init__(self) -> None:
@@ -24,6 +24,7 @@
         self._ended_with_cr = False
         self.last_id: bytes | None = None
         self.events = 0
+        self.resumable = True
 
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return those up to the end of the last whole event.
@@ -60,7 +61,15 @@
         return data[:end]
 
     def _note_ids(self, whole: bytes) -> None:
+        has_data = has_id = False
         for line in whole.removeprefix(_BYTE_ORDER_MARK).splitlines():
             if line.startswith(b"id:"):
                 self.last_id = line[3:].strip()
                 self.events += 1
+                has_id = True
+            elif line.startswith(b"data"):
+                has_data = True
+            elif not line and has_data:
+                self.resumable = has_id
+            if not line:
+                has_data = has_id = False
--- a/src/cassiawalk/ingress/forwarder.py
+++ b/src/cassiawalk/ingress/forwarder.py
@@ -175,7 +175,7 @@
             return True
         if not end.surely_not_run and not job.route.rule.repeatable:
             return False
-        if job.head_sent and not job.sent_events:
+        if job.head_sent and not (job.sent_events and job.events.resumable):
             return False
         if job.sends >= job.route.max_attempts:
             return False
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -135,6 +135,24 @@
         assert got.status == 502 or not got.looks_complete
 
 
+async def test_stream_whose_last_event_has_no_id_is_not_resumed_with_a_repeat() -> None:
+    pieces = [event(1), b"data: unnumbered\n\n", b"id: 2\n"]
+    first = answering(pieces, Framing.CONNECTION, Ending.CLOSED)
+    async with IngressBed(config(route(RetryRule.STREAM_RESUMABLE))) as bed:
+        tried = await _add_in_order(bed, [first, _rest(Framing.CHUNKS)])
+        got = await call(bed, post())
+    assert (got.body, got.looks_complete) == (pieces[0] + pieces[1], False)
+    assert tried[1].arrivals == []
+
+
+async def test_stream_with_only_comments_before_its_break_goes_on() -> None:
+    first = answering([b": soon\n\n", b"id: 1\n"], Framing.CONNECTION, Ending.CLOSED)
+    async with IngressBed(config(route(RetryRule.STREAM_RESUMABLE))) as bed:
+        await _add_in_order(bed, [first, _rest(Framing.CHUNKS)])
+        got = await call(bed, post())
+    assert (got.body, got.looks_complete) == (b": soon\n\n" + WHOLE, True)
+
+
 @pytest.mark.parametrize("name", SECOND_ANSWERS)
 async def test_answer_that_is_no_stream_does_not_end_a_resumed_one(
     name: str, monkeypatch: pytest.MonkeyPatch
