Do not take the death of an upstream for the end of its answer

What callers saw: 200, framed as complete, but short, if an upstream whose answers have neither length nor chunks crashed exactly between two events. The crash guard was told that the request had run to its end, which clears a request of suspicion.

Cause: on such an answer the end of the connection is all that the protocol tells, and an upstream that dies ends its connections too. There is other evidence: a dead upstream refuses connections, and other requests of this host may have found it dead. Both were known to the crash guard only after a visible break. Now an answer that only the connection ended counts as complete unless its upstream is known to be dead, or refuses a connection. That connection is kept and serves the next request, which needs a new one anyway.

What it costs: one round trip at the end of such an answer, and one idle connection to an upstream of that kind. What it can't tell: an upstream that is back before it is asked, or that stays alive.

--- a/src/cassiawalk/ingress/attempt.py
+++ b/src/cassiawalk/ingress/attempt.py
@@ -19,6 +19,7 @@
 from cassiawalk.ingress.outcome import AttemptEnd
 from cassiawalk.ingress.placement import Placement
 from cassiawalk.ingress.report import IngressReport
+from cassiawalk.ingress.screening import Screening
 
 # Answers up to this size, other than streams, are sent to the caller only if they are complete.
 MAX_BUFFERED_ANSWER_BYTES = 262144
@@ -40,7 +41,9 @@
         codec: HeadCodec,
         clock: Clock,
         report: IngressReport,
+        screening: Screening,
     ) -> None:
+        self._screening = screening
         self._job = job
         self._upstream = placement.upstream
         self._placement = placement
@@ -114,6 +117,20 @@
             self.trace.ending = event.ending
         return event
 
+    async def _next_body_event(self, conn: UpstreamConnection) -> AnswerEvent:
+        """Return the next event of a body that is passed on.
+
+        An end that only the connection tells is taken for the death of the upstream if that is
+        gone too.
+        """
+        event = await self._next_event(conn)
+        if not isinstance(event, AnswerEnd) or event.ending is not Ending.CLOSED:
+            return event
+        if await self._screening.has_outlived(self._job, self._upstream):
+            return event
+        reason = "the upstream was gone when its connection had ended the answer"
+        return AnswerBroken(reason=reason, ending=event.ending)
+
     async def _forward_answer(self, conn: UpstreamConnection) -> AttemptEnd:
         head = await self._next_event(conn)
         if isinstance(head, AnswerBroken):
@@ -161,7 +178,7 @@
         parts: list[bytes] = []
         size = 0
         while True:
-            event = await self._next_event(conn)
+            event = await self._next_body_event(conn)
             if isinstance(event, AnswerBroken):
                 return self._broken(event)
             if isinstance(event, AnswerEnd):
@@ -193,7 +210,7 @@
         self._send_head(head)
         exchange.send_data(prefix)
         while True:
-            event = await self._next_event(conn)
+            event = await self._next_body_event(conn)
             if isinstance(event, AnswerBroken):
                 return self._broken(event)
             if isinstance(event, AnswerEnd):
@@ -208,7 +225,7 @@
     async def _forward_stream(self, conn: UpstreamConnection, head: AnswerHead) -> AttemptEnd:
         job = self._job
         while True:
-            event = await self._next_event(conn)
+            event = await self._next_body_event(conn)
             if isinstance(event, AnswerData):
                 complete = job.events.feed(event.data)
                 if complete:
--- a/src/cassiawalk/ingress/forwarder.py
+++ b/src/cassiawalk/ingress/forwarder.py
@@ -168,6 +168,7 @@
             codec=self._codec,
             clock=self._clock,
             report=self._report,
+            screening=self._screening,
         )
 
     def _may_retry(self, job: Job, end: AttemptEnd) -> bool:
--- a/src/cassiawalk/ingress/screening.py
+++ b/src/cassiawalk/ingress/screening.py
@@ -82,13 +82,19 @@
         if upstream.leaving:  # its entry is gone already, without an announcement
             self._guard.note_death(upstream)
             return False
-        probe = self._probes.get(upstream.process)
-        if probe is None:
-            probe = self.spawn(self._probe(upstream), name=f"probe-{upstream.process}")
-            self._probes[upstream.process] = probe
-            probe.add_done_callback(lambda _: self._probes.pop(upstream.process, None))
-        await asyncio.wait([probe], timeout=PROBE_WAIT_S)
-        return probe.result() if probe.done() else None
+        return await self._is_alive(upstream, wait_s=PROBE_WAIT_S)
+
+    async def has_outlived(self, job: Job, upstream: Upstream) -> bool:
+        """Return whether an upstream is still there after its connection ended an answer.
+
+        Return False only if its death is known. One that leaves may exit after its last answer.
+        """
+        if upstream.leaving:
+            return True
+        if upstream.process in self._guard.dead_processes():
+            return False
+        left_s = max(0.0, job.ends_at - self._clock.monotonic())
+        return await self._is_alive(upstream, wait_s=min(PROBE_WAIT_S, left_s / 2)) is not False
 
     def note_unanswered(self, job: Job, upstream: Upstream) -> None:
         """Record that the wait for an answer was given up, as that of an upstream gone silent."""
@@ -116,6 +122,16 @@
         finally:
             await run.close()
 
+    async def _is_alive(self, upstream: Upstream, *, wait_s: float) -> bool | None:
+        """Return whether an upstream accepts a new connection; None if it is not known in time."""
+        probe = self._probes.get(upstream.process)
+        if probe is None:
+            probe = self.spawn(self._probe(upstream), name=f"probe-{upstream.process}")
+            self._probes[upstream.process] = probe
+            probe.add_done_callback(lambda _: self._probes.pop(upstream.process, None))
+        await asyncio.wait([probe], timeout=wait_s)
+        return probe.result() if probe.done() else None
+
     async def _probe(self, upstream: Upstream) -> bool | None:
         is_alive = await upstream.pool.probe()
         if is_alive is False:
--- a/tests/answer_ends.py
+++ b/tests/answer_ends.py
@@ -34,11 +34,13 @@
     *,
     media_type: bytes = b"text/event-stream",
     unsent_bytes: int = 7,
+    dies: bool = False,
 ) -> Script:
     """Return a script that sends ``pieces`` as a body, then ends it.
 
     :param ending: COMPLETE ends the body as its framing says, CLOSED and RESET break it off.
     :param unsent_bytes: what a broken answer with a length leaves out.
+    :param dies: whether the upstream accepts no connection from the end of the answer on.
     """
 
     async def script(side: UpstreamSide) -> None:
@@ -50,6 +52,8 @@
             side.write(chunk(piece) if framing is Framing.CHUNKS else piece)
             await side.writer.drain()
             await asyncio.sleep(SETTLE_S)
+        if dies:
+            side.upstream.server.close()
         if ending is Ending.RESET:
             side.reset()
         elif ending is Ending.COMPLETE and framing is Framing.CHUNKS:
--- a/tests/ingress_bed.py
+++ b/tests/ingress_bed.py
@@ -161,6 +161,7 @@
         self.arrivals: list[ReceivedRequest] = []
         self.connections = 0
         self.address = ""
+        self.server: asyncio.Server
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
@@ -303,6 +304,7 @@
         """Start a scripted upstream and register it."""
         upstream = ScriptedUpstream(script)
         server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
+        upstream.server = server
         self._stack.push_async_callback(_close, server)
         ip, port = server.sockets[0].getsockname()[:2]
         upstream.address = f"{ip}:{port}"
