--- a/tests/test_contract_hosts.py
+++ b/tests/test_contract_hosts.py
@@ -54,6 +54,7 @@
     pytest.param([b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n{"], id="cut"),
     pytest.param([b"HTTP/1.1 503 X\r\ncontent-length: 0\r\n\r\n"], id="outage"),
     pytest.param([b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"], id="empty-body"),
+    pytest.param([b'HTTP/1.1 200 OK\r\n\r\n{"hosts":[],"notices":[],"offers":[]}'], id="unframed"),
 ]
 
 
@@ -167,6 +168,7 @@
         pytest.param([], False, id="lost"),
         pytest.param([b"HTTP/1.1 201 X\r\ncontent-length: 9\r\n\r\n{"], False, id="cut"),
         pytest.param([b"HTTP/1.1 201 X\r\ncontent-length: 2\r\n\r\n{}"], False, id="nameless"),
+        pytest.param([b'HTTP/1.1 201 X\r\n\r\n{"host":"h-1'], False, id="unframed"),
         pytest.param([b"HTTP/1.1 503 X\r\ncontent-length: 0\r\n\r\n"], True, id="refused"),
     ],
 )
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -35,8 +35,10 @@
 
 
 @contextlib.asynccontextmanager
-async def served(data: bytes | None) -> t.AsyncIterator[tuple[PlatformStore, RawServer]]:
-    async with raw_server(data, keep_open=True) as server:
+async def served(
+    data: bytes | None, *, keep_open: bool = True
+) -> t.AsyncIterator[tuple[PlatformStore, RawServer]]:
+    async with raw_server(data, keep_open=keep_open) as server:
         store = PlatformStore(address=server.address)
         yield store, server
         await store.aclose()
@@ -204,3 +206,35 @@
             assert isinstance(appended, Appended)
             offsets.append(appended.offset)
     assert offsets == sorted(offsets)
+
+
+async def test_read_that_its_connection_cut_holds_only_whole_records() -> None:
+    body = read_body(10, 0, b"\x03onewhole", b"\x03two")
+    for length in range(len(body) + 1):
+        data = b"HTTP/1.1 200 OK\r\n\r\n" + body[:length]
+        async with served(data, keep_open=False) as (store, _):
+            found = await store.changes(stream="keyed.op", start=START)
+        if isinstance(found, ReadFailed):
+            continue
+        assert found.end == START + len(found.records)
+        assert [record.key for record in found.records] == ["one", "two"][: len(found.records)]
+        assert length in (16, 29, len(body))  # the ends of the records
+
+
+async def test_append_is_known_only_from_a_whole_answer_without_length() -> None:
+    body = b'{"offset":91,"end":92}'
+    for length in range(len(body) + 1):
+        data = b"HTTP/1.1 200 OK\r\n\r\n" + body[:length]
+        async with served(data, keep_open=False) as (store, _):
+            outcome = await store.append(stream="work", payload=b"x")
+        assert isinstance(outcome, Appended if length == len(body) else AppendUnknown)
+
+
+async def test_list_that_its_connection_cut_is_a_failure() -> None:
+    page = {"entries": [_row("a", 3)], "has_more": False, "end": 5}
+    body = orjson.dumps(page)
+    for length in range(len(body) + 1):
+        data = b"HTTP/1.1 200 OK\r\n\r\n" + body[:length]
+        async with served(data, keep_open=False) as (store, _):
+            found = await store.newest(stream="keyed.op")
+        assert isinstance(found, KeyedList if length == len(body) else ReadFailed)
