Crash upstreams that frame nothing against host processes

With it, at a real host process: crashes at 14 places of a stream for callers of HTTP/1.1 and 1.0, resumed elsewhere or visibly broken; whole answers are delivered.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -4,6 +4,7 @@
 import base64
 import collections
 import dataclasses
+import socket
 import struct
 import time
 import typing as t
@@ -31,7 +32,7 @@
     def __init__(self) -> None:
         sock = listen(LOOPBACK)
         self.address = bound_address(sock)
-        self._listener = HttpListener(sock=sock, handler=self)
+        self._listener = self._new_listener(sock)
 
     async def start(self) -> None:
         """Start to accept connections."""
@@ -43,17 +44,26 @@
         for conn in list(self._listener.connections):
             conn.close_idle()
 
-    async def restart(self, *, down_s: float) -> None:
-        """Reset all connections, and listen again at the same address after ``down_s`` s."""
+    async def restart(self, *, down_s: float, reset: bool = True) -> None:
+        """End all connections, and listen again at the same address after ``down_s`` s.
+
+        :param reset: whether the connections are reset; else they are closed in order.
+        """
         for conn in list(self._listener.connections):
-            conn.abort()
+            self._end_connection(conn, reset=reset)
         await self._listener.stop()
         await asyncio.sleep(down_s)
         ip, _, port = self.address.rpartition(":")
         sock = listen(Address(ip=ip, port=int(port)))
-        self._listener = HttpListener(sock=sock, handler=self)
+        self._listener = self._new_listener(sock)
         await self._listener.start()
 
+    def _new_listener(self, sock: socket.socket) -> t.Any:
+        return HttpListener(sock=sock, handler=self)
+
+    def _end_connection(self, conn: t.Any, *, reset: bool) -> None:
+        conn.abort()
+
 
 class PlatformStore(StandIn):
     """Topics of records, with one partition each.
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -15,10 +15,12 @@
 from standins.platform_upstream import PlatformUpstream
 from standins.raw_caller import Answer
 from standins.raw_caller import Caller
+from standins.unframed_upstream import UnframedUpstream
 
 READY_TIMEOUT_S = 15.0
 POLL_INTERVAL_S = 0.05
 ONCE, SAFE, STREAM = "/once/", "/safe/", "/stream/"
+_Upstream = t.TypeVar("_Upstream", bound=PlatformUpstream)
 
 
 def _route(prefix: str, kind: str, **more: t.Any) -> dict[str, t.Any]:
@@ -125,7 +127,17 @@
 
         :param changes: further arguments of ``PlatformUpstream``.
         """
-        upstream = PlatformUpstream(store=self.store, service="models", **changes)
+        return await self._add(PlatformUpstream, **changes)
+
+    async def add_unframed_upstream(self, **changes: t.Any) -> UnframedUpstream:
+        """Start an upstream whose answers end with their connection, and register it.
+
+        :param changes: further arguments of ``UnframedUpstream``.
+        """
+        return await self._add(UnframedUpstream, **changes)
+
+    async def _add(self, kind: type[_Upstream], **changes: t.Any) -> _Upstream:
+        upstream = kind(store=self.store, service="models", **changes)
         await upstream.start()
         await upstream.register()
         self.upstreams.append(upstream)
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -66,6 +66,11 @@
         self.runs: list[UpstreamRun] = []
         self.crashed_at: list[float] = []
 
+    @property
+    def is_up(self) -> bool:
+        """Return whether it is not down after a crash."""
+        return self._crash is None or self._crash.done()
+
     async def stop(self) -> None:
         """Stop for good, also during a crash."""
         if self._crash is not None:
@@ -88,15 +93,18 @@
         """Delete the upstream's entry from the store."""
         await self._store.put("keyed.servers", self.upstream_id, None)
 
-    def crash(self) -> None:
-        """Reset all connections; come back under a new id after ``down_s`` s."""
-        if self._crash is None or self._crash.done():
+    def crash(self, *, reset: bool = True) -> None:
+        """End all connections; come back under a new id after ``down_s`` s.
+
+        :param reset: whether the connections are reset; else they are closed in order.
+        """
+        if self.is_up:
             self.crashed_at.append(time.monotonic())
-            self._crash = asyncio.create_task(self._come_back())
+            self._crash = asyncio.create_task(self._come_back(reset=reset))
 
-    async def _come_back(self) -> None:
+    async def _come_back(self, *, reset: bool) -> None:
         former_id = self.upstream_id
-        await self.restart(down_s=self._down_s)
+        await self.restart(down_s=self._down_s, reset=reset)
         self.upstream_id = f"i-{next(self._numbers)}"
         self._born_ms = next(self._births)
         await self.register()
--- a/tests/answer_ends.py
+++ b/tests/answer_ends.py
@@ -114,8 +114,13 @@
 
 
 async def call(bed: IngressBed, data: bytes, *, limit_s: float = PROMPT_S) -> WatchingCaller:
+    """Send a request to the ingress and watch its answer."""
+    return await exchange(bed.address, data, limit_s=limit_s)
+
+
+async def exchange(address: str, data: bytes, *, limit_s: float = 5.0) -> WatchingCaller:
     """Send a request and return once its answer is complete or its connection has ended."""
-    ip, _, port = bed.address.rpartition(":")
+    ip, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     transport, caller = await loop.create_connection(WatchingCaller, ip, int(port))
     transport.write(data)
--- /dev/null
+++ b/tests/test_unframed_upstreams.py
@@ -0,0 +1,123 @@
+"""Upstreams whose answers end with their connection and that crash, against host processes."""
+
+import asyncio
+import itertools
+import pathlib
+import typing as t
+
+import pytest
+
+from standins.platform_fleet import ONCE
+from standins.platform_fleet import SAFE
+from standins.platform_fleet import STREAM
+from standins.platform_fleet import PlatformFleet
+from standins.platform_fleet import build_request
+from standins.platform_fleet import wait_until
+from standins.platform_upstream import PlatformUpstream
+from standins.unframed_upstream import Cut
+from standins.unframed_upstream import UnframedUpstream
+from tests.answer_ends import WatchingCaller
+from tests.answer_ends import ends_with_empty_line
+from tests.answer_ends import exchange
+
+AT_ONCE = 4  # so that every upstream is used
+EVENTS = 5
+WHOLE = b"".join(
+    b"id: %d\ndata: piece %d\n\n" % (number, number) for number in range(1, EVENTS + 1)
+)
+EVENT_BYTES = len(WHOLE) // EVENTS
+CUT_OFFSETS = (0, 3, 7, EVENT_BYTES - 1, EVENT_BYTES, EVENT_BYTES + 4, 2 * EVENT_BYTES - 1)
+CUTS = [
+    Cut(after_bytes=offset, reset=reset)
+    for offset, reset in itertools.product(CUT_OFFSETS, (True, False))
+]
+
+
+@pytest.fixture
+async def fleet(tmp_path: pathlib.Path) -> t.AsyncIterator[PlatformFleet]:
+    async with PlatformFleet(tmp_path) as running:
+        await running.add_host()
+        await wait_until(running.hosts[0].ready)
+        yield running
+
+
+async def _upstream(fleet: PlatformFleet, **settings: t.Any) -> UnframedUpstream:
+    upstream = await fleet.add_unframed_upstream(down_s=0.3, **settings)
+    await _until_served(fleet)
+    return upstream
+
+
+async def _until_served(fleet: PlatformFleet) -> None:
+    async def served() -> bool:
+        got = await exchange(fleet.hosts[0].caller_address, build_request("calm", SAFE))
+        return got.status == 200
+
+    await wait_until(served)
+
+
+async def _until_known(fleet: PlatformFleet, upstream: PlatformUpstream) -> None:
+    def joined() -> bool:
+        lines = fleet.lines(fleet.hosts[0])
+        known = {line["upstream"] for line in lines if line["event"] == "directory:joined"}
+        return upstream.upstream_id in known
+
+    await wait_until(joined)
+
+
+@pytest.mark.parametrize("version", [b"HTTP/1.1", b"HTTP/1.0"])
+async def test_whole_answers_that_end_with_their_connection_are_delivered(
+    fleet: PlatformFleet, version: bytes
+) -> None:
+    await _upstream(fleet)
+    for path, body in ((ONCE, b"hello"), (SAFE, b"hello"), (STREAM, WHOLE)):
+        data = build_request("q", path).replace(b"HTTP/1.1", version)
+        got = await exchange(fleet.hosts[0].caller_address, data)
+        assert (got.status, got.body, got.looks_complete) == (200, body, True)
+
+
+@pytest.mark.parametrize("version", [b"HTTP/1.1", b"HTTP/1.0"])
+async def test_crash_at_any_byte_of_a_stream_shows(fleet: PlatformFleet, version: bytes) -> None:
+    upstream = await _upstream(fleet)
+    for number, cut in enumerate(CUTS):
+        await _until_served(fleet)
+        upstream.cuts.append(cut)
+        data = build_request(f"q{number}", STREAM, body=b"%d" % number)
+        data = data.replace(b"HTTP/1.1", version)
+        got = await exchange(fleet.hosts[0].caller_address, data)
+        assert not upstream.cuts
+        if got.status == 200:
+            assert not got.looks_complete, cut
+            assert WHOLE.startswith(got.body) and ends_with_empty_line(got.body)
+        else:
+            assert (got.status, got.looks_complete) == (502, True), cut
+
+
+async def test_crash_at_any_byte_of_a_stream_is_resumed_elsewhere(fleet: PlatformFleet) -> None:
+    upstream = await _upstream(fleet)
+    other = await fleet.add_upstream()
+    await _until_known(fleet, other)
+    numbers = itertools.count()
+
+    async def stream() -> WatchingCaller:
+        name = f"q{next(numbers)}"
+        data = build_request(name, STREAM, body=name.encode())
+        return await exchange(fleet.hosts[0].caller_address, data)
+
+    for cut in CUTS:
+        await wait_until(lambda: upstream.is_up)
+        await _until_known(fleet, upstream)
+        upstream.cuts.append(cut)
+        async with asyncio.timeout(10.0):
+            while upstream.cuts:
+                for got in await asyncio.gather(*(stream() for _ in range(AT_ONCE))):
+                    assert (got.body, got.looks_complete, got.heads) == (WHOLE, True, 1), cut
+
+
+@pytest.mark.parametrize("cut", [Cut(after_bytes=2, reset=True), Cut(after_bytes=2, reset=False)])
+async def test_plain_answer_whose_upstream_crashed_is_no_success(
+    fleet: PlatformFleet, cut: Cut
+) -> None:
+    upstream = await _upstream(fleet)
+    upstream.cuts.append(cut)
+    got = await exchange(fleet.hosts[0].caller_address, build_request("q", ONCE))
+    assert (got.status, upstream.executed_ids.count("q")) == (502, 1)
