--- a/tests/test_http1_server.py
+++ b/tests/test_http1_server.py
@@ -1,6 +1,8 @@
 """What the HTTP server accepts from callers, and its answers to malformed requests."""
 
 import asyncio
+import socket
+import struct
 
 import pytest
 
@@ -89,6 +91,32 @@
         assert upstream.arrivals[0].header(b"transfer-encoding") is None
 
 
+@pytest.mark.parametrize("reset", [False, True])
+@pytest.mark.parametrize(
+    "upload",
+    [
+        _head(b"Content-Length: 5") + b"hello",
+        _head(b"Transfer-Encoding: chunked") + b"3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n",
+    ],
+)
+async def test_upload_that_breaks_off_reaches_no_upstream(upload: bytes, reset: bool) -> None:
+    async with IngressBed(config(route(RetryRule.ONCE))) as bed:
+        upstream = await bed.add(echo)
+        for size in range(1, len(upload)):
+            caller = await bed.caller()
+            caller.send(upload[:size])
+            await asyncio.sleep(0.001)
+            if reset:
+                sock = caller.writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                caller.writer.transport.abort()
+            else:
+                caller.writer.write_eof()
+        await asyncio.sleep(0.1)
+        assert upstream.arrivals == []
+        assert (await (await bed.caller()).request(upload)).body == b"hello"
+
+
 async def test_long_body_is_forwarded_completely() -> None:
     async with IngressBed(config(ROUTE)) as bed:
         await bed.add(echo)
