--- a/soak/run.py
+++ b/soak/run.py
@@ -29,6 +29,7 @@
 RECOVERY_LIMIT_S = 12.0  # from the last fault until every host serves again
 INTERPRETER_START_S = 0.1  # until then a new process cannot handle signals
 LINK_DELAY_S = 0.15
+UNFRAMED_CUT_RATIO = 0.05  # each cut takes the upstream down for longer than most answers take
 REFUSAL_STATUSES = (503, 429)
 # The direction that each of these faults drops.
 DROPPED_DIRECTIONS = {
@@ -42,7 +43,10 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RunSize:
-    """The size of a run; ``seconds`` is how long faults are injected."""
+    """The size of a run; ``seconds`` is how long faults are injected.
+
+    One more upstream ends its answers with their connection and crashes in some of them.
+    """
 
     hosts: int = 3
     upstreams: int = 3
@@ -95,6 +99,8 @@
             await upstream.register()
             self._fleet.upstreams.append(upstream)
             self._upstream_proxies.append(proxy)
+        # Without a proxy, whose open port would hide its deaths.
+        await self._fleet.add_unframed_upstream(seed=self._seed, cut_ratio=UNFRAMED_CUT_RATIO)
         for _ in range(self._size.hosts):
             proxy = await self._start_proxy(self._fleet.store.address, proxies)
             self._store_proxies.append(proxy)
@@ -119,7 +125,7 @@
 
     async def _apply(self, planned: PlannedFault) -> None:
         host = self._fleet.hosts[planned.target % len(self._fleet.hosts)]
-        upstream = self._fleet.upstreams[planned.target % len(self._fleet.upstreams)]
+        upstream = self._fleet.upstreams[planned.target % self._size.upstreams]
         match planned.fault:
             case Fault.TERM | Fault.KILL | Fault.PAUSE | Fault.HUP:
                 await self._signal(host, planned)
--- a/standins/unframed_upstream.py
+++ b/standins/unframed_upstream.py
@@ -51,7 +51,7 @@
         """Return where the answer to a request breaks off; None if it is whole."""
         if self.cuts:
             return self.cuts.pop(0)
-        if self._rng.random() >= self._cut_ratio:
+        if self._rng.random() >= self._cut_ratio or not exchange.body:
             return None
         if b"/stream/" not in exchange.target:
             return Cut(after_bytes=self._rng.randrange(len(exchange.body)), reset=True)
@@ -87,7 +87,7 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         conn = _UnframedConnection(writer=writer, upstream=self.upstream)
         self.connections.add(conn)
-        with contextlib.suppress(OSError, h11.RemoteProtocolError):
+        with contextlib.suppress(OSError, h11.RemoteProtocolError, asyncio.CancelledError):
             await conn.serve(reader, self.upstream)
         self.connections.discard(conn)
         writer.close()
