Keep expired entries also at hosts that copy from a reader

What callers saw: after an outage of the store for all hosts, those that do not read the store themselves dropped upstreams whose entries had expired, though their upstreams were back within 2 s. Worse, they did not get them back: an entry that returns unchanged was no change to the reader, so that nothing was copied, and a host that copied later was still told of the removal.

Cause: a copied removal said nothing of the reader's judgement that it may only be an expiry, and only a reader knew when the store was back.

A copy now names the upstreams that its host keeps as lapsed and says how long ago the store was back; the copying host keeps them for the rest of that time. A return after a lapse counts as a change.

--- a/src/cassiawalk/ingress/directory.py
+++ b/src/cassiawalk/ingress/directory.py
@@ -169,9 +169,21 @@
         """Return all upstreams."""
         return list(self._by_id.values())
 
-    def note_source_recovered(self) -> None:
-        """Record that the source answers again after an outage."""
-        self._source_recovered_at = self._clock.monotonic()
+    @property
+    def lapsed(self) -> frozenset[UpstreamId]:
+        """Return the upstreams that are kept though their entries may have expired."""
+        return frozenset(self._stale)
+
+    @property
+    def since_recovery_s(self) -> float:
+        """Return the time since the source's recovery in seconds; infinite if it was never away."""
+        if self._source_recovered_at is None:
+            return math.inf
+        return self._clock.monotonic() - self._source_recovered_at
+
+    def note_source_recovered(self, *, ago_s: float = 0.0) -> None:
+        """Record that the source answers again after an outage, since ``ago_s`` seconds."""
+        self._source_recovered_at = self._clock.monotonic() - ago_s
 
     def note_restored(self) -> None:
         """Expect the list of an older copy of the source.
@@ -195,6 +207,7 @@
         if offset <= self._offsets.get(upstream_id, Offset(-1)):
             return False
         self._offsets[upstream_id] = offset
+        was_lapsed = upstream_id in self._stale
         self._stale.discard(upstream_id)
         known = self._by_id.get(upstream_id)
         if self._is_restored and self._has_begun_to_leave(known, registration):
@@ -203,7 +216,7 @@
             self._replace(known, registration)
             self.advance_to(offset)
             return True
-        if known.registration == registration:
+        if known.registration == registration and not was_lapsed:
             return False
         self.advance_to(offset)
         known.registration = registration
@@ -211,7 +224,12 @@
         return True
 
     def remove(
-        self, upstream_id: UpstreamId, offset: Offset, *, may_have_expired: bool = True
+        self,
+        upstream_id: UpstreamId,
+        offset: Offset,
+        *,
+        may_have_expired: bool = True,
+        is_lapsed: bool = False,
     ) -> None:
         """Apply an entry's removal.
 
@@ -220,6 +238,7 @@
 
         :param may_have_expired: False if the upstream is known to have renewed its entry until
             then.
+        :param is_lapsed: whether another host keeps the upstream as stale for this removal.
         """
         if offset <= self._offsets.get(upstream_id, Offset(-1)):
             return
@@ -227,7 +246,7 @@
         self.advance_to(offset)
         if upstream_id not in self._by_id:
             return
-        expired = may_have_expired and self._may_be_expiry()
+        expired = is_lapsed or (may_have_expired and self._may_be_expiry())
         if expired and not self._by_id[upstream_id].leaving:
             self._stale.add(upstream_id)
             eliot.log_message(message_type="directory:lapsed", upstream=upstream_id)
@@ -241,7 +260,7 @@
 
     def remove_stale(self) -> None:
         """Remove stale entries if they have not been renewed ``STALE_GRACE_S`` s after recovery."""
-        if not self._stale or self._since_recovery_s() < STALE_GRACE_S:
+        if not self._stale or self.since_recovery_s < STALE_GRACE_S:
             return
         for upstream_id in self._stale:
             self._discard(upstream_id)
@@ -259,12 +278,7 @@
         return departed_at is not None and self._clock.monotonic() - departed_at < DEPARTED_S
 
     def _may_be_expiry(self) -> bool:
-        return self._is_restored or self._since_recovery_s() < EXPIRY_WINDOW_S
-
-    def _since_recovery_s(self) -> float:
-        if self._source_recovered_at is None:
-            return math.inf
-        return self._clock.monotonic() - self._source_recovered_at
+        return self._is_restored or self.since_recovery_s < EXPIRY_WINDOW_S
 
     def _apply_presence(self, known: Upstream, registration: Registration) -> None:
         leaving = registration.presence is Presence.LEAVING
