Keep a host's record, and sum up heartbeats, in modules of their own

Looking up records while hosts are missing is recordkeeper.py, the sums that hubs pass on are hubsums.py. Code is moved only; two tests name the new place.

--- a/src/cassiawalk/ingress/heartbeats.py
+++ b/src/cassiawalk/ingress/heartbeats.py
@@ -18,16 +18,18 @@
 from cassiawalk.clock import Clock
 from cassiawalk.ids import HostId
 from cassiawalk.ids import ServiceName
-from cassiawalk.ingress.aggregates import EMPTY_AGGREGATE
 from cassiawalk.ingress.aggregates import ConsumptionTotals
 from cassiawalk.ingress.aggregates import HostAggregate
 from cassiawalk.ingress.aggregates import sum_amounts
-from cassiawalk.ingress.aggregates import sum_use
 from cassiawalk.ingress.heartbeat import Heartbeat
 from cassiawalk.ingress.heartbeat import PeerView
 from cassiawalk.ingress.hosts import HostRegistry
 from cassiawalk.ingress.hosts import entry_of
 from cassiawalk.ingress.hubs import HubRanking
+from cassiawalk.ingress.hubsums import sum_of_fleet
+from cassiawalk.ingress.hubsums import sum_of_spokes
+from cassiawalk.ingress.recordkeeper import FleetView
+from cassiawalk.ingress.recordkeeper import RecordKeeper
 from cassiawalk.membership import Membership
 from cassiawalk.membership.rendezvous import rank
 from cassiawalk.peer import PeerFailure
@@ -43,15 +45,12 @@
 # other one calls if it has received no heartbeat for this long.
 CALL_BACK_AFTER_S = 1.2
 DEPARTED_TIMEOUT_S = 8.0
-RECORD_CHECK_INTERVAL_S = 2.5
-MAX_LOOKUP_INTERVAL_S = 40.0
-INITIAL_REFRESH_DELAYS_S = (1.0, 2.0)
 
 
 HeartbeatListener = cabc.Callable[[Heartbeat], None]
 
 
-class HeartbeatExchange(Component):
+class HeartbeatExchange(Component, FleetView):
     """Exchanges heartbeats with other hosts and tracks which of them are live.
 
     ``peers`` holds the last heartbeat of each host that this one exchanges heartbeats with.
@@ -83,8 +82,9 @@
         self._pending_calls: set[HostId] = set()
         self._send_requested = asyncio.Event()
         self._consumption = ConsumptionTotals()
-        self._last_lookup_at = 0.0
-        self._lookup_pause_s = 0.0
+        self.record_keeper = RecordKeeper(
+            view=self, membership=membership, records=records, clock=clock, rng=rng
+        )
         self.peers: dict[HostId, PeerView] = {}
 
     def add_listener(self, listener: HeartbeatListener) -> None:
@@ -244,11 +244,9 @@
 
     def _compose_with_aggregate(self) -> Heartbeat:
         own = self._compose()
-        return (
-            own
-            if self.full_mesh or not self.is_hub
-            else dataclasses.replace(own, counted=self._aggregate(without=""))
-        )
+        if self.full_mesh or not self.is_hub:
+            return own
+        return dataclasses.replace(own, counted=self._aggregate(without=""))
 
     def _aggregate(self, *, without: str) -> HostAggregate:
         """Return the aggregate of the hosts whose primary hub is this one.
@@ -259,32 +257,15 @@
         spokes = [
             heartbeat for heartbeat in live if heartbeat.first and heartbeat.process != without
         ]
-        return HostAggregate(
-            hosts=tuple(heartbeat.host for heartbeat in spokes),
-            drawn=self._consumption.total(without=without),
-            use=sum_use(heartbeat.use for heartbeat in spokes),
-            reading=sum_amounts(heartbeat.reading for heartbeat in spokes),
-        )
+        return sum_of_spokes(spokes, self._consumption.total(without=without))
 
     def _aggregate_of_others(self, sender: Heartbeat) -> HostAggregate:
-        """Return the aggregate of all hosts except the sender.
-
-        It adds up this hub, the hosts that it aggregates, the other hubs and their aggregates.
-        """
-        own = self._compose()
-        mine = self._aggregate(without=sender.process)
-        hubs = [
-            self.peers[host].heartbeat
-            for host in self.live_hosts
-            if self.peers[host].heartbeat.counted is not None and host != sender.host
-        ]
-        theirs = [heartbeat.counted or EMPTY_AGGREGATE for heartbeat in hubs]
-        parts: list[HostAggregate | Heartbeat] = [mine, own, *hubs, *theirs]
-        return HostAggregate(
-            hosts=(),
-            drawn=sum_amounts(part.drawn for part in parts),
-            use=sum_use(part.use for part in parts),
-            reading={},
+        """Return the aggregate of all hosts except the sender."""
+        live = [self.peers[host].heartbeat for host in self.live_hosts if host != sender.host]
+        return sum_of_fleet(
+            own=self._compose(),
+            spokes=self._aggregate(without=sender.process),
+            hubs=[heartbeat for heartbeat in live if heartbeat.counted is not None],
         )
 
     async def _run_heartbeats(self) -> None:
@@ -367,10 +348,8 @@
         )
         now = self._clock.monotonic()
         self.peers[heartbeat.host] = PeerView(heartbeat=heartbeat, received_at=now)
-        for host in (
-            heartbeat.host,
-            *(() if heartbeat.counted is None else heartbeat.counted.hosts),
-        ):
+        below = () if heartbeat.counted is None else heartbeat.counted.hosts
+        for host in (heartbeat.host, *below):
             self._seen_at[host] = now
         if heartbeat.first:
             self._consumption.note(heartbeat.process, heartbeat.drawn)
@@ -378,33 +357,18 @@
             listener(heartbeat)
 
     async def _maintain_record(self) -> None:
-        """Write and read records at the start, and later while a host is missing."""
-        await self._records.write_own()
-        # A restarted host needs the number of hosts at once, to compute its share of the quotas.
-        await self._membership.refresh()
+        await self.record_keeper.start()
         # Until heartbeats of the others arrive, this host may use only its own share of the quotas.
         self.send_due()
-        for pause_s in INITIAL_REFRESH_DELAYS_S:
-            await self._clock.sleep(pause_s * (0.9 + 0.2 * self._rng.random()))
-            if not self.peers or self.full_mesh:
-                await self._membership.refresh()
-        while True:
-            await self._clock.sleep(RECORD_CHECK_INTERVAL_S * (0.8 + 0.4 * self._rng.random()))
-            self._remove_departed()
-            await self.refresh_if_incomplete()
+        await self.record_keeper.maintain(self._remove_departed)
 
-    async def refresh_if_incomplete(self) -> None:
-        """Read the records again if this host lacks others, or others may not know this one.
-
-        In the second case its own record is written again first.
-        """
-        unknown_to_others = self._may_be_unknown()
-        if unknown_to_others:
-            await self._records.write_own()
-        if unknown_to_others or self._should_look_up():
-            await self._membership.refresh()
+    @property
+    def knows_few(self) -> bool:
+        """Return whether there are no heartbeats yet, or all hosts have to know each other."""
+        return not self.peers or self.full_mesh
 
-    def _may_be_unknown(self) -> bool:
+    @property
+    def may_be_unknown(self) -> bool:
         """Return whether others may not know this host.
 
         That is so if it has no primary hub, or as a hub has heartbeats from too few hosts.
@@ -413,29 +377,16 @@
             return self.primary_hub() is None
         return len(self._live_anywhere()) + 1 < self.host_count
 
-    def _should_look_up(self) -> bool:
-        """Return whether to read the records, because other hosts know hosts that this one lacks.
-
-        While a record cannot be found, the interval between reads doubles up to
-        ``MAX_LOOKUP_INTERVAL_S``.
-        """
+    @property
+    def lacks_hosts(self) -> bool:
+        """Return whether other hosts know hosts that this one lacks."""
         known = {*self._others(), self._host}
         reported = max((self.peers[host].heartbeat.hosts for host in self.live_hosts), default=0)
-        if (
+        return not (
             self._live_anywhere() <= known
             and reported <= len(known)
             and self._compose().duty in (None, *known)
-        ):
-            self._lookup_pause_s = 0.0
-            return False
-        now = self._clock.monotonic()
-        if now < self._last_lookup_at + self._lookup_pause_s:
-            return False
-        self._last_lookup_at = now
-        self._lookup_pause_s = min(
-            MAX_LOOKUP_INTERVAL_S, max(RECORD_CHECK_INTERVAL_S, 2 * self._lookup_pause_s)
         )
-        return True
 
     def _remove_departed(self) -> None:
         live = self._live_anywhere()
--- /dev/null
+++ b/src/cassiawalk/ingress/hubsums.py
@@ -0,0 +1,39 @@
+"""Sums of heartbeats that hubs pass on."""
+
+import collections.abc as cabc
+
+from cassiawalk.ids import WorkspaceName
+from cassiawalk.ingress.aggregates import EMPTY_AGGREGATE
+from cassiawalk.ingress.aggregates import HostAggregate
+from cassiawalk.ingress.aggregates import sum_amounts
+from cassiawalk.ingress.aggregates import sum_use
+from cassiawalk.ingress.heartbeat import Heartbeat
+
+
+def sum_of_spokes(
+    spokes: cabc.Sequence[Heartbeat], drawn: dict[WorkspaceName, float]
+) -> HostAggregate:
+    """Return the aggregate of the hosts whose primary hub this host is.
+
+    :param drawn: what they have consumed of the quotas, also those that are gone.
+    """
+    return HostAggregate(
+        hosts=tuple(heartbeat.host for heartbeat in spokes),
+        drawn=drawn,
+        use=sum_use(heartbeat.use for heartbeat in spokes),
+        reading=sum_amounts(heartbeat.reading for heartbeat in spokes),
+    )
+
+
+def sum_of_fleet(
+    *, own: Heartbeat, spokes: HostAggregate, hubs: cabc.Sequence[Heartbeat]
+) -> HostAggregate:
+    """Return the aggregate of a hub, of the hosts that it aggregates, and of the other hubs."""
+    theirs = [heartbeat.counted or EMPTY_AGGREGATE for heartbeat in hubs]
+    parts: list[HostAggregate | Heartbeat] = [spokes, own, *hubs, *theirs]
+    return HostAggregate(
+        hosts=(),
+        drawn=sum_amounts(part.drawn for part in parts),
+        use=sum_use(part.use for part in parts),
+        reading={},
+    )
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -266,7 +266,7 @@
     for _ in range(4):
         await fleet.run(6)
         for exchange in fleet.live():
-            await exchange.refresh_if_incomplete()
+            await exchange.record_keeper.refresh_if_incomplete()
     received.clear()
     await fleet.run(4)
     assert len(received) == 39
@@ -281,7 +281,7 @@
     reads = 0
     for _ in range(80):
         await fleet.run(5)
-        reads += spoke._should_look_up()
+        reads += spoke.record_keeper.should_look_up()
     assert 3 <= reads <= 10
 
 
