Drop a length beside chunks from an upstream's answer

What callers would see: a head and no body, and a broken connection, if an upstream announces a length beside its chunks.

--- a/src/cassiawalk/http1/heads.py
+++ b/src/cassiawalk/http1/heads.py
@@ -72,8 +72,13 @@
 
 
 def forwardable(headers: Headers) -> list[tuple[bytes, bytes]]:
-    """Return the end-to-end headers in their order and case."""
+    """Return the end-to-end headers in their order and case.
+
+    A length beside chunks is dropped, as it does not count (RFC 9112, section 6.3).
+    """
     dropped = CONNECTION_HEADERS | _named_by_connection(headers)
+    if header_value(headers, b"transfer-encoding") is not None:
+        dropped |= {b"content-length"}
     return [(name, value) for name, value in headers if name.lower() not in dropped]
 
 
