Take a stream of comments alone for one without events

A connection that ended after a comment, before any event, on an answer without length or chunks, gave the caller 200, framed as complete. Only an event with an id or data shows that the stream had begun. The new test failed before; the oracle of the prefixes now asks for an event too.

--- a/src/cassiawalk/ingress/attempt.py
+++ b/src/cassiawalk/ingress/attempt.py
@@ -52,7 +52,7 @@
         self._report = report
         self._is_resumed = job.head_sent
         self._started_at = clock.monotonic()
-        self._has_events = False
+        self._events_before = job.events.with_content
         self.trace = AnswerTrace()
 
     async def run(self) -> AttemptEnd:
@@ -245,7 +245,7 @@
             self._send_head(head, with_length=False)
         job.exchange.send_data(complete)
         self._upstream.load.note_first_token(job.request_id)
-        self._has_events = job.sent_events = True
+        job.sent_events = True
         self._note_started()
 
     def _send_head(self, head: AnswerHead, *, with_length: bool = True) -> None:
@@ -262,7 +262,8 @@
         if self.trace.incomplete_bytes:
             conn.close()
             return self._lose_answer("the stream ended inside an event")
-        if self.trace.ending is Ending.CLOSED and not self._has_events:
+        has_events = job.events.with_content > self._events_before
+        if self.trace.ending is Ending.CLOSED and not has_events:
             return self._lose_answer("the connection ended before the first event")
         if not job.head_sent:
             self._send_head(head)
--- a/src/cassiawalk/ingress/events.py
+++ b/src/cassiawalk/ingress/events.py
@@ -16,7 +16,8 @@
     """Returns whole events and holds back an incomplete one.
 
     ``last_id`` is the id of the last whole event that has one, and ``events`` the number of these
-    events. ``resumable`` tells whether ``last_id`` covers all data that was returned.
+    events. ``with_content`` counts whole events that have an id or data, and not only comments.
+    ``resumable`` tells whether ``last_id`` covers all data that was returned.
     """
 
     def __init__(self) -> None:
@@ -24,6 +25,7 @@
         self._ended_with_cr = False
         self.last_id: bytes | None = None
         self.events = 0
+        self.with_content = 0
         self.resumable = True
 
     def feed(self, data: bytes) -> bytes:
@@ -69,7 +71,9 @@
                 has_id = True
             elif line.startswith(b"data"):
                 has_data = True
-            elif not line and has_data:
+            if line:
+                continue
+            if has_data:
                 self.resumable = has_id
-            if not line:
-                has_data = has_id = False
+            self.with_content += has_data or has_id
+            has_data = has_id = False
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -61,6 +61,26 @@
     assert len(upstream.arrivals) == 1
 
 
+async def test_connection_that_ends_after_only_a_comment_is_no_complete_stream() -> None:
+    async with IngressBed(config(route(RetryRule.STREAM_ONCE))) as bed:
+        await bed.add(answering([b": soon\n\n"], Framing.CONNECTION, Ending.CLOSED))
+        got = await call(bed, post())
+    assert (got.status, got.body, got.looks_complete) == (200, b": soon\n\n", False)
+
+
+async def test_length_beside_chunks_does_not_cut_the_answer() -> None:
+    script = answering(
+        [b"all ", b"of it"],
+        Framing.CHUNKS,
+        Ending.COMPLETE,
+        media_type=b"text/plain\r\nContent-Length: 3",
+    )
+    async with IngressBed(config(route(RetryRule.ONCE))) as bed:
+        await bed.add(script)
+        got = await call(bed, post())
+    assert (got.status, got.body, got.looks_complete) == (200, b"all of it", True)
+
+
 @pytest.mark.parametrize("framing", [Framing.LENGTH, Framing.CHUNKS])
 async def test_stream_that_its_framing_ends_without_events_is_complete(framing: Framing) -> None:
     async with IngressBed(config(route(RetryRule.STREAM_ONCE))) as bed:
--- a/tests/test_answer_prefixes.py
+++ b/tests/test_answer_prefixes.py
@@ -84,7 +84,8 @@
 def _is_whole(case: _Case, framing: Framing, ending: Ending) -> bool:
     if framing is not Framing.CONNECTION:
         return case.is_all
-    return ending is Ending.CLOSED and bool(case.body) and ends_with_empty_line(case.body)
+    has_event = b"data:" in _whole_events(case.body)  # and not only a comment
+    return ending is Ending.CLOSED and has_event and ends_with_empty_line(case.body)
 
 
 def _whole_events(body: bytes) -> bytes:
