Crash upstreams after whole events again and again, and kill a host within a stream

At host processes: a request that makes upstreams without framing die in order between two events is seen as such and not sent on, and a caller of HTTP/1.0 sees the death of its host as a break.

--- a/standins/unframed_upstream.py
+++ b/standins/unframed_upstream.py
@@ -17,6 +17,7 @@
 from standins.platform_upstream import PlatformUpstream
 
 READ_BYTES = 65536
+EVENT_BYTES = len(b"id: 1\ndata: piece 1\n\n")
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -39,9 +40,19 @@
     caller's answer can't show every other cut.
 
     :param cut_ratio: the share of answers that the seed breaks off.
+    :param dies_after_event_on: a request whose body contains this makes it close its connections in
+        order, and die, after the first event of its stream; None for no request.
     """
 
-    def __init__(self, *, seed: int = 0, cut_ratio: float = 0.0, **settings: t.Any) -> None:
+    def __init__(
+        self,
+        *,
+        seed: int = 0,
+        cut_ratio: float = 0.0,
+        dies_after_event_on: bytes | None = None,
+        **settings: t.Any,
+    ) -> None:
+        self._dies_after_event_on = dies_after_event_on
         self._rng = random.Random(seed)
         self._cut_ratio = cut_ratio
         self.cuts: list[Cut] = []
@@ -51,13 +62,14 @@
         """Return where the answer to a request breaks off; None if it is whole."""
         if self.cuts:
             return self.cuts.pop(0)
+        if self._dies_after_event_on is not None and self._dies_after_event_on in exchange.body:
+            return Cut(after_bytes=EVENT_BYTES, reset=False)
         if self._rng.random() >= self._cut_ratio or not exchange.body:
             return None
         if b"/stream/" not in exchange.target:
             return Cut(after_bytes=self._rng.randrange(len(exchange.body)), reset=True)
-        event_bytes = len(b"id: 1\ndata: piece 1\n\n")
-        whole = self._rng.randrange(self._events) * event_bytes
-        after_bytes = whole + self._rng.randrange(1, event_bytes)
+        whole = self._rng.randrange(self._events) * EVENT_BYTES
+        after_bytes = whole + self._rng.randrange(1, EVENT_BYTES)
         return Cut(after_bytes=after_bytes, reset=self._rng.random() < 0.5)
 
     def _new_listener(self, sock: socket.socket) -> "UnframedListener":
--- a/tests/test_unframed_upstreams.py
+++ b/tests/test_unframed_upstreams.py
@@ -14,18 +14,23 @@
 from standins.platform_fleet import build_request
 from standins.platform_fleet import wait_until
 from standins.platform_upstream import PlatformUpstream
+from standins.unframed_upstream import EVENT_BYTES
 from standins.unframed_upstream import Cut
 from standins.unframed_upstream import UnframedUpstream
 from tests.answer_ends import WatchingCaller
 from tests.answer_ends import ends_with_empty_line
 from tests.answer_ends import exchange
+from tests.crash_callers import CRASH
+from tests.crash_callers import MAX_LATE_RETRIES
+from tests.crash_callers import CrashCallers
 
+UPSTREAMS = 5
+REPEAT_S = 9.0
 AT_ONCE = 4  # so that every upstream is used
 EVENTS = 5
 WHOLE = b"".join(
     b"id: %d\ndata: piece %d\n\n" % (number, number) for number in range(1, EVENTS + 1)
 )
-EVENT_BYTES = len(WHOLE) // EVENTS
 CUT_OFFSETS = (0, 3, 7, EVENT_BYTES - 1, EVENT_BYTES, EVENT_BYTES + 4, 2 * EVENT_BYTES - 1)
 CUTS = [
     Cut(after_bytes=offset, reset=reset)
@@ -121,3 +126,28 @@
     upstream.cuts.append(cut)
     got = await exchange(fleet.hosts[0].caller_address, build_request("q", ONCE))
     assert (got.status, upstream.executed_ids.count("q")) == (502, 1)
+
+
+@pytest.mark.parametrize("version", [b"HTTP/1.1", b"HTTP/1.0"])
+async def test_stream_that_is_cut_by_the_death_of_the_host_shows(
+    fleet: PlatformFleet, version: bytes
+) -> None:
+    await _upstream(fleet, event_s=0.3)
+    data = build_request("q", STREAM).replace(b"HTTP/1.1", version)
+    answered = asyncio.create_task(exchange(fleet.hosts[0].caller_address, data))
+    await asyncio.sleep(0.5)
+    fleet.hosts[0].process.kill()
+    got = await answered
+    assert got.body and not got.looks_complete
+
+
+async def test_request_that_crashes_upstreams_after_an_event_is_not_sent_on_after_the_third(
+    fleet: PlatformFleet,
+) -> None:
+    for _ in range(UPSTREAMS):
+        await fleet.add_unframed_upstream(dies_after_event_on=CRASH)
+    await _until_served(fleet)
+    callers = CrashCallers(fleet)
+    await callers.repeat_crashing(STREAM, for_s=REPEAT_S)
+    assert len(callers.crashes_at()) >= 3
+    assert callers.late_retries() <= MAX_LATE_RETRIES
