--- a/soak/fault_proxy.py
+++ b/soak/fault_proxy.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import contextlib
-import socket
-import struct
+
+from cassiawalk.sockets import set_reset_on_close
 
 CHUNK_BYTES = 65536
 CONNECT_TIMEOUT_S = 2.0
@@ -24,8 +24,7 @@
         for writer in self.writers:
             sock = writer.get_extra_info("socket")
             with contextlib.suppress(OSError):
-                linger = struct.pack("ii", 1, 0)
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                set_reset_on_close(sock)
             writer.transport.abort()
 
 
--- a/src/cassiawalk/http1/server.py
+++ b/src/cassiawalk/http1/server.py
@@ -4,7 +4,6 @@
 import collections.abc as cabc
 import enum
 import socket
-import struct
 import typing as t
 
 import eliot
@@ -16,6 +15,7 @@
 from cassiawalk.http1.exchange import CallerLimits
 from cassiawalk.http1.exchange import Exchange
 from cassiawalk.http1.exchange import ExchangeHandler
+from cassiawalk.sockets import set_reset_on_close
 
 LINGER_TIMEOUT_S = 1.0  # discard what still arrives: a reset could make the caller lose its answer
 MAX_PIPELINED_BYTES = 65536
@@ -124,7 +124,7 @@
             return
         data = self._http.send(event)
         if isinstance(event, h11.Response) and self._is_ended_by_close(event):
-            self._set_reset_on_close(True)
+            set_reset_on_close(self._transport.get_extra_info("socket"))
         if data:
             self._transport.write(data)
         if isinstance(event, h11.EndOfMessage):
@@ -240,7 +240,7 @@
         close_after = self._http.our_state is not h11.DONE
         self._exchange, self._task = None, None
         if close_after:
-            self._set_reset_on_close(False)
+            set_reset_on_close(self._transport.get_extra_info("socket"), False)
             self._linger()
             return
         self._enter_stage(_Stage.IDLE, self._listener.limits.idle_timeout_s)
@@ -253,11 +253,6 @@
         is_old = self._http.their_http_version == b"1.0"
         return is_old and heads.header_value(list(head.headers), b"content-length") is None
 
-    def _set_reset_on_close(self, enabled: bool) -> None:
-        """Make any close a reset, also that by the end of this process, or an orderly one again."""
-        sock = self._transport.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", enabled, 0))
-
     def _refuse(self, status: int, reason: str) -> None:
         """Answer a malformed or late request with an error and close the connection."""
         eliot.log_message(message_type="caller:malformed", status=status, reason=reason)
--- a/src/cassiawalk/sockets.py
+++ b/src/cassiawalk/sockets.py
@@ -1,6 +1,8 @@
 """Listening sockets."""
 
 import socket
+import struct
+import typing as t
 
 from cassiawalk.settings import Address
 
@@ -26,3 +28,12 @@
     """Return a listening socket's address as ``ip:port``."""
     ip, port = sock.getsockname()[:2]
     return f"{ip}:{port}"
+
+
+class _HasOptions(t.Protocol):
+    def setsockopt(self, level: int, name: int, value: bytes, /) -> None: ...
+
+
+def set_reset_on_close(sock: _HasOptions, enabled: bool = True) -> None:
+    """Make any close a reset, also that by the end of this process, or an orderly one again."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", enabled, 0))
--- a/standins/unframed_upstream.py
+++ b/standins/unframed_upstream.py
@@ -5,7 +5,6 @@
 import dataclasses
 import random
 import socket
-import struct
 import typing as t
 
 import h11
@@ -14,6 +13,7 @@
 from cassiawalk.http1 import ExchangeHandler
 from cassiawalk.http1 import Headers
 from cassiawalk.http1.exchange import AnswerWriter
+from cassiawalk.sockets import set_reset_on_close
 from standins.platform_upstream import PlatformUpstream
 
 READ_BYTES = 65536
@@ -176,8 +176,7 @@
         if not reset:
             self._writer.close()
             return
-        sock = self._writer.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        set_reset_on_close(self._writer.get_extra_info("socket"))
         self._writer.transport.abort()
 
     def close_idle(self) -> None:
--- a/tests/ingress_bed.py
+++ b/tests/ingress_bed.py
@@ -5,8 +5,6 @@
 import contextlib
 import dataclasses
 import random
-import socket
-import struct
 import time
 import typing as t
 
@@ -53,6 +51,7 @@
 from cassiawalk.settings import Address
 from cassiawalk.sockets import bound_address
 from cassiawalk.sockets import listen
+from cassiawalk.sockets import set_reset_on_close
 from standins.raw_caller import Answer as Answer
 from standins.raw_caller import Caller as Caller
 from standins.raw_caller import find_header
@@ -148,8 +147,7 @@
         self.writer.write(b"".join(parts))
 
     def reset(self) -> None:
-        sock = self.writer.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        set_reset_on_close(self.writer.get_extra_info("socket"))
         self.writer.transport.abort()
 
 
--- a/tests/test_http1_server.py
+++ b/tests/test_http1_server.py
@@ -1,13 +1,12 @@
 """What the HTTP server accepts from callers, and its answers to malformed requests."""
 
 import asyncio
-import socket
-import struct
 
 import pytest
 
 from cassiawalk.http1 import CallerLimits
 from cassiawalk.ingress.config import RetryRule
+from cassiawalk.sockets import set_reset_on_close
 from tests.ingress_bed import HOST
 from tests.ingress_bed import KEY
 from tests.ingress_bed import IngressBed
@@ -107,8 +106,7 @@
             caller.send(upload[:size])
             await asyncio.sleep(0.001)
             if reset:
-                sock = caller.writer.get_extra_info("socket")
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                set_reset_on_close(caller.writer.get_extra_info("socket"))
                 caller.writer.transport.abort()
             else:
                 caller.writer.write_eof()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,4 +1,3 @@
-import asyncio
 import dataclasses
 
 import hypothesis.strategies as st
@@ -9,13 +8,10 @@
 from hypothesis.stateful import rule
 
 from cassiawalk.clients import HostEntry
-from cassiawalk.clients import HostRole
 from cassiawalk.clients import HostState
 from cassiawalk.clients import LoadReport
 from cassiawalk.clients import ReclaimNotice
 from cassiawalk.clock import Clock
-from cassiawalk.clock import LoopClock
-from cassiawalk.ids import FailureDomain
 from cassiawalk.ids import HostId
 from cassiawalk.membership import LeavingMark
 from cassiawalk.membership import LeavingSource
@@ -24,17 +20,12 @@
 from cassiawalk.membership.hosts import POLLER_COUNT
 from cassiawalk.membership.marks import MARK_LIFETIME_S
 from cassiawalk.membership.marks import MAX_NOTICE_AGE_S
-from cassiawalk.peer import MembershipFeed
-from cassiawalk.peer import NoteStore
-from cassiawalk.peer import PeerFailure
-from cassiawalk.peer import PeerLinks
-from cassiawalk.peer import ShareCall
 from cassiawalk.routing import UpstreamState
 from cassiawalk.routing import UpstreamTable
 from cassiawalk.routing import UpstreamView
-from tests.upstream_fakes import FakeCloud
 from tests.upstream_fakes import FakeHostList
 from tests.upstream_fakes import entry
+from tests.upstream_fakes import entry_host
 
 ENGINE = HostId("e")
 
@@ -57,16 +48,6 @@
     return Membership(host=HostId("host-0"), host_list=host_list, clock=clock), host_list
 
 
-def _entry_host(name: str, domain: str) -> HostEntry:
-    return HostEntry(
-        host=HostId(name),
-        role=HostRole.ENTRY,
-        failure_domain=FailureDomain(domain),
-        address=f"{name}:1",
-        peer_address=f"{name}:2",
-    )
-
-
 @pytest.mark.parametrize("source", list(LeavingSource))
 async def test_mark_of_any_source_survives_a_list_that_still_has_the_host_as_live(
     source: LeavingSource,
@@ -165,7 +146,7 @@
 
 async def test_pollers_are_few_and_of_different_domains() -> None:
     membership, host_list = _membership(SteppedClock())
-    host_list.listed = tuple(_entry_host(f"host-{i}", "abcd"[i % 4]) for i in range(1000))
+    host_list.listed = tuple(entry_host(f"host-{i}", "abcd"[i % 4]) for i in range(1000))
     await membership.refresh()
     domains = {membership.all_entries()[host].failure_domain for host in membership.pollers()}
     assert len(domains) == len(membership.pollers()) == POLLER_COUNT
@@ -174,8 +155,8 @@
 async def test_host_polls_only_while_it_receives_nothing_from_pollers() -> None:
     clock = SteppedClock()
     membership, host_list = _membership(clock)
-    others = [_entry_host(f"host-{i}", "abcd"[i % 4]) for i in range(1, 40)]
-    host_list.listed = (*others, _entry_host("host-0", "a"))
+    others = [entry_host(f"host-{i}", "abcd"[i % 4]) for i in range(1, 40)]
+    host_list.listed = (*others, entry_host("host-0", "a"))
     await membership.refresh()
     assert HostId("host-0") not in membership.pollers()
     assert membership.is_polling
@@ -200,115 +181,6 @@
     assert [view.takes_work for view in table.all()] == [takes_work]
 
 
-class LocalLinks(PeerLinks):
-    """Delivers calls to feeds in this process; hosts in ``down`` are unreachable."""
-
-    def __init__(self, *, membership: Membership, feeds: dict[HostId, MembershipFeed]) -> None:
-        super().__init__(membership=membership, secret="secret")
-        self.feeds = feeds
-        self.down: set[HostId] = set()
-
-    async def call(self, host, message, reply, *, timeout_s):  # type: ignore[no-untyped-def]
-        if host in self.down or not isinstance(message, ShareCall):
-            return PeerFailure(reason="down", sent=False)
-        return await self.feeds[host].handle_share(message)
-
-    async def stream(self, host, message):  # type: ignore[no-untyped-def]
-        if host in self.down:
-            yield PeerFailure(reason="down", sent=False)
-            return
-        async for part in self.feeds[host].serve(message):
-            yield part.item
-
-
-@dataclasses.dataclass(kw_only=True)
-class _Node:
-    """One host's membership and feed."""
-
-    membership: Membership
-    feed: MembershipFeed
-    links: LocalLinks
-    host_list: FakeHostList
-
-
-async def _nodes(count: int) -> dict[HostId, _Node]:
-    clock = LoopClock()
-    listed = (
-        *(_entry_host(f"host-{i}", "abcd"[i % 4]) for i in range(count)),
-        entry("e"),
-    )
-    feeds: dict[HostId, MembershipFeed] = {}
-    nodes = {}
-    for item in listed[:count]:
-        host_list = FakeHostList()
-        host_list.listed = listed
-        membership = Membership(host=item.host, host_list=host_list, clock=clock)
-        links = LocalLinks(membership=membership, feeds=feeds)
-        feeds[item.host] = MembershipFeed(
-            host=item.host,
-            membership=membership,
-            links=links,
-            note_store=NoteStore(clock=clock),
-            cloud=FakeCloud(),
-            clock=clock,
-        )
-        nodes[item.host] = _Node(
-            membership=membership, feed=feeds[item.host], links=links, host_list=host_list
-        )
-    for node in nodes.values():
-        await node.membership.start()
-        await node.feed.start()
-    return nodes
-
-
-async def _stop(nodes: dict[HostId, _Node]) -> None:
-    for node in nodes.values():
-        await node.feed.stop()
-        await node.membership.stop()
-
-
-@pytest.mark.looptime
-async def test_mark_seen_by_one_follower_reaches_all_hosts() -> None:
-    nodes = await _nodes(9)
-    await asyncio.sleep(2.0)
-    pollers = next(iter(nodes.values())).membership.pollers()
-    follower = next(node for host, node in nodes.items() if host not in pollers)
-    follower.membership.mark_leaving(ENGINE, LeavingSource.UPSTREAM)
-    await asyncio.sleep(1.0)
-    assert all(node.membership.is_leaving(ENGINE) for node in nodes.values())
-    await _stop(nodes)
-
-
-@pytest.mark.looptime
-async def test_mark_is_sent_again_to_a_poller_that_was_unreachable() -> None:
-    nodes = await _nodes(9)
-    await asyncio.sleep(2.0)
-    pollers = next(iter(nodes.values())).membership.pollers()
-    follower = next(node for host, node in nodes.items() if host not in pollers)
-    follower.links.down = set(pollers)
-    follower.membership.mark_leaving(ENGINE, LeavingSource.UPSTREAM)
-    await asyncio.sleep(2.0)
-    assert not nodes[pollers[0]].membership.is_leaving(ENGINE)
-    follower.links.down = set()
-    await asyncio.sleep(10.0)
-    assert all(node.membership.is_leaving(ENGINE) for node in nodes.values())
-    await _stop(nodes)
-
-
-@pytest.mark.looptime
-async def test_followers_receive_list_changes_without_reading_the_list() -> None:
-    nodes = await _nodes(9)
-    await asyncio.sleep(2.0)
-    pollers = next(iter(nodes.values())).membership.pollers()
-    for host, node in nodes.items():
-        listed = node.host_list.listed
-        assert listed is not None
-        node.host_list.listed = (*listed, entry("new")) if host in pollers else None
-    await asyncio.sleep(3.0)
-    assert all(node.membership.entry(HostId("new")) for node in nodes.values())
-    await _stop(nodes)
-
-
 _NAMES = st.sampled_from(["a", "b", "c", "d"])
 
 
--- a/tests/upstream_fakes.py
+++ b/tests/upstream_fakes.py
@@ -364,3 +364,14 @@
     async def stop(self) -> t.Any:
         """Stop the tasks of all components."""
         await asyncio.gather(self.migrator.cancel_tasks(), self.guard.cancel_tasks())
+
+
+def entry_host(name: str, domain: str) -> HostEntry:
+    """Return an entry of the list for a host that accepts callers."""
+    return HostEntry(
+        host=HostId(name),
+        role=HostRole.ENTRY,
+        failure_domain=FailureDomain(domain),
+        address=f"{name}:1",
+        peer_address=f"{name}:2",
+    )
