Drop the link to a host when another process calls from there

Cause, from the logs: front-kolkata-1 lost power at 8.1 s and came back at 11.8 s as another process, which read the store first. Its old connections had not been closed, so four hosts that copy from it waited 1.0 s for a reply on a connection of the old process (copier:failed at 14.02 s); one chose it again and waited until its ping timed out at 14.85 s (keepalive ping timeout). Those that chose another host knew within 0.3 s.

A heartbeat that a host receives from another process of the same host now drops the link to it, so that the next call opens a new one. A reply on the link itself drops nothing, as it came over it. The two new tests fail without the call and without the drop.

--- a/src/cassiawalk/ingress/heartbeats.py
+++ b/src/cassiawalk/ingress/heartbeats.py
@@ -46,7 +46,6 @@
 CALL_BACK_AFTER_S = 1.2
 DEPARTED_TIMEOUT_S = 8.0
 
-
 HeartbeatListener = cabc.Callable[[Heartbeat], None]
 
 
@@ -185,7 +184,7 @@
 
     async def handle(self, heartbeat: Heartbeat) -> Heartbeat:
         """Receive another host's heartbeat and answer with this one's."""
-        self._receive(heartbeat)
+        self._receive(heartbeat, is_reply=False)
         own = self._compose_with_aggregate()
         if self.full_mesh or not self.is_hub:
             return own
@@ -225,8 +224,7 @@
             for host in self.live_hosts:
                 counted = self.peers[host].heartbeat.counted
                 found.update(() if counted is None else counted.hosts)
-        found.discard(self._host)
-        return found
+        return found - {self._host}
 
     def _may_be_live(self, host: HostId) -> bool:
         """Return whether a host has been seen, or has written its record, recently enough.
@@ -327,7 +325,7 @@
             self._hub_ranking.note_failure(host)
         else:
             self._hub_ranking.note_success(host)
-        self._receive(reply)
+        self._receive(reply, is_reply=True)
 
     def _add_aggregate_for(self, host: HostId, heartbeat: Heartbeat) -> Heartbeat:
         """Add the aggregate of all other hosts, if this is the receiver's primary hub."""
@@ -336,12 +334,14 @@
             return heartbeat
         return self._with_aggregate_of_others(heartbeat, view.heartbeat)
 
-    def _receive(self, heartbeat: Heartbeat) -> None:
+    def _receive(self, heartbeat: Heartbeat, *, is_reply: bool) -> None:
         known = self.peers.get(heartbeat.host)
         if known is None or known.heartbeat.incarnation != heartbeat.incarnation:
             eliot.log_message(
                 message_type="peer:joined", peer=heartbeat.host, incarnation=heartbeat.incarnation
             )
+            if known is not None and not is_reply:
+                self._links.drop(heartbeat.host)
         self._records.note_strength(heartbeat.host, heartbeat.strength)
         self._membership.add_entry(
             entry_of(heartbeat.host, heartbeat.failure_domain, heartbeat.peer_address)
--- a/src/cassiawalk/peer/links.py
+++ b/src/cassiawalk/peer/links.py
@@ -152,6 +152,16 @@
                 if answer.item is not None:
                     yield answer.item
 
+    def drop(self, host: HostId) -> None:
+        """Open a new connection for the next call to a host, as another process has its address.
+
+        The old connection may be silent for seconds: a host that lost power did not close it.
+        """
+        link = self._links.pop(host, None)
+        if link is not None and not link.closed:
+            eliot.log_message(message_type="peer:link-dropped", peer=host)
+            link.conn.transport.abort()
+
     async def stop(self) -> None:
         """Close all connections."""
         for link in self._links.values():
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -137,6 +137,9 @@
         self._fleet = fleet
         self._host = host
 
+    def drop(self, host: HostId) -> None:
+        """Do nothing: a call here finds the process that has the address now."""
+
     async def call(self, host: HostId, message: t.Any, reply: type, *, timeout_s: float) -> t.Any:
         self._fleet.calls += 1
         await asyncio.sleep(LINK_DELAY_S)
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -1,6 +1,7 @@
 """What hosts know of each other from heartbeats: in small and large fleets, and with failures."""
 
 import asyncio
+import dataclasses
 import random
 import typing as t
 
@@ -137,6 +138,10 @@
     def __init__(self, fleet: Fleet, host: HostId) -> None:
         self._fleet = fleet
         self._host = host
+        self.dropped: list[HostId] = []
+
+    def drop(self, host: HostId) -> None:
+        self.dropped.append(host)
 
     async def call(
         self, host: HostId, message: t.Any, reply: type, *, timeout_s: float
@@ -152,6 +157,20 @@
     return HostId(f"h-{number:03}")
 
 
+async def test_link_to_a_host_is_dropped_when_another_process_calls_from_there() -> None:
+    """Guards against calls to a host that lost power over a connection that is silent since."""
+    fleet = Fleet(2)
+    await fleet.join()
+    _, second = fleet.live()
+    links = t.cast(_Links, second._links)
+    heartbeat = fleet._compose(_name(0))
+    await second.handle(heartbeat)
+    assert links.dropped == []
+    await second.handle(dataclasses.replace(heartbeat, incarnation="i-2"))
+    await second.handle(dataclasses.replace(heartbeat, incarnation="i-2"))
+    assert links.dropped == [_name(0)]
+
+
 @pytest.mark.parametrize("count", [2, 9, 12, 20, 60])
 async def test_all_hosts_know_the_consumption_of_all(count: int) -> None:
     fleet = Fleet(count)
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -15,6 +15,7 @@
 from cassiawalk.ids import HostId
 from cassiawalk.ids import RequestId
 from cassiawalk.ids import WorkspaceName
+from cassiawalk.ingress.hosts import entry_of
 from cassiawalk.membership import Membership
 from cassiawalk.peer import AttachCall
 from cassiawalk.peer import LocateCall
@@ -27,6 +28,7 @@
 from cassiawalk.peer import StreamPart
 from cassiawalk.peer import links as links_module
 from cassiawalk.peer import messages
+from soak.fault_proxy import FaultProxy
 from tests.handover_hosts import StaticHosts
 
 SECRET = "peer-secret"
@@ -87,6 +89,24 @@
             self.ended.set()
 
 
+async def test_dropped_link_to_a_silent_process_is_replaced_by_the_next_call() -> None:
+    async with Pair() as pair:
+        proxy = FaultProxy(target=pair.address)
+        await proxy.start()
+        pair.membership.add_entry(entry_of(PEER, "north", proxy.address))
+        assert isinstance(
+            await pair.links.call(PEER, LOCATE, LocateReply, timeout_s=2), LocateReply
+        )
+        proxy.blackhole()
+        lost = await pair.links.call(PEER, LOCATE, LocateReply, timeout_s=0.2)
+        assert isinstance(lost, PeerFailure)
+        pair.links.drop(PEER)
+        assert isinstance(
+            await pair.links.call(PEER, LOCATE, LocateReply, timeout_s=2), LocateReply
+        )
+        await proxy.stop()
+
+
 @pytest.mark.parametrize(
     "message",
     [
