Take back the copying of lapsed entries, and keep their return

Reverted but for one part, which stands on its own: an entry that is back after it lapsed counts as a change, so that hosts which dropped it get it back. Its test fails without it: such hosts went without the upstream until its entry changed in another way.

--- a/src/cassiawalk/ingress/copying.py
+++ b/src/cassiawalk/ingress/copying.py
@@ -11,7 +11,6 @@
 from cassiawalk.clock import Clock
 from cassiawalk.ids import HostId
 from cassiawalk.ids import Offset
-from cassiawalk.ids import UpstreamId
 from cassiawalk.ingress.config import ConfigView
 from cassiawalk.ingress.directory import Directory
 from cassiawalk.ingress.follow import ConfigFollower
@@ -31,7 +30,6 @@
 CALL_TIMEOUT_S = 1.0
 NO_REVISION = -1
 DEFLATE_LEVEL = 1
-MAX_SINCE_RECOVERY_S = 3600.0
 MAX_CONFIG_BYTES = 16 * 1024 * 1024
 
 
@@ -64,14 +62,10 @@
 
     :param config: the encoded configuration, deflated; None if it is no newer.
     :param records: the entries and removals of upstreams that changed.
-    :param lapsed: the upstreams that the host keeps though their entries may have expired.
-    :param since_recovery_s: how long ago the host's source recovered, in seconds.
     """
 
     config: bytes | None
     records: tuple[CopiedRecord, ...]
-    lapsed: tuple[UpstreamId, ...] = ()
-    since_recovery_s: float = 0.0
 
 
 class PeerCopier(Component):
@@ -155,8 +149,6 @@
                 CopiedRecord(key=record.key, value=record.value, offset=record.offset)
                 for record in changed
             ),
-            lapsed=tuple(self._directory.lapsed),
-            since_recovery_s=min(MAX_SINCE_RECOVERY_S, self._directory.since_recovery_s),
         )
 
     def _deflate_config(self) -> bytes | None:
@@ -233,10 +225,6 @@
         if reply.config is not None:
             self._apply_config(reply.config, host)
         self.directory_follower.apply_copy(
-            (
-                KeyedRecord(key=record.key, value=record.value, offset=record.offset)
-                for record in reply.records
-            ),
-            lapsed=frozenset(reply.lapsed),
-            since_recovery_s=reply.since_recovery_s,
+            KeyedRecord(key=record.key, value=record.value, offset=record.offset)
+            for record in reply.records
         )
--- a/src/cassiawalk/ingress/directory.py
+++ b/src/cassiawalk/ingress/directory.py
@@ -169,21 +169,9 @@
         """Return all upstreams."""
         return list(self._by_id.values())
 
-    @property
-    def lapsed(self) -> frozenset[UpstreamId]:
-        """Return the upstreams that are kept though their entries may have expired."""
-        return frozenset(self._stale)
-
-    @property
-    def since_recovery_s(self) -> float:
-        """Return the time since the source's recovery in seconds; infinite if it was never away."""
-        if self._source_recovered_at is None:
-            return math.inf
-        return self._clock.monotonic() - self._source_recovered_at
-
-    def note_source_recovered(self, *, ago_s: float = 0.0) -> None:
-        """Record that the source answers again after an outage, since ``ago_s`` seconds."""
-        self._source_recovered_at = self._clock.monotonic() - ago_s
+    def note_source_recovered(self) -> None:
+        """Record that the source answers again after an outage."""
+        self._source_recovered_at = self._clock.monotonic()
 
     def note_restored(self) -> None:
         """Expect the list of an older copy of the source.
@@ -224,12 +212,7 @@
         return True
 
     def remove(
-        self,
-        upstream_id: UpstreamId,
-        offset: Offset,
-        *,
-        may_have_expired: bool = True,
-        is_lapsed: bool = False,
+        self, upstream_id: UpstreamId, offset: Offset, *, may_have_expired: bool = True
     ) -> None:
         """Apply an entry's removal.
 
@@ -238,7 +221,6 @@
 
         :param may_have_expired: False if the upstream is known to have renewed its entry until
             then.
-        :param is_lapsed: whether another host keeps the upstream as stale for this removal.
         """
         if offset <= self._offsets.get(upstream_id, Offset(-1)):
             return
@@ -246,7 +228,7 @@
         self.advance_to(offset)
         if upstream_id not in self._by_id:
             return
-        expired = is_lapsed or (may_have_expired and self._may_be_expiry())
+        expired = may_have_expired and self._may_be_expiry()
         if expired and not self._by_id[upstream_id].leaving:
             self._stale.add(upstream_id)
             eliot.log_message(message_type="directory:lapsed", upstream=upstream_id)
@@ -260,7 +242,7 @@
 
     def remove_stale(self) -> None:
         """Remove stale entries if they have not been renewed ``STALE_GRACE_S`` s after recovery."""
-        if not self._stale or self.since_recovery_s < STALE_GRACE_S:
+        if not self._stale or self._since_recovery_s() < STALE_GRACE_S:
             return
         for upstream_id in self._stale:
             self._discard(upstream_id)
@@ -278,7 +260,12 @@
         return departed_at is not None and self._clock.monotonic() - departed_at < DEPARTED_S
 
     def _may_be_expiry(self) -> bool:
-        return self._is_restored or self.since_recovery_s < EXPIRY_WINDOW_S
+        return self._is_restored or self._since_recovery_s() < EXPIRY_WINDOW_S
+
+    def _since_recovery_s(self) -> float:
+        if self._source_recovered_at is None:
+            return math.inf
+        return self._clock.monotonic() - self._source_recovered_at
 
     def _apply_presence(self, known: Upstream, registration: Registration) -> None:
         leaving = registration.presence is Presence.LEAVING
--- a/src/cassiawalk/ingress/follow.py
+++ b/src/cassiawalk/ingress/follow.py
@@ -94,7 +94,6 @@
     async def _follow(self) -> None:
         while True:
             if self._next is not None and not self._options.should_read():
-                self.on_paused()
                 await self._clock.sleep(self.poll_interval_s)
                 continue
             started_at = self._clock.monotonic()
@@ -181,9 +180,6 @@
     def on_caught_up(self) -> None:
         """Called after each successful read, when all records up to now have been applied."""
 
-    def on_paused(self) -> None:
-        """Called regularly while this host leaves the reading to others."""
-
     def on_source_recovered(self, batch: KeyedList | KeyedChanges) -> None:
         """Called when the source answers again after an outage, before ``batch`` is applied."""
 
@@ -273,24 +269,12 @@
         removed = [KeyedRecord(key=key, value=None, offset=at) for key, at in self._removed.items()]
         return tuple(record for record in [*self._raw.values(), *removed] if record.offset > offset)
 
-    def apply_copy(
-        self,
-        records: cabc.Iterable[KeyedRecord],
-        *,
-        lapsed: cabc.Set[UpstreamId] = frozenset(),
-        since_recovery_s: float = 0.0,
-    ) -> None:
-        """Apply records that another host has read, except those older than known ones.
-
-        :param lapsed: the upstreams that the other host keeps though their entries are removed.
-        :param since_recovery_s: how long ago the other host's source recovered, in seconds.
-        """
+    def apply_copy(self, records: cabc.Iterable[KeyedRecord]) -> None:
+        """Apply records that another host has read, except those older than known ones."""
         self.on_batch()
-        if lapsed and since_recovery_s < self._directory.since_recovery_s:
-            self._directory.note_source_recovered(ago_s=since_recovery_s)
         for record in sorted(records, key=lambda record: record.offset):
             newer = record.offset > self._directory.offset_of(UpstreamId(record.key))
-            self.apply_record(record, is_lapsed=UpstreamId(record.key) in lapsed)
+            self.apply_record(record)
             # Only the newest record of each entry is copied, without those in between. So a record
             # that was a change at the other host may change nothing here. It is kept with its
             # offset all the same, for hosts that copy from this one.
@@ -304,22 +288,14 @@
         """Count renewals anew."""
         self._renewals.clear()
 
-    def apply_record(self, record: KeyedRecord, *, is_lapsed: bool = False) -> None:
-        """Apply an upstream's entry or its removal.
-
-        :param is_lapsed: whether another host keeps the upstream as stale for its removal.
-        """
+    def apply_record(self, record: KeyedRecord) -> None:
+        """Apply an upstream's entry or its removal."""
         upstream_id = UpstreamId(record.key)
         if record.value is None:
             if record.offset > self._directory.offset_of(upstream_id):
                 self._record_removal(record.key, record.offset)
             may_have_expired = self._renewals[record.key] < MIN_OWN_RENEWALS
-            self._directory.remove(
-                upstream_id,
-                record.offset,
-                may_have_expired=may_have_expired,
-                is_lapsed=is_lapsed,
-            )
+            self._directory.remove(upstream_id, record.offset, may_have_expired=may_have_expired)
             return
         self._renewals[record.key] += 1
         registration = self._decode(record.key, record.value)
@@ -352,10 +328,6 @@
         """Remove stale entries that were not renewed in time."""
         self._directory.remove_stale()
 
-    def on_paused(self) -> None:
-        """Remove stale entries that were not renewed in time, as copies show no renewals."""
-        self._directory.remove_stale()
-
     def on_restored(self) -> None:
         """Expect an older copy of the list, in which upstreams may be missing or be back."""
         self._directory.note_restored()
