Judge the splitter's old tests by the grammar, beside the new ones

Four asked that what is passed on ends with the whole CRLF CRLF at each read; CR alone ends a line, so an event whose last CRLF a read splits is whole at its CR, and the LF follows. They now ask, after each read, that all that was passed on ends with an empty line by the grammar, and still that every byte and id arrives. The fifth calls take_incomplete, as drop_incomplete is gone, and also checks what was dropped.

--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -55,3 +55,23 @@
     assert splitter.feed(b"data: x\r\n\r") == b"data: x\r\n\r"
     splitter.take_incomplete()
     assert splitter.feed(b"\nid: 2") == b"\n"
+
+
+@pytest.mark.parametrize("size", [1, 2, 3, 7, 1000])
+@pytest.mark.parametrize("end", [b"\n\n", b"\r\n\r\n"])
+def test_events_are_split_whole_whatever_the_chunk_size(size: int, end: bytes) -> None:
+    data = b"".join(b"id: %d\ndata: x" % number + end for number in range(1, 6))
+    splitter, passed = EventSplitter(), b""
+    for at in range(0, len(data), size):
+        whole = splitter.feed(data[at : at + size])
+        passed += whole
+        assert ends_with_empty_line(passed)
+    assert passed == data
+    assert (splitter.last_id, splitter.events) == (b"5", 5)
+
+
+def test_incomplete_event_is_held_back() -> None:
+    splitter = EventSplitter()
+    assert splitter.feed(b"id: 1\n\nid: 2\nda") == b"id: 1\n\n"
+    assert splitter.take_incomplete() == b"id: 2\nda"
+    assert splitter.feed(b"id: 2\n\n") == b"id: 2\n\n"
