--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -15,7 +15,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class UpstreamRun:
-    """A request that an upstream began to run, and when, in monotonic seconds."""
+    """A request at an upstream, and when it arrived, in monotonic seconds."""
 
     request_id: str
     body: bytes
@@ -27,7 +27,8 @@
 
     ``executed_ids`` and ``workspaces`` list the ids and workspaces of the requests that it ran.
     ``runs`` lists them with their bodies and times, and ``crashed_at`` when it crashed, in
-    monotonic seconds.
+    monotonic seconds. ``arrivals`` lists all requests that reached it, also those that it rejected.
+    While ``refuses`` is set, it rejects each request as not run.
 
     :param events: the number of events in a stream.
     :param event_s: the time between two events, in seconds.
@@ -64,6 +65,8 @@
         self.executed_ids: list[str] = []
         self.workspaces: list[str] = []
         self.runs: list[UpstreamRun] = []
+        self.arrivals: list[UpstreamRun] = []
+        self.refuses = False
         self.crashed_at: list[float] = []
 
     @property
@@ -114,11 +117,15 @@
         """Run one request; 421 if it is meant for another upstream."""
         request_id = header_value(exchange.headers, b"x-request-id") or b""
         echoed = (b"X-Request-Id", request_id)
+        run = UpstreamRun(request_id=request_id.decode(), body=exchange.body, at=time.monotonic())
+        self.arrivals.append(run)
         if header_value(exchange.headers, b"x-expect-instance") != self.upstream_id.encode():
             exchange.answer(421, [echoed], b"")
             return
-        self.executed_ids.append(request_id.decode())
-        run = UpstreamRun(request_id=request_id.decode(), body=exchange.body, at=time.monotonic())
+        if self.refuses:
+            exchange.answer(503, [echoed, (b"X-Not-Executed", b"1")], b"")
+            return
+        self.executed_ids.append(run.request_id)
         self.runs.append(run)
         self.workspaces.append((header_value(exchange.headers, b"x-tenant") or b"").decode())
         if self._crash_on is not None and self._crash_on in exchange.body:
