Give restarted and cut-off hosts no new allowance of repeats (BUDGET)

Callers saw: upstreams that refused got more repeats than the operators' limit: 145 in 10 s where 114 are allowed (five hosts killed all at once, every 3 s), 106 where 98.6 are (frozen and killed by halves); the users saw the same.

Cause: the fixed part of the limit was divided by the hosts that a process knew at the moment, and a new process knew nothing of what the one before it had used. Class: a state counted in one process taken for the whole fleet's.

Change: a process has no fixed part for its first window, so no window holds the fixed parts of two processes of one host. A silent host is counted for 60 s, and each host counts as many as any host that it hears. A host that hears neither hosts nor the store for 20 s has no fixed part, long before the others stop counting it. Time includes suspension. The part by ratio needs none of this: it counts requests and repeats of the same process.

Weighed: a lease of the allowance by the holder of the duties (nothing is left in an outage of the store), counters in the store (a call for each repeat), half of the limit only (callers pay for it in calm). In calm the allowance is as before.

In the constructor of RetryBudgets 'hosts' became 'share'; the checks are unchanged.

--- a/src/cassiawalk/ingress/budgets.py
+++ b/src/cassiawalk/ingress/budgets.py
@@ -1,8 +1,8 @@
 """Limits the retries that this host sends to a service.
 
 In each window, the retries of all hosts together may number up to a fraction of the callers'
-requests plus a fixed amount. Each host applies the fraction to its own requests and takes an equal
-part of the fixed amount, so the sum stays within the limit without communication between hosts.
+requests plus a fixed amount. Each host applies the fraction to its own requests and takes its share
+of the fixed amount, see ``HostCensus``.
 """
 
 import collections
@@ -11,7 +11,7 @@
 from cassiawalk.clock import Clock
 from cassiawalk.ids import ServiceName
 
-OWN_BUDGET_FRACTION = 0.75  # the rest of the limit covers hosts that join or leave within a window
+OWN_BUDGET_FRACTION = 0.75  # the rest of the limit covers hosts that join within a window
 
 
 class _Window:
@@ -38,7 +38,8 @@
     :param ratio: allowed retries per caller request, over all hosts.
     :param extra: allowed retries per window in addition to ``ratio``, over all hosts.
     :param window_s: the length of the window, in seconds.
-    :param hosts: returns the number of hosts that share ``extra``.
+    :param share: returns this host's share of ``extra``, from 0 to 1.
+    :param clock: its monotonic time must include time for which the host was suspended.
     """
 
     def __init__(
@@ -48,13 +49,13 @@
         ratio: float,
         extra: float,
         window_s: float,
-        hosts: cabc.Callable[[], int],
+        share: cabc.Callable[[], float],
     ) -> None:
         self._clock = clock
         self._ratio = ratio
         self._extra = extra
         self._window_s = window_s
-        self._hosts = hosts
+        self._share = share
         self._requests: dict[ServiceName, _Window] = {}
         self._retries: dict[ServiceName, _Window] = {}
 
@@ -72,9 +73,7 @@
         now = self._clock.monotonic()
         requests = self._window(self._requests, service).count(now)
         retries = self._window(self._retries, service)
-        allowed = OWN_BUDGET_FRACTION * (
-            self._ratio * requests + self._extra / max(1, self._hosts())
-        )
+        allowed = OWN_BUDGET_FRACTION * (self._ratio * requests + self._extra * self._share())
         if retries.count(now) + 1 > allowed:
             return False
         retries.add(now)
--- a/src/cassiawalk/ingress/follow.py
+++ b/src/cassiawalk/ingress/follow.py
@@ -50,6 +50,7 @@
     :param pause_s: the pause after each read, in which new records accumulate.
     :param should_read: returns whether this host reads now; the first read ignores it.
     :param on_change: called after a read that changed something.
+    :param on_read: called after each read that the source answered.
     """
 
     stream: str
@@ -57,6 +58,7 @@
     pause_s: float
     should_read: cabc.Callable[[], bool] = lambda: True
     on_change: cabc.Callable[[], None] = lambda: None
+    on_read: cabc.Callable[[], None] = lambda: None
 
 
 class StreamFollower(Component, abc.ABC):
@@ -104,6 +106,7 @@
                 await self._handle_failure(batch, started_at)
                 continue
             self._handle_recovery(batch)
+            self._options.on_read()
             self._apply(batch)
             await self._clock.sleep(self._options.pause_s)
 
--- a/src/cassiawalk/ingress/heartbeat.py
+++ b/src/cassiawalk/ingress/heartbeat.py
@@ -37,6 +37,7 @@
     :param share: with ``rest``, the fraction of all hosts that the hubs have heartbeats from.
     :param hosts: with ``rest``, the number of hosts that the hubs have heartbeats from.
     :param strength: the sender's capacity to serve other hosts, see ``HostProfile``.
+    :param census: the number of hosts that the sender counts itself, see ``HostCensus``.
     """
 
     host: HostId
@@ -62,6 +63,7 @@
     hosts: int = 0
     strength: float = 1.0
     notes: str | None = None
+    census: int = 0
 
     @property
     def process(self) -> str:
--- a/src/cassiawalk/ingress/node.py
+++ b/src/cassiawalk/ingress/node.py
@@ -16,6 +16,7 @@
 from cassiawalk.ids import new_uuid7
 from cassiawalk.ingress.aggregates import UpstreamUse
 from cassiawalk.ingress.budgets import RetryBudgets
+from cassiawalk.ingress.census import HostCensus
 from cassiawalk.ingress.codec import HeadCodec
 from cassiawalk.ingress.config import ConfigView
 from cassiawalk.ingress.copying import CopyCall
@@ -166,6 +167,7 @@
             time=self.time,
             strength=profile.strength,
         )
+        self._records = records
         self.membership = Membership(
             host=profile.host_id,
             host_list=records,
@@ -202,12 +204,17 @@
             share=lambda: self.heartbeats.known_share,
             tolerance=bounds.quota_tolerance,
         )
+        self.census = HostCensus(
+            host=self._profile.host_id,
+            window_s=bounds.repeat_window_s,
+            clock=self._boot_clock,
+        )
         self.budgets = RetryBudgets(
-            clock=self._clock,
+            clock=self._boot_clock,
             ratio=bounds.repeat_ratio,
             extra=bounds.repeat_extra,
             window_s=bounds.repeat_window_s,
-            hosts=lambda: self.heartbeats.host_count,
+            share=self.census.share,
         )
         receiver = HeartbeatReceiver(
             heartbeats=self.heartbeats,
@@ -215,6 +222,7 @@
             usage=self.usage,
             quotas=self.quotas,
             directory=self.directory,
+            census=self.census,
         )
         self.heartbeats.add_listener(receiver.receive)
         intake = Intake(
@@ -280,6 +288,7 @@
             pause_s=pause_s,
             should_read=lambda: self.copier.reads_store,
             on_change=self.heartbeats.send_now,
+            on_read=self.census.note_store,
         )
 
     def _build_duties(self) -> None:
@@ -320,8 +329,16 @@
             usage=self.usage.own_counts(),
             strength=self._profile.strength,
             notes=self.crashes.exchange.digest(),
+            census=self._count_hosts(),
         )
 
+    def _count_hosts(self) -> int:
+        """Take the hosts' records into the census, and return how many hosts this one counts."""
+        self.census.note_listed(self.membership.all_entries())
+        for host, written_s in self._records.written_s.items():
+            self.census.note_alive((host,), age_s=max(0.0, self.time.now() - written_s))
+        return self.census.count()
+
     def _upstream_use(self) -> tuple[UpstreamUse, ...]:
         return tuple(
             UpstreamUse(
--- a/src/cassiawalk/ingress/receiver.py
+++ b/src/cassiawalk/ingress/receiver.py
@@ -1,4 +1,4 @@
-"""Applies heartbeats of other hosts: time, usage, quota consumption and upstream use."""
+"""Applies heartbeats of other hosts: time, usage, quotas, upstream use and number of hosts."""
 
 import collections.abc as cabc
 
@@ -6,6 +6,7 @@
 from cassiawalk.ids import HostId
 from cassiawalk.ids import WorkspaceName
 from cassiawalk.ingress.aggregates import UpstreamUse
+from cassiawalk.ingress.census import HostCensus
 from cassiawalk.ingress.correctedtime import CorrectedTime
 from cassiawalk.ingress.directory import Directory
 from cassiawalk.ingress.heartbeat import Heartbeat
@@ -30,7 +31,9 @@
         usage: UsageCounts,
         quotas: Quotas,
         directory: Directory,
+        census: HostCensus,
     ) -> None:
+        self._census = census
         self._heartbeats = heartbeats
         self._time = time
         self._usage = usage
@@ -41,6 +44,9 @@
     def receive(self, heartbeat: Heartbeat) -> None:
         """Apply one heartbeat."""
         self._time.note_peer(heartbeat.host, heartbeat.now_s)
+        below = () if heartbeat.counted is None else heartbeat.counted.hosts
+        self._census.note_alive((heartbeat.host, *below))
+        self._census.note_count(heartbeat.host, heartbeat.census)
         self._usage.update_from_peer(heartbeat.host, heartbeat.incarnation, heartbeat.usage)
         if self._heartbeats.full_mesh or (
             self._heartbeats.is_hub and self._counts_sender(heartbeat)
--- a/tests/ingress_bed.py
+++ b/tests/ingress_bed.py
@@ -230,7 +230,7 @@
         self.report = IngressReport(clock=clock, on_started=self.started.append)
         self.quotas = Quotas(clock=clock, share=lambda: 1.0, tolerance=NO_TOLERANCE)
         self.budgets = RetryBudgets(
-            clock=clock, ratio=0.2, extra=50.0, window_s=10.0, hosts=lambda: 1
+            clock=clock, ratio=0.2, extra=50.0, window_s=10.0, share=lambda: 1.0
         )
         intake = Intake(
             config=self.view,
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -14,7 +14,9 @@
 def test_retries_of_all_hosts_stay_within_the_limit(hosts: int) -> None:
     clock = FakeClock()
     budgets = [
-        RetryBudgets(clock=clock, ratio=RATIO, extra=EXTRA, window_s=WINDOW_S, hosts=lambda: hosts)
+        RetryBudgets(
+            clock=clock, ratio=RATIO, extra=EXTRA, window_s=WINDOW_S, share=lambda: 1 / hosts
+        )
         for _ in range(hosts)
     ]
     retries: list[float] = []
@@ -31,7 +33,7 @@
 
 def test_services_have_budgets_of_their_own() -> None:
     budgets = RetryBudgets(
-        clock=FakeClock(), ratio=0.0, extra=4.0, window_s=WINDOW_S, hosts=lambda: 1
+        clock=FakeClock(), ratio=0.0, extra=4.0, window_s=WINDOW_S, share=lambda: 1.0
     )
     assert [budgets.take(SERVICE) for _ in range(4)] == [True, True, True, False]
     assert budgets.take(ServiceName("models"))
