Bound the age of what a host relies on, and copy from hosts that answer (CONFIG, DRAIN)

Callers saw: 404 for a route 2.15 s after it was acknowledged; new keys refused and old ones served 2.22 to 2.28 s after; requests at an upstream 2.65 s after its entry was removed; each from a host to which nothing had happened, right after others had been stopped or killed.

Cause: timeouts in a row. A host that saw news in a heartbeat asked its sender for a copy, waited 1.0 s, and asked nobody else meanwhile; a stopped host stayed eligible for 2.0 s, so the next choice could be as silent. Besides, a heartbeat said that its sender reads the store, not as of when it knew: a reader whose read hung on a dead path was relied on for 1.35 s and a heartbeat more. Class: two timeouts in a row exceed the bound that they serve.

Change: each heartbeat carries the ages of its sender's knowledge of both streams; ages add up over hosts and the way of the message, so hosts that confirm each other in a circle get old. A host whose knowledge is 1.3 s old reads the store itself, without waiting for news. The sum is 1.3 s + 0.1 s between checks + one read; 0.6 s are left. A host that copies in vain for 0.6 s reads too. Copies no longer wait for each other, and hosts that did not answer are asked last. Reads of the configuration wait 0.5 s at most, no longer 1.0 s.

--- a/src/cassiawalk/clients/keyed.py
+++ b/src/cassiawalk/clients/keyed.py
@@ -22,13 +22,15 @@
 
     ``missed`` is True if records before these have expired unread or the stream has been replaced,
     so that the newest record of every key has to be read again. ``restored`` is True if the stream
-    has been replaced by an older copy of it, which lacks the newest records.
+    has been replaced by an older copy of it, which lacks the newest records. ``complete`` is False
+    if the stream held more records than were returned.
     """
 
     records: tuple[KeyedRecord, ...]
     end: Offset
     missed: bool = False
     restored: bool = False
+    complete: bool = True
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/cassiawalk/ingress/copying.py
+++ b/src/cassiawalk/ingress/copying.py
@@ -1,6 +1,8 @@
 """Copies configuration and upstreams from the few hosts that read the store."""
 
+import collections.abc as cabc
 import dataclasses
+import math
 import random
 import zlib
 
@@ -15,6 +17,8 @@
 from cassiawalk.ingress.directory import Directory
 from cassiawalk.ingress.follow import ConfigFollower
 from cassiawalk.ingress.follow import DirectoryFollower
+from cassiawalk.ingress.freshness import Claims
+from cassiawalk.ingress.freshness import Freshness
 from cassiawalk.ingress.heartbeat import Heartbeat
 from cassiawalk.ingress.heartbeat import PeerView
 from cassiawalk.ingress.heartbeats import HeartbeatExchange
@@ -26,8 +30,11 @@
 READER_TIMEOUT_S = 1.0  # two heartbeat intervals; a reader that is silent for longer is replaced
 CHECK_INTERVAL_S = 0.1
 READER_COPY_DELAY_S = 0.6  # how long a reader may be behind another host before it copies from it
-COPY_INTERVAL_S = 0.4
+# A host that is behind asks another one each time; the calls before may still get an answer.
+COPY_INTERVAL_S = 0.3
+MAX_BEHIND_S = 0.6  # a host that copies in vain for so long reads the store itself
 CALL_TIMEOUT_S = 1.0
+SILENT_FOR_S = 3.0  # how long a host that did not answer is asked last
 NO_REVISION = -1
 DEFLATE_LEVEL = 1
 MAX_CONFIG_BYTES = 16 * 1024 * 1024
@@ -85,7 +92,15 @@
         links: PeerLinks,
         clock: Clock,
         rng: random.Random,
+        config_freshness: Freshness,
+        directory_freshness: Freshness,
+        now_s: cabc.Callable[[], float],
     ) -> None:
+        self._config_freshness = config_freshness
+        self._directory_freshness = directory_freshness
+        self._config_claims = Claims(freshness=config_freshness)
+        self._directory_claims = Claims(freshness=directory_freshness)
+        self._now_s = now_s
         self._host = host
         self._view = view
         self._directory = directory
@@ -95,6 +110,8 @@
         self._rng = rng
         self._behind_since: float | None = None
         self._next_copy_at = 0.0
+        self._asked: set[HostId] = set()
+        self._failed_at: dict[HostId, float] = {}
         self._deflated_source: bytes | None = None
         self._deflated_config: bytes | None = None
         self.config_follower: ConfigFollower
@@ -179,10 +196,32 @@
     def _live_heartbeats(self) -> list[Heartbeat]:
         return [self._heartbeats.peers[host].heartbeat for host in self._heartbeats.live_hosts]
 
+    def must_know(self, freshness: Freshness) -> bool:
+        """Return whether this host has to read a stream itself, though others read for all."""
+        copies_in_vain = self._behind_s() > MAX_BEHIND_S
+        return freshness.is_stale or (copies_in_vain and freshness.age_s > COPY_INTERVAL_S)
+
+    def note_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Record what another host knows, as old as it is on arrival here."""
+        on_way_s = max(0.0, self._now_s() - heartbeat.now_s)
+        host = heartbeat.host
+        self._config_claims.note(
+            host, heartbeat.revision, age_s=_sum(heartbeat.config_age_s, on_way_s)
+        )
+        self._directory_claims.note(
+            host, heartbeat.directory, age_s=_sum(heartbeat.directory_age_s, on_way_s)
+        )
+        self._confirm()
+
+    def _confirm(self) -> None:
+        self._config_claims.confirm(self._revision())
+        self._directory_claims.confirm(self._directory.changed)
+        self._update_checked_at()
+
     async def _run(self) -> None:
         while True:
             await self._clock.sleep(CHECK_INTERVAL_S)
-            self._update_checked_at()
+            self._confirm()
             newer = [
                 heartbeat.host for heartbeat in self._live_heartbeats() if self._is_newer(heartbeat)
             ]
@@ -193,9 +232,24 @@
             if self._behind_since is None:
                 self._behind_since = now
             delay_s = READER_COPY_DELAY_S if self.store_ok and self.reads_store else 0.0
-            if now - self._behind_since >= delay_s and now >= self._next_copy_at:
+            if self._behind_s() >= delay_s and now >= self._next_copy_at:
                 self._next_copy_at = now + COPY_INTERVAL_S
-                await self._copy(self._rng.choice(newer))
+                self._ask_one_of(newer)
+
+    def _behind_s(self) -> float:
+        """Return for how long another host has had newer data, in seconds."""
+        return 0.0 if self._behind_since is None else self._clock.monotonic() - self._behind_since
+
+    def _ask_one_of(self, newer: cabc.Sequence[HostId]) -> None:
+        """Copy from a host that is not being asked, and rather not from one that was silent."""
+        free = [host for host in newer if host not in self._asked]
+        if not free:
+            return
+        limit = self._clock.monotonic() - SILENT_FOR_S
+        answering = [host for host in free if self._failed_at.get(host, limit) <= limit]
+        host = self._rng.choice(answering or free)
+        self._asked.add(host)
+        self.spawn(self._copy(host), name=f"copy-{host}")
 
     def _recent_views(self) -> list[PeerView]:
         """Return the live hosts with a heartbeat in the last ``READER_TIMEOUT_S`` s."""
@@ -204,12 +258,10 @@
         return [view for view in views if view.received_at >= oldest]
 
     def _update_checked_at(self) -> None:
-        """Take a current host's heartbeat as confirmation: it would show a newer revision."""
-        current = [view.received_at for view in self._recent_views() if view.heartbeat.knows]
-        confirmed_at = max(current, default=None)
-        checked_at = self._view.checked_at
-        if confirmed_at is not None and (checked_at is None or confirmed_at > checked_at):
-            self._view.checked_at = confirmed_at
+        """Record as of when the configuration is known to be the newest."""
+        checked_at = self._clock.monotonic() - self._config_freshness.age_s
+        if self._view.checked_at is None or checked_at > self._view.checked_at:
+            self._view.checked_at = checked_at if math.isfinite(checked_at) else None
 
     def _is_newer(self, heartbeat: Heartbeat) -> bool:
         return (
@@ -218,8 +270,12 @@
 
     async def _copy(self, host: HostId) -> None:
         call = CopyCall(revision=self._revision(), since=self._directory.changed)
-        reply = await self._links.call(host, call, CopyReply, timeout_s=CALL_TIMEOUT_S)
+        try:
+            reply = await self._links.call(host, call, CopyReply, timeout_s=CALL_TIMEOUT_S)
+        finally:
+            self._asked.discard(host)
         if isinstance(reply, PeerFailure):
+            self._failed_at[host] = self._clock.monotonic()
             eliot.log_message(message_type="copier:failed", peer=host, reason=reply.reason)
             return
         if reply.config is not None:
@@ -228,3 +284,9 @@
             KeyedRecord(key=record.key, value=record.value, offset=record.offset)
             for record in reply.records
         )
+        self._failed_at.pop(host, None)
+        self._confirm()
+
+
+def _sum(age_s: float | None, more_s: float) -> float | None:
+    return None if age_s is None else age_s + more_s
--- a/src/cassiawalk/ingress/follow.py
+++ b/src/cassiawalk/ingress/follow.py
@@ -22,6 +22,7 @@
 from cassiawalk.ingress.config import IngressConfig
 from cassiawalk.ingress.directory import Directory
 from cassiawalk.ingress.directory import Registration
+from cassiawalk.ingress.freshness import Freshness
 
 RETRY_PAUSE_S = 0.25
 MAX_RETRY_PAUSE_S = 1.0
@@ -44,11 +45,15 @@
 class ReadOptions:
     """Options for reading a stream; times in seconds.
 
+    A host that reads for all follows the stream. Another one reads just once when it must know.
+
     :param wait_s: the maximum wait of one read for a first record. A record that is appended
         as a read begins may be returned only when that read ends. So each read waits for a random
         time up to this, and the reads of several hosts do not coincide.
     :param pause_s: the pause after each read, in which new records accumulate.
-    :param should_read: returns whether this host reads now; the first read ignores it.
+    :param should_read: returns whether this host reads for all; the first read ignores it.
+    :param must_know: returns whether this host must read, though others read for all.
+    :param freshness: as of when this host knows the stream; by default only its reads tell.
     :param on_change: called after a read that changed something.
     :param on_read: called after each read that the source answered.
     """
@@ -57,6 +62,8 @@
     wait_s: float
     pause_s: float
     should_read: cabc.Callable[[], bool] = lambda: True
+    must_know: cabc.Callable[[], bool] = lambda: False
+    freshness: Freshness | None = None
     on_change: cabc.Callable[[], None] = lambda: None
     on_read: cabc.Callable[[], None] = lambda: None
 
@@ -75,6 +82,8 @@
         self._read_started_at: float | None = None
         self._failing_since: float | None = None
         self._failures = 0
+        self._wait_s = 0.0
+        self.freshness = options.freshness or Freshness(clock=clock)
 
     poll_interval_s = 0.1
 
@@ -95,11 +104,14 @@
 
     async def _follow(self) -> None:
         while True:
-            if self._next is not None and not self._options.should_read():
+            reads_for_all = self._options.should_read()
+            if self._next is not None and not reads_for_all and not self._options.must_know():
                 await self._clock.sleep(self.poll_interval_s)
                 continue
+            asked_at = self.freshness.now()
             started_at = self._clock.monotonic()
             self._read_started_at = started_at
+            self._wait_s = self._random_wait_s() if reads_for_all else 0.0
             batch = await self._read()
             self._read_started_at = None
             if isinstance(batch, ReadFailed):
@@ -108,13 +120,27 @@
             self._handle_recovery(batch)
             self._options.on_read()
             self._apply(batch)
+            self._confirm(batch, asked_at)
             await self._clock.sleep(self._options.pause_s)
 
     async def _read(self) -> KeyedList | KeyedChanges | ReadFailed:
         if self._next is None:
             return await self._log.newest(stream=self._options.stream)
-        wait_s = self._options.wait_s * (MIN_WAIT_RATIO + (1 - MIN_WAIT_RATIO) * self._rng.random())
-        return await self._log.changes(stream=self._options.stream, start=self._next, wait_s=wait_s)
+        return await self._log.changes(
+            stream=self._options.stream, start=self._next, wait_s=self._wait_s
+        )
+
+    def _random_wait_s(self) -> float:
+        return self._options.wait_s * (MIN_WAIT_RATIO + (1 - MIN_WAIT_RATIO) * self._rng.random())
+
+    def _confirm(self, batch: KeyedList | KeyedChanges, asked_at: float) -> None:
+        """Record as of when all records are known: a read that waited shows that none came."""
+        if isinstance(batch, KeyedChanges) and (batch.missed or not batch.complete):
+            return
+        if isinstance(batch, KeyedChanges) and not batch.records:
+            self.freshness.confirm(min(self.freshness.now(), asked_at + self._wait_s))
+            return
+        self.freshness.confirm(asked_at)
 
     def _apply(self, batch: KeyedList | KeyedChanges) -> None:
         if isinstance(batch, KeyedChanges) and batch.missed:
--- a/src/cassiawalk/ingress/heartbeat.py
+++ b/src/cassiawalk/ingress/heartbeat.py
@@ -37,6 +37,9 @@
     :param share: with ``rest``, the fraction of all hosts that the hubs have heartbeats from.
     :param hosts: with ``rest``, the number of hosts that the hubs have heartbeats from.
     :param strength: the sender's capacity to serve other hosts, see ``HostProfile``.
+    :param config_age_s: the age of the sender's knowledge of the configuration in seconds, see
+        ``Freshness``; None if it has none.
+    :param directory_age_s: the same of the upstreams.
     :param census: the number of hosts that the sender counts itself, see ``HostCensus``.
     """
 
@@ -64,6 +67,8 @@
     strength: float = 1.0
     notes: str | None = None
     census: int = 0
+    config_age_s: float | None = None
+    directory_age_s: float | None = None
 
     @property
     def process(self) -> str:
--- a/src/cassiawalk/ingress/node.py
+++ b/src/cassiawalk/ingress/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 
 import eliot
@@ -30,6 +31,7 @@
 from cassiawalk.ingress.follow import DirectoryFollower
 from cassiawalk.ingress.follow import ReadOptions
 from cassiawalk.ingress.forwarder import Forwarder
+from cassiawalk.ingress.freshness import Freshness
 from cassiawalk.ingress.heartbeat import Heartbeat
 from cassiawalk.ingress.heartbeats import HeartbeatExchange
 from cassiawalk.ingress.hosts import HostRegistry
@@ -48,8 +50,8 @@
 from cassiawalk.settings import Address
 from cassiawalk.sockets import listen
 
-# Half of the shortest time in which operators require a revision to be in force.
-CONFIG_WAIT_S = 1.0
+# With a heartbeat interval it stays under the age at which other hosts read the store themselves.
+CONFIG_WAIT_S = 0.5
 CONFIG_PAUSE_S = 0.0
 DIRECTORY_WAIT_S = 0.2
 DIRECTORY_PAUSE_S = 0.3
@@ -108,7 +110,9 @@
         self._incarnation = new_uuid7()
         self._draining = False
         self.config = ConfigView()
+        self.config_freshness = Freshness(clock=boot_clock)
         self.directory = Directory(clock=clock)
+        self.directory_freshness = Freshness(clock=boot_clock)
         self.time = CorrectedTime(clock=boot_clock)
         self.usage = UsageCounts(now=self.time.now, window_s=profile.bounds.usage_window_s)
         self.demand = DemandMeter(clock=clock)
@@ -259,10 +263,16 @@
             links=self.links,
             clock=self._clock,
             rng=self._rng,
+            config_freshness=self.config_freshness,
+            directory_freshness=self.directory_freshness,
+            now_s=self.time.now,
         )
+        self.heartbeats.add_listener(self.copier.note_heartbeat)
         self.config_follower = ConfigFollower(
             log=source.records,
-            options=self._read_options(source.config_stream, CONFIG_WAIT_S, CONFIG_PAUSE_S),
+            options=self._read_options(
+                source.config_stream, CONFIG_WAIT_S, CONFIG_PAUSE_S, self.config_freshness
+            ),
             key=source.config_key,
             decode=source.decode_config,
             view=self.config,
@@ -271,7 +281,12 @@
         )
         self.directory_follower = DirectoryFollower(
             log=source.records,
-            options=self._read_options(source.upstream_stream, DIRECTORY_WAIT_S, DIRECTORY_PAUSE_S),
+            options=self._read_options(
+                source.upstream_stream,
+                DIRECTORY_WAIT_S,
+                DIRECTORY_PAUSE_S,
+                self.directory_freshness,
+            ),
             decode=source.decode_registration,
             directory=self.directory,
             clock=self._clock,
@@ -281,12 +296,16 @@
         self.copier.directory_follower = self.directory_follower
         self.peer_server.handle(CopyCall, self.copier.handle)
 
-    def _read_options(self, stream: str, wait_s: float, pause_s: float) -> ReadOptions:
+    def _read_options(
+        self, stream: str, wait_s: float, pause_s: float, freshness: Freshness
+    ) -> ReadOptions:
         return ReadOptions(
             stream=stream,
             wait_s=wait_s,
             pause_s=pause_s,
             should_read=lambda: self.copier.reads_store,
+            must_know=lambda: self.copier.must_know(freshness),
+            freshness=freshness,
             on_change=self.heartbeats.send_now,
             on_read=self.census.note_store,
         )
@@ -330,6 +349,8 @@
             strength=self._profile.strength,
             notes=self.crashes.exchange.digest(),
             census=self._count_hosts(),
+            config_age_s=_finite(self.config_freshness.age_s),
+            directory_age_s=_finite(self.directory_freshness.age_s),
         )
 
     def _count_hosts(self) -> int:
@@ -364,9 +385,11 @@
             sock=listen(Address(ip=self._profile.peer_address.ip, port=self._metrics_port)),
             handler=_MetricsHandler(report=self.report),
         )
-        suspects = dataclasses.replace(
-            self._read_options(self._source.suspect_stream, SUSPECT_WAIT_S, 0.0),
-            on_change=lambda: None,
+        suspects = ReadOptions(
+            stream=self._source.suspect_stream,
+            wait_s=SUSPECT_WAIT_S,
+            pause_s=0.0,
+            should_read=lambda: self.copier.reads_store,
         )
         crashes = self.crashes.components(log=self._source.records, options=suspects, rng=self._rng)
         return [
@@ -383,3 +406,7 @@
             self.forwarder,
             self._callers,
         ]
+
+
+def _finite(age_s: float) -> float | None:
+    return age_s if math.isfinite(age_s) else None
--- a/src/cassiawalk/platform/store.py
+++ b/src/cassiawalk/platform/store.py
@@ -133,7 +133,7 @@
             record for entry in batch.entries if (record := _keyed_record(entry)) is not None
         )
         end = Offset(batch.entries[-1].offset + 1) if batch.entries else start
-        return KeyedChanges(records=records, end=end)
+        return KeyedChanges(records=records, end=end, complete=end >= batch.end_offset)
 
     async def put(self, *, stream: str, key: str, value: bytes | None) -> bool:
         """Append a record; return whether it is known to be in the stream."""
--- a/tests/test_copying.py
+++ b/tests/test_copying.py
@@ -24,6 +24,7 @@
 from cassiawalk.ingress.follow import OVERDUE_AFTER_S
 from cassiawalk.ingress.follow import DirectoryFollower
 from cassiawalk.ingress.follow import ReadOptions
+from cassiawalk.ingress.freshness import Freshness
 from cassiawalk.ingress.heartbeat import Heartbeat
 from cassiawalk.ingress.heartbeat import PeerView
 from cassiawalk.ingress.heartbeats import HeartbeatExchange
@@ -182,6 +183,9 @@
         links=t.cast(PeerLinks, None),
         clock=clock,
         rng=random.Random(1),
+        config_freshness=Freshness(clock=clock),
+        directory_freshness=Freshness(clock=clock),
+        now_s=clock.wall,
     )
     peer_copier.config_follower = peer_copier.directory_follower = t.cast(t.Any, _Source())
     return peer_copier
