Ask upstreams whose entry vanished after an outage whether they serve (DRAIN)

Callers saw: requests at upstreams that had left, from hosts whose reads of the store had failed or that had been frozen; and, the other way round, hosts that copy dropped upstreams that lived.

Cause: a host judged by a window of its own whether an entry had expired or was removed: any removal within 0.4 s after its own reads failed for 0.8 s, for whatever reason, kept the upstream for 2.3 s, longer than the bound. Hosts that copy never did so and dropped every entry at once. Class: one's own view of a shared thing taken for its state.

Then the upstream itself is asked, by its health check. One that leaves, is gone, or is another process is dropped at once; one that serves is used for 1.0 s after its answer, and asked again; without an answer it is used for 0.3 s. If the judgement is wrong: an upstream that began to leave after its answer gets requests for at most 1.0 s (bound 2.0 s); a live one that did not answer costs its share of places until its entry is back. It is no longer checked only while a connection is opened whether its entry is there, but whether it may be used.

A service without a health check has its upstreams out of use from 0.3 s on until they renew.

--- a/src/cassiawalk/http1/client.py
+++ b/src/cassiawalk/http1/client.py
@@ -27,11 +27,15 @@
 
 
 class CallError(Exception):
-    """A call without a complete answer; if ``sent`` is True, the server may have carried it out."""
+    """A call without a complete answer; if ``sent`` is True, the server may have carried it out.
 
-    def __init__(self, reason: str, *, sent: bool) -> None:
+    ``refused`` is True if nothing listens at the address.
+    """
+
+    def __init__(self, reason: str, *, sent: bool, refused: bool = False) -> None:
         super().__init__(reason)
         self.sent = sent
+        self.refused = refused
 
 
 class HttpClient:
@@ -68,7 +72,7 @@
                 self._send(conn, method, target, headers, body)
                 return await _read_answer(conn)
         except ConnectError as exc:
-            raise CallError(str(exc), sent=False) from None
+            raise CallError(str(exc), sent=False, refused=exc.refused) from None
         except TimeoutError:
             raise CallError(f"no answer in {timeout_s:g} s", sent=conn is not None) from None
         finally:
--- a/src/cassiawalk/http1/pool.py
+++ b/src/cassiawalk/http1/pool.py
@@ -12,6 +12,11 @@
 class ConnectError(Exception):
     """No connection could be opened, so nothing was sent."""
 
+    @property
+    def refused(self) -> bool:
+        """Return whether nothing listens at the address."""
+        return isinstance(self.__cause__, ConnectionRefusedError)
+
 
 class ConnectionPool:
     """Opens, reuses and closes the connections to one address of one upstream.
@@ -52,7 +57,7 @@
         try:
             self.release(await self._connect(timeout_s))
         except ConnectError as exc:
-            return False if isinstance(exc.__cause__, ConnectionRefusedError) else None
+            return False if exc.refused else None
         return True
 
     def release(self, conn: UpstreamConnection) -> None:
--- a/src/cassiawalk/ingress/attempt.py
+++ b/src/cassiawalk/ingress/attempt.py
@@ -63,7 +63,7 @@
         conn: UpstreamConnection | None = None
         try:
             conn = await upstream.pool.acquire()
-            if upstream.leaving:
+            if not upstream.is_usable:
                 self.trace.reason = (
                     "the upstream began to leave while a connection was being opened"
                 )
--- a/src/cassiawalk/ingress/config.py
+++ b/src/cassiawalk/ingress/config.py
@@ -103,12 +103,14 @@
 class ServiceConfig:
     """One service.
 
+    :param health_path: the path of its upstreams' health check, or None if they have none.
     :param engine: None if the upstreams are not model engines.
     :param scaling: None if the service is not scaled.
     """
 
     name: ServiceName
     max_connections: int
+    health_path: str | None = None
     engine: EngineTraits | None = None
     scaling: ScalingBounds | None = None
 
@@ -188,6 +190,11 @@
         found = None if self.current is None else self.current.services.get(service)
         return found is not None and found.engine is not None and found.engine.moves
 
+    def health_path(self, service: ServiceName) -> str | None:
+        """Return the path of the health check of a service's upstreams, or None."""
+        found = None if self.current is None else self.current.services.get(service)
+        return None if found is None else found.health_path
+
     def limits(self) -> CallerLimits:
         """Return the limits for callers' requests that are in force."""
         return CallerLimits() if self.current is None else self.current.limits
--- a/src/cassiawalk/ingress/directory.py
+++ b/src/cassiawalk/ingress/directory.py
@@ -23,6 +23,10 @@
 DEPARTED_S = 60.0  # longer than an older copy of the source is behind
 MAX_DEPARTED = 1024
 EXPIRY_WINDOW_S = 0.4  # while removals from the outage are still being read
+# A lapsed upstream is used without an answer of its own for so long after it has been asked.
+UNANSWERED_S = 0.3
+# Shorter gaps in what all hosts know of the source let no entry expire.
+MIN_LAPSE_GAP_S = 2.0
 
 
 class Presence(enum.Enum):
@@ -58,11 +62,13 @@
 
     ``leaving`` is also set when its entry is gone; ``leaving_since`` is when it announced that it
     leaves, in monotonic seconds. ``reserved_for`` is the only request that may be sent to it, or
-    None. ``superseded`` is set once another process has its address.
+    None. ``superseded`` is set once another process has its address. ``usable_until`` is set while
+    its entry may only have expired, in monotonic seconds.
     """
 
     def __init__(self, *, registration: Registration, clock: Clock) -> None:
         self.registration = registration
+        self._clock = clock
         self.pool = ConnectionPool(address=registration.address)
         self.load = EngineLoad(clock=clock)
         self.health = UpstreamHealth(clock=clock)
@@ -70,6 +76,7 @@
         self.leaving_since: float | None = None
         self.reserved_for: RequestId | None = None
         self.superseded = False
+        self.usable_until: float | None = None
 
     @property
     def upstream_id(self) -> UpstreamId:
@@ -101,10 +108,16 @@
         """Return the number of requests that it runs at once."""
         return self.registration.slots
 
+    @property
+    def is_usable(self) -> bool:
+        """Return whether a request that was placed on it may still be sent to it."""
+        in_doubt = self.usable_until is not None and self._clock.monotonic() > self.usable_until
+        return not (self.leaving or self.superseded or in_doubt)
+
     @property
     def takes_work(self) -> bool:
-        """Return whether new requests may be sent to it."""
-        return not (self.leaving or self.superseded) and self.reserved_for is None
+        """Return whether new requests may be placed on it."""
+        return self.is_usable and self.reserved_for is None
 
 
 UpstreamListener = cabc.Callable[[Upstream], None]
@@ -128,6 +141,7 @@
         self._is_restored = False
         self._departure_listeners: list[UpstreamListener] = []
         self._leaving_listeners: list[UpstreamListener] = []
+        self._lapse_listeners: list[UpstreamListener] = []
         self.changed: Offset = Offset(-1)
         self.loaded_at: float | None = None
 
@@ -139,6 +153,26 @@
         """Call ``listener`` with each upstream that announces that it leaves."""
         self._leaving_listeners.append(listener)
 
+    def add_lapse_listener(self, listener: UpstreamListener) -> None:
+        """Call ``listener`` with each upstream whose entry may only have expired."""
+        self._lapse_listeners.append(listener)
+
+    def is_lapsed(self, upstream: Upstream) -> bool:
+        """Return whether an upstream's entry may only have expired, and is not back yet."""
+        found = self._by_id.get(upstream.upstream_id)
+        return found is upstream and upstream.upstream_id in self._stale
+
+    def keep_lapsed(self, upstream: Upstream, *, for_s: float) -> None:
+        """Use a lapsed upstream for ``for_s`` s more, as it has said that it serves."""
+        if self.is_lapsed(upstream):
+            upstream.usable_until = self._clock.monotonic() + for_s
+
+    def drop_lapsed(self, upstream: Upstream) -> None:
+        """Remove a lapsed upstream, as it has said that it leaves, or is gone."""
+        if self.is_lapsed(upstream):
+            self._stale.discard(upstream.upstream_id)
+            self._discard(upstream.upstream_id)
+
     @property
     def loaded(self) -> bool:
         """Return whether the complete list has been read."""
@@ -208,6 +242,7 @@
             return False
         self.advance_to(offset)
         known.registration = registration
+        known.usable_until = None
         self._apply_presence(known, registration)
         return True
 
@@ -230,11 +265,17 @@
             return
         expired = may_have_expired and self._may_be_expiry()
         if expired and not self._by_id[upstream_id].leaving:
-            self._stale.add(upstream_id)
-            eliot.log_message(message_type="directory:lapsed", upstream=upstream_id)
+            self._note_lapsed(self._by_id[upstream_id])
             return
         self._discard(upstream_id)
 
+    def _note_lapsed(self, upstream: Upstream) -> None:
+        self._stale.add(upstream.upstream_id)
+        upstream.usable_until = self._clock.monotonic() + UNANSWERED_S
+        eliot.log_message(message_type="directory:lapsed", upstream=upstream.upstream_id)
+        for listener in self._lapse_listeners:
+            listener(upstream)
+
     def reconcile(self, present: cabc.Collection[UpstreamId], offset: Offset) -> None:
         """Remove upstreams that are missing from a complete list, which was read at ``offset``."""
         for upstream_id in [known for known in self._by_id if known not in present]:
--- a/src/cassiawalk/ingress/follow.py
+++ b/src/cassiawalk/ingress/follow.py
@@ -20,6 +20,7 @@
 from cassiawalk.ids import UpstreamId
 from cassiawalk.ingress.config import ConfigView
 from cassiawalk.ingress.config import IngressConfig
+from cassiawalk.ingress.directory import MIN_LAPSE_GAP_S
 from cassiawalk.ingress.directory import Directory
 from cassiawalk.ingress.directory import Registration
 from cassiawalk.ingress.freshness import Freshness
@@ -300,6 +301,8 @@
 
     def apply_copy(self, records: cabc.Iterable[KeyedRecord]) -> None:
         """Apply records that another host has read, except those older than known ones."""
+        if self.freshness.gap_s >= MIN_LAPSE_GAP_S:
+            self._directory.note_source_recovered()
         self.on_batch()
         for record in sorted(records, key=lambda record: record.offset):
             newer = record.offset > self._directory.offset_of(UpstreamId(record.key))
@@ -364,9 +367,11 @@
     def on_source_recovered(self, batch: KeyedList | KeyedChanges) -> None:
         """Treat removals that follow as entries that may only have expired in the outage.
 
-        If upstreams went on to renew their entries, only this host was turned away, and no entry
-        has expired for that reason.
+        If upstreams went on to renew their entries, or other hosts could read, only this host was
+        turned away, and no entry has expired for that reason.
         """
+        if self.freshness.gap_s < MIN_LAPSE_GAP_S:
+            return
         renewals = collections.Counter(
             record.key for record in batch.records if record.value is not None
         )
--- /dev/null
+++ b/src/cassiawalk/ingress/lapses.py
@@ -0,0 +1,77 @@
+"""Asks upstreams whose entry may only have expired whether they still serve.
+
+An entry expires while its upstream cannot renew it, and is removed when its upstream leaves. The
+store's records do not tell the two apart. The upstream itself does, so it is asked, and used only
+for as long after its answer as an upstream may be used that has just begun to leave.
+"""
+
+import abc
+import enum
+
+import eliot
+
+from cassiawalk.app import Component
+from cassiawalk.clock import Clock
+from cassiawalk.ingress.config import ConfigView
+from cassiawalk.ingress.directory import Directory
+from cassiawalk.ingress.directory import Registration
+from cassiawalk.ingress.directory import Upstream
+
+KEPT_S = 1.0  # half of the time in which no request may reach an upstream that leaves
+ASK_INTERVAL_S = 0.4
+
+
+class UpstreamState(enum.Enum):
+    """What an upstream says of itself; UNKNOWN also if it is too busy to answer."""
+
+    SERVING = "serving"
+    LEAVING = "leaving"
+    UNKNOWN = "unknown"
+
+
+class UpstreamInquiry(abc.ABC):
+    """Asks upstreams for their state."""
+
+    @abc.abstractmethod
+    async def ask(self, registration: Registration, *, path: str) -> UpstreamState:
+        """Return what the process of a registration says of itself; another one is no answer.
+
+        :param path: the path of the service's health check.
+        """
+
+
+class LapseChecker(Component):
+    """Keeps lapsed upstreams in use as long as they say that they serve."""
+
+    def __init__(
+        self, *, directory: Directory, config: ConfigView, inquiry: UpstreamInquiry, clock: Clock
+    ) -> None:
+        self._directory = directory
+        self._config = config
+        self._inquiry = inquiry
+        self._clock = clock
+        directory.add_lapse_listener(self._check)
+
+    def _check(self, upstream: Upstream) -> None:
+        self.spawn(self._follow(upstream), name=f"lapsed-{upstream.upstream_id}")
+
+    async def _follow(self, upstream: Upstream) -> None:
+        """Ask until the entry is back, the upstream leaves, or its time to come back has passed."""
+        while self._directory.is_lapsed(upstream):
+            state = await self._ask(upstream)
+            eliot.log_message(
+                message_type="directory:asked", upstream=upstream.upstream_id, state=state.value
+            )
+            if state is UpstreamState.LEAVING:
+                self._directory.drop_lapsed(upstream)
+                return
+            if state is UpstreamState.SERVING:
+                self._directory.keep_lapsed(upstream, for_s=KEPT_S)
+            await self._clock.sleep(ASK_INTERVAL_S)
+            self._directory.remove_stale()
+
+    async def _ask(self, upstream: Upstream) -> UpstreamState:
+        path = self._config.health_path(upstream.registration.service)
+        if path is None:
+            return UpstreamState.UNKNOWN
+        return await self._inquiry.ask(upstream.registration, path=path)
--- a/src/cassiawalk/ingress/node.py
+++ b/src/cassiawalk/ingress/node.py
@@ -37,6 +37,7 @@
 from cassiawalk.ingress.hosts import HostRegistry
 from cassiawalk.ingress.hosts import entry_of
 from cassiawalk.ingress.intake import Intake
+from cassiawalk.ingress.lapses import LapseChecker
 from cassiawalk.ingress.placement import Placer
 from cassiawalk.ingress.profile import FleetBounds
 from cassiawalk.ingress.profile import HostProfile
@@ -292,6 +293,12 @@
             clock=self._clock,
             rng=self._rng,
         )
+        self.lapses = LapseChecker(
+            directory=self.directory,
+            config=self.config,
+            inquiry=source.inquiry,
+            clock=self._clock,
+        )
         self.copier.config_follower = self.config_follower
         self.copier.directory_follower = self.directory_follower
         self.peer_server.handle(CopyCall, self.copier.handle)
@@ -401,6 +408,7 @@
             self.directory_follower,
             self.heartbeats,
             self.copier,
+            self.lapses,
             *crashes,
             *self.duties.components(),
             self.forwarder,
--- a/src/cassiawalk/ingress/source.py
+++ b/src/cassiawalk/ingress/source.py
@@ -7,6 +7,7 @@
 from cassiawalk.duties import DutyApi
 from cassiawalk.ingress.follow import ConfigDecoder
 from cassiawalk.ingress.follow import RegistrationDecoder
+from cassiawalk.ingress.lapses import UpstreamInquiry
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -17,6 +18,7 @@
         suspect requests.
     :param log: the log service, for the leases of duties and the usage records.
     :param duties: the interface of the duties, or None on a platform without duties.
+    :param inquiry: asks upstreams for their state.
     :param config_key: the key of the configuration's record in ``config_stream``.
     """
 
@@ -28,5 +30,6 @@
     upstream_stream: str
     host_stream: str
     suspect_stream: str
+    inquiry: UpstreamInquiry
     decode_config: ConfigDecoder
     decode_registration: RegistrationDecoder
--- a/src/cassiawalk/platform/config.py
+++ b/src/cassiawalk/platform/config.py
@@ -78,6 +78,7 @@
     return ServiceConfig(
         name=ServiceName(fields.string_field(row, "name")),
         max_connections=fields.integer_field(row, "max_connections", 64),
+        health_path=fields.string_field(row, "health_path", "") or None,
         engine=_engine(fields.object_field(row, "engine")) if row.get("engine") else None,
         scaling=_scaling(fields.object_field(row, "scaling")) if row.get("scaling") else None,
     )
--- /dev/null
+++ b/src/cassiawalk/platform/health.py
@@ -0,0 +1,30 @@
+"""Asks upstreams for their state by the platform's health check."""
+
+from cassiawalk.http1 import CallError
+from cassiawalk.http1 import HttpClient
+from cassiawalk.ingress.directory import Registration
+from cassiawalk.ingress.lapses import UpstreamInquiry
+from cassiawalk.ingress.lapses import UpstreamState
+from cassiawalk.platform import names
+
+CALL_TIMEOUT_S = 0.6
+
+
+class PlatformInquiry(UpstreamInquiry):
+    """Calls the health check of an upstream on a connection of its own."""
+
+    async def ask(self, registration: Registration, *, path: str) -> UpstreamState:
+        """Return what the process of a registration says of itself."""
+        client = HttpClient(address=registration.address)
+        try:
+            answer = await client.call("GET", path, timeout_s=CALL_TIMEOUT_S)
+        except CallError as exc:
+            return UpstreamState.LEAVING if exc.refused else UpstreamState.UNKNOWN
+        finally:
+            client.close()
+        if answer.header(names.NOT_EXECUTED) is not None:
+            return UpstreamState.UNKNOWN  # too busy for the check
+        is_same = answer.header(names.UPSTREAM_ID) == registration.upstream_id.encode()
+        if answer.status == 200 and is_same:
+            return UpstreamState.SERVING
+        return UpstreamState.LEAVING
--- a/src/cassiawalk/platform/host.py
+++ b/src/cassiawalk/platform/host.py
@@ -22,6 +22,7 @@
 from cassiawalk.platform.codec import PlatformHeadCodec
 from cassiawalk.platform.config import decode_config
 from cassiawalk.platform.duties import PlatformDuties
+from cassiawalk.platform.health import PlatformInquiry
 from cassiawalk.platform.registrations import decode_registration
 from cassiawalk.platform.reload import SettingsReload
 from cassiawalk.platform.settings import PlatformSettings
@@ -127,6 +128,7 @@
         upstream_stream=names.UPSTREAM_STREAM,
         host_stream=names.HOST_STREAM,
         suspect_stream=names.SUSPECT_STREAM,
+        inquiry=PlatformInquiry(),
         decode_config=decode_config,
         decode_registration=decode_registration,
     )
--- a/src/cassiawalk/platform/names.py
+++ b/src/cassiawalk/platform/names.py
@@ -40,6 +40,7 @@
 # Headers of answers.
 SIGNATURE = b"x-response-seal"
 NOT_EXECUTED = b"x-not-executed"
+UPSTREAM_ID = b"x-instance-id"  # in answers of the health check only
 LOAD = b"x-server-load"  # running, waiting, slots
 REQUEST_ID_OUT = b"X-Request-Id"
 RETRY_AFTER = b"Retry-After"
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -12,6 +12,7 @@
 
 from standins.platform import DutyService
 from standins.platform import PlatformStore
+from standins.platform_upstream import HEALTH_PATH
 from standins.platform_upstream import PlatformUpstream
 from standins.raw_caller import Answer
 from standins.raw_caller import Caller
@@ -47,7 +48,7 @@
             _route(SAFE, "safe"),
             _route(STREAM, "streaming", resume_streams=True),
         ],
-        "services": [{"name": "models", "max_connections": 32}],
+        "services": [{"name": "models", "max_connections": 32, "health_path": HEALTH_PATH}],
         "limits": {
             "max_header_bytes": 16384,
             "max_body_bytes": 1048576,
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -11,6 +11,7 @@
 from standins.platform import StandIn
 
 SLOTS = 8
+HEALTH_PATH = "/health"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -28,7 +29,8 @@
     ``executed_ids`` and ``workspaces`` list the ids and workspaces of the requests that it ran.
     ``runs`` lists them with their bodies and times, and ``crashed_at`` when it crashed, in
     monotonic seconds. ``arrivals`` lists all requests that reached it, also those that it rejected.
-    While ``refuses`` is set, it rejects each request as not run.
+    While ``refuses`` is set, it rejects each request as not run. ``leaving`` is set once it has
+    announced that it leaves, or has deleted its entry.
 
     :param events: the number of events in a stream.
     :param event_s: the time between two events, in seconds.
@@ -67,6 +69,7 @@
         self.runs: list[UpstreamRun] = []
         self.arrivals: list[UpstreamRun] = []
         self.refuses = False
+        self.leaving = False
         self.crashed_at: list[float] = []
 
     @property
@@ -82,6 +85,7 @@
 
     async def register(self, state: str = "ready") -> None:
         """Write the upstream's entry to the store."""
+        self.leaving = state == "draining"
         entry = {
             "service": self._service,
             "address": self.public_address,
@@ -93,7 +97,12 @@
         await self._store.put("keyed.servers", self.upstream_id, entry)
 
     async def deregister(self) -> None:
-        """Delete the upstream's entry from the store."""
+        """Leave: delete the upstream's entry from the store."""
+        self.leaving = True
+        await self.expire()
+
+    async def expire(self) -> None:
+        """Delete the upstream's entry from the store, as if it could not renew it."""
         await self._store.put("keyed.servers", self.upstream_id, None)
 
     def crash(self, *, reset: bool = True) -> None:
@@ -115,6 +124,10 @@
 
     async def handle(self, exchange: Exchange) -> None:
         """Run one request; 421 if it is meant for another upstream."""
+        if exchange.target == HEALTH_PATH.encode():
+            status = 503 if self.leaving else 200
+            exchange.answer(status, [(b"X-Instance-Id", self.upstream_id.encode())], b"")
+            return
         request_id = header_value(exchange.headers, b"x-request-id") or b""
         echoed = (b"X-Request-Id", request_id)
         run = UpstreamRun(request_id=request_id.decode(), body=exchange.body, at=time.monotonic())
