Bound the work and memory of answers without end

Callers saw: no answer until they gave up while an upstream sent informational answers (1xx) again and again; a connection that ended up to 1.0 s after the deadline of a body without end, with 52 MB more memory at the host; a core fully busy for 4 s with a stream that held no event.

Cause: what an upstream's connection may hand over was bounded by the number of pieces only, and what it may cost not at all.

Change: at most 16 informational answers, or answers to other requests, come before the answer; the queue for a slow caller is bounded by bytes; the work of a connection is estimated from bytes and pieces, and reading waits once it exceeds a tenth of a core; an event ends the attempt after 256 KiB or 0.1 s of work; a body of a call has 16 MiB; a refusal 64 KiB. A body or stream is not cut for its length.

Weighed: measuring the time of processing (a busy host would stall good streams), a limit on the rate of bytes (a body of one-byte chunks costs a thousand times that of a plain one).

--- a/src/cassiawalk/http1/client.py
+++ b/src/cassiawalk/http1/client.py
@@ -26,6 +26,9 @@
         return header_value(self.headers, name)
 
 
+MAX_ANSWER_BYTES = 16 * 1024 * 1024  # of a body; the store's longest answers are far shorter
+
+
 class CallError(Exception):
     """A call without a complete answer; if ``sent`` is True, the server may have carried it out.
 
@@ -110,8 +113,12 @@
         raise CallError(head.reason, sent=True)
     assert isinstance(head, AnswerHead)
     parts: list[bytes] = []
+    size = 0
     event = await conn.next_event()
     while isinstance(event, AnswerData):
+        size += len(event.data)
+        if size > MAX_ANSWER_BYTES:
+            raise CallError(f"the answer is longer than {MAX_ANSWER_BYTES} bytes", sent=True)
         parts.append(event.data)
         event = await conn.next_event()
     if isinstance(event, AnswerBroken):
--- a/src/cassiawalk/http1/connection.py
+++ b/src/cassiawalk/http1/connection.py
@@ -14,12 +14,20 @@
 from cassiawalk.http1.framing import Ending
 from cassiawalk.http1.framing import Framing
 from cassiawalk.http1.framing import answer_framing
+from cassiawalk.http1.pacing import BYTE_S
+from cassiawalk.http1.pacing import PIECE_S
+from cassiawalk.http1.pacing import Pacer
 
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
 UNACKED_TIMEOUT_MS = 3000  # for data that the upstream does not acknowledge
-MAX_QUEUED_EVENTS = 256  # answer events queued for a slow caller before reading is paused
+# What is queued for a slow caller before reading is paused.
+MAX_QUEUED_EVENTS = 256
+MAX_QUEUED_BYTES = 262144
+SLICE_BYTES = 4096  # parsed at once, before it is checked whether to go on
+MAX_INFORMATIONAL = 16  # answers with a status of 1xx before a final one
+MAX_FOREIGN = 16  # answers to other requests before this one's
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -70,7 +78,11 @@
     """Sends requests, one at a time, and returns the events of each answer.
 
     Bytes that arrive while no request is under way belong to no request, so the connection is
-    closed. An answer to another request is discarded, and the next answer is taken instead.
+    closed. An answer to another request is discarded, and the next answer is taken instead. No
+    more is read while much is queued, or has caused much work, see ``Pacer``.
+
+    ``answer_bytes`` counts the bytes of the present answer. ``work_s`` is the work that all answers
+    have caused, in seconds of a core.
 
     :param on_closed: called once when the connection is closed.
     """
@@ -84,7 +96,17 @@
         self._is_foreign: ForeignCheck | None = None
         self._skipping = False
         self._events: collections.deque[AnswerEvent] = collections.deque()
+        self._queued_bytes = 0
+        self._unparsed = bytearray()
+        self._pacer = Pacer()
+        self._resumption: asyncio.TimerHandle | None = None
+        self._reading_paused = False
+        self._eof = False
+        self._lost: Ending | None = None
+        self._passed_over = 0
         self._waiter: asyncio.Future[None] | None = None
+        self.answer_bytes = 0
+        self.work_s = 0.0
         self._answer_started = False
         self._framing = Framing.LENGTH
         self._close_after = False
@@ -117,6 +139,7 @@
         self._request = h11.Request(method=method, target=target, headers=list(headers))
         self._is_foreign = is_foreign
         self._events.clear()
+        self._queued_bytes = self._passed_over = self.answer_bytes = 0
         self._answer_started = self._skipping = False
         data = self._start_exchange_state(body)
         self._transport.write(data)
@@ -127,10 +150,17 @@
             self._waiter = self._loop.create_future()
             await self._waiter
         event = self._events.popleft()
-        if len(self._events) == MAX_QUEUED_EVENTS // 2 and not self.closed:
-            self._transport.resume_reading()
+        if isinstance(event, AnswerData):
+            self._queued_bytes -= len(event.data)
+        if self._unparsed and self._resumption is None:
+            self._parse_some()
         return event
 
+    def note_work(self, work_s: float) -> None:
+        """Record work that the answer has caused, in seconds of a core."""
+        self.work_s += work_s
+        self._pacer.note(work_s, self._loop.time())
+
     @property
     def reusable(self) -> bool:
         """Return whether another request may be sent: the last exchange is complete."""
@@ -144,6 +174,7 @@
 
     def close(self) -> None:
         """Close at once; an upstream treats this as cancellation of the request."""
+        self._unparsed.clear()
         if not self.closed:
             self._transport.abort()
 
@@ -155,6 +186,39 @@
             self.close()
             return
         self._answer_started = True
+        self.answer_bytes += len(data)
+        self._unparsed += data
+        if self._resumption is None:
+            self._parse_some()
+
+    def _parse_some(self) -> None:
+        """Parse what has arrived, as far as the queue has room and the pace allows."""
+        self._resumption = None
+        while self._unparsed and self._request is not None:
+            if len(self._events) >= MAX_QUEUED_EVENTS or self._queued_bytes >= MAX_QUEUED_BYTES:
+                break
+            delay_s = self._pacer.delay_s(self._loop.time())
+            if delay_s:
+                self._resumption = self._loop.call_later(delay_s, self._parse_some)
+                break
+            self._parse_slice()
+        if not self._unparsed or self._request is None:
+            self._handle_ended()
+        self._set_reading_paused(bool(self._unparsed) and self._request is not None)
+
+    def _set_reading_paused(self, paused: bool) -> None:
+        if paused is self._reading_paused or self.closed or self._transport.is_closing():
+            return
+        self._reading_paused = paused
+        if paused:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def _parse_slice(self) -> None:
+        data = bytes(self._unparsed[:SLICE_BYTES])
+        del self._unparsed[:SLICE_BYTES]
+        self.note_work(BYTE_S * len(data))
         try:
             self._http.receive_data(data)
             self._read_events()
@@ -162,9 +226,30 @@
             self._fail_answer(f"not a valid HTTP answer: {exc}", Ending.INVALID)
 
     def eof_received(self) -> bool:
-        """Handle the end of the stream, which also ends an answer that announces no length."""
-        if self._request is None:
-            return False
+        """Note the end of the stream, which also ends an answer that announces no length."""
+        self._eof = True
+        if self._resumption is None and not self._unparsed:
+            self._handle_ended()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Mark the connection closed; an answer under way ends once what arrived is parsed."""
+        self.closed = True
+        self._lost = Ending.CLOSED if exc is None else Ending.RESET
+        if self._resumption is None and not self._unparsed:
+            self._handle_ended()
+        self._on_closed(self)
+
+    def _handle_ended(self) -> None:
+        """End the answer under way if its connection has ended."""
+        if self._eof and self._request is not None:
+            self._handle_eof()
+        if self._lost is not None and self._request is not None:
+            reason = f"connection {self._lost.value}"
+            before_answer = not self._answer_started
+            self._fail_answer(reason, self._lost, closed_before_answer=before_answer)
+
+    def _handle_eof(self) -> None:
         before_answer = not self._answer_started
         try:
             self._http.receive_data(b"")
@@ -175,16 +260,6 @@
         if self._request is not None:
             reason = "connection closed before the end of the answer"
             self._fail_answer(reason, Ending.CLOSED, closed_before_answer=before_answer)
-        return False
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Mark the connection closed; an answer under way ends as broken."""
-        self.closed = True
-        if self._request is not None:
-            ending = Ending.CLOSED if exc is None else Ending.RESET
-            reason = f"connection {ending.value}"
-            self._fail_answer(reason, ending, closed_before_answer=not self._answer_started)
-        self._on_closed(self)
 
     def _start_exchange_state(self, body: bytes) -> bytes:
         """Start a new h11 state and return the bytes of the request."""
@@ -198,20 +273,43 @@
         return b"".join(part for part in parts if part)
 
     def _read_events(self) -> None:
+        parts: list[bytes] = []
+        try:
+            self._read_parts(parts)
+        finally:
+            self._queue_data(parts)
+
+    def _read_parts(self, parts: list[bytes]) -> None:
+        """Queue what h11 has parsed; pieces of a body that come in a row are collected."""
         while self._request is not None:
             event = self._http.next_event()
+            if isinstance(event, h11.Data):
+                self.note_work(PIECE_S)
+                parts.append(bytes(event.data))
+                continue
+            self._queue_data(parts)
             if isinstance(event, h11.Response):
                 self._handle_head(event)
-            elif isinstance(event, h11.Data):
-                if not self._skipping:
-                    self._queue(AnswerData(data=bytes(event.data)))
             elif isinstance(event, h11.EndOfMessage):
                 self._handle_end()
             elif isinstance(event, h11.InformationalResponse):
-                continue
+                self._pass_over("informational answers", MAX_INFORMATIONAL)
             else:
                 return
 
+    def _queue_data(self, parts: list[bytes]) -> None:
+        """Queue the pieces of a body as one, unless they belong to another request."""
+        if parts and not self._skipping:
+            self._queue(AnswerData(data=b"".join(parts)))
+        parts.clear()
+
+    def _pass_over(self, what: str, limit: int) -> None:
+        """Count an answer that is no answer to the request, and fail after too many."""
+        self._passed_over += 1
+        if self._passed_over > limit:
+            self._fail_answer(f"more than {limit} {what}", Ending.INVALID)
+            self.close()
+
     def _handle_head(self, event: h11.Response) -> None:
         assert self._request is not None and self._is_foreign is not None
         headers = list(event.headers.raw_items())
@@ -230,7 +328,8 @@
             self._queue(head)
 
     def _handle_end(self) -> None:
-        rest = self._http.trailing_data[0]
+        rest = self._http.trailing_data[0] + bytes(self._unparsed)
+        self._unparsed.clear()
         if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
             self._close_after = True
         if self._skipping:
@@ -248,14 +347,16 @@
         """Discard an answer to another request and wait for the next one."""
         eliot.log_message(message_type="upstream:foreign-answer", more_bytes=len(rest))
         self._skipping = False
+        self._pass_over("answers to other requests", MAX_FOREIGN)
+        if self._request is None:
+            return
         if self._close_after:
             reason = "received only an answer to another request"
             self._fail_answer(reason, Ending.CLOSED)
             self.close()
             return
         self._start_exchange_state(self._body)
-        if rest:
-            self._http.receive_data(rest)
+        self._unparsed += rest
 
     def _read_keepalive(self, headers: heads.Headers) -> None:
         keepalive = heads.header_value(headers, b"keep-alive")
@@ -271,6 +372,7 @@
     ) -> None:
         self._request = None
         self._close_after = True
+        self._unparsed.clear()
         broken = AnswerBroken(
             reason=reason, ending=ending, closed_before_answer=closed_before_answer
         )
@@ -278,8 +380,8 @@
 
     def _queue(self, event: AnswerEvent) -> None:
         self._events.append(event)
-        if len(self._events) == MAX_QUEUED_EVENTS:
-            self._transport.pause_reading()
+        if isinstance(event, AnswerData):
+            self._queued_bytes += len(event.data)
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
--- a/src/cassiawalk/ingress/attempt.py
+++ b/src/cassiawalk/ingress/attempt.py
@@ -1,5 +1,7 @@
 """One attempt of a request at one upstream, from the connection to the end of the answer."""
 
+import asyncio
+
 from cassiawalk.clock import Clock
 from cassiawalk.http1 import AnswerBroken
 from cassiawalk.http1 import AnswerData
@@ -10,6 +12,7 @@
 from cassiawalk.http1 import Ending
 from cassiawalk.http1 import UpstreamConnection
 from cassiawalk.http1.heads import header_value
+from cassiawalk.http1.pacing import EVENT_STREAM_BYTE_S
 from cassiawalk.ingress.codec import AnswerMetadata
 from cassiawalk.ingress.codec import AttemptHeaders
 from cassiawalk.ingress.codec import HeadCodec
@@ -23,6 +26,12 @@
 
 # Answers up to this size, other than streams, are sent to the caller only if they are complete.
 MAX_BUFFERED_ANSWER_BYTES = 262144
+# Bounds on an event that has not ended; its work is in seconds of a core.
+MAX_EVENT_BYTES = 262144
+MAX_EVENT_WORK_S = 0.1
+# A longer answer that has not ended at the deadline counts against its upstream.
+MAX_UNENDED_BYTES = 1048576
+MAX_REFUSAL_BYTES = 65536
 URGENCY_LEVELS = 10
 EVENT_STREAM = b"text/event-stream"
 
@@ -74,10 +83,20 @@
             self.trace.reason = str(exc)
             upstream.health.note_failure(definite=True)
             return AttemptEnd.UNSENT
+        except asyncio.CancelledError:
+            self._note_unended(conn)
+            raise
         finally:
             load.note_ended(job.request_id)
             self._release(conn)
 
+    def _note_unended(self, conn: UpstreamConnection | None) -> None:
+        """Count an answer without end against the upstream, unless its caller has left."""
+        if conn is None or conn.answer_bytes < MAX_UNENDED_BYTES:
+            return
+        if self._clock.monotonic() >= self._job.ends_at:
+            self._upstream.health.note_failure()
+
     def _release(self, conn: UpstreamConnection | None) -> None:
         if conn is None:
             return
@@ -162,6 +181,10 @@
             self._upstream.health.note_failure(definite=True)
         event = await self._next_event(conn)
         while isinstance(event, AnswerData):
+            if conn.answer_bytes > MAX_REFUSAL_BYTES:
+                self._upstream.health.note_failure()
+                conn.close()
+                break
             event = await self._next_event(conn)
         return AttemptEnd.NOT_RUN
 
@@ -224,13 +247,19 @@
 
     async def _forward_stream(self, conn: UpstreamConnection, head: AnswerHead) -> AttemptEnd:
         job = self._job
+        work_before_s = conn.work_s
         while True:
             event = await self._next_body_event(conn)
             if isinstance(event, AnswerData):
+                conn.note_work(EVENT_STREAM_BYTE_S * len(event.data))
                 complete = job.events.feed(event.data)
                 if complete:
                     self._forward_events(head, complete)
                     await job.exchange.writable()
+                    work_before_s = conn.work_s
+                too_long = job.events.incomplete_bytes > MAX_EVENT_BYTES
+                if too_long or conn.work_s - work_before_s > MAX_EVENT_WORK_S:
+                    return self._give_up_event(conn)
                 continue
             if isinstance(event, AnswerEnd):
                 return self._end_stream(conn, head)
@@ -238,6 +267,12 @@
             self.trace.incomplete_bytes = len(job.events.take_incomplete())
             return self._broken(event)
 
+    def _give_up_event(self, conn: UpstreamConnection) -> AttemptEnd:
+        self.trace.incomplete_bytes = len(self._job.events.take_incomplete())
+        conn.close()
+        reason = f"an event without end, after {self.trace.incomplete_bytes} bytes"
+        return self._lose_answer(reason)
+
     def _forward_events(self, head: AnswerHead, complete: bytes) -> None:
         job = self._job
         if not job.head_sent:
--- a/src/cassiawalk/ingress/events.py
+++ b/src/cassiawalk/ingress/events.py
@@ -46,6 +46,11 @@
             self._ended_with_cr = not self._incomplete and whole.endswith(b"\r")
         return late_line_feed + whole
 
+    @property
+    def incomplete_bytes(self) -> int:
+        """Return the number of bytes after the last whole event."""
+        return len(self._incomplete)
+
     def take_incomplete(self) -> bytes:
         """Remove and return the bytes after the last whole event, as its connection has ended."""
         incomplete, self._incomplete = self._incomplete, b""
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -20,6 +20,7 @@
 
 READY_TIMEOUT_S = 15.0
 POLL_INTERVAL_S = 0.05
+BOUNDS = {"grace_s": 6, "usage_window_s": 1, "usage_late_s": 10}
 ONCE, SAFE, STREAM = "/once/", "/safe/", "/stream/"
 _Upstream = t.TypeVar("_Upstream", bound=PlatformUpstream)
 
@@ -100,10 +101,12 @@
     Entering it starts the stand-ins; leaving it kills the hosts and stops the stand-ins.
 
     :param directory: where the settings and logs of the hosts are written.
+    :param bounds: further bounds in the hosts' settings.
     """
 
-    def __init__(self, directory: pathlib.Path) -> None:
+    def __init__(self, directory: pathlib.Path, *, bounds: dict[str, t.Any] | None = None) -> None:
         self._directory = directory
+        self._bounds = {**BOUNDS, **(bounds or {})}
         self.store = PlatformStore()
         self.duties = DutyService()
         self.upstreams: list[PlatformUpstream] = []
@@ -157,7 +160,7 @@
             "zone": "here",
             "listen": {"front": f"{ip}:8001", "ready": f"{ip}:8002"},
             "internal_port_range": [7600, 7615],
-            "bounds": {"grace_s": 6, "usage_window_s": 1, "usage_late_s": 10},
+            "bounds": self._bounds,
             "platform": {"address": store_address or self.store.address},
             "cloud_api": {"address": self.duties.address},
         }
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -118,6 +118,15 @@
         assert bed.directory.upstreams()[0].health.paused
 
 
+async def test_refusal_without_end_is_passed_on_as_one() -> None:
+    refusal = b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n" + CHUNKED
+    async with IngressBed(config(route(RetryRule.ONCE))) as bed:
+        await bed.add(_endless(refusal, b"1\r\nx\r\n", []))
+        first, took_s = await _end(await bed.caller(), post())
+    assert first.startswith(b"HTTP/1.1 503")
+    assert took_s < DEADLINE_S
+
+
 async def test_a_few_informational_answers_are_passed_over() -> None:
     async def script(side: UpstreamSide) -> None:
         arrival = await side.take()
--- a/tests/test_unframed_upstreams.py
+++ b/tests/test_unframed_upstreams.py
@@ -37,12 +37,15 @@
     for offset, reset in itertools.product(CUT_OFFSETS, (True, False))
 ]
 
+REPEAT_WINDOW_S = 1  # a new process has no repeats of the fixed part for so long
+
 
 @pytest.fixture
 async def fleet(tmp_path: pathlib.Path) -> t.AsyncIterator[PlatformFleet]:
-    async with PlatformFleet(tmp_path) as running:
+    async with PlatformFleet(tmp_path, bounds={"budget_window_s": REPEAT_WINDOW_S}) as running:
         await running.add_host()
         await wait_until(running.hosts[0].ready)
+        await asyncio.sleep(REPEAT_WINDOW_S)
         yield running
 
 
