Do not read the store over a connection that may have gone silent

What callers would see: a host that must know, because those that it relies on are silent, reads the store over a connection that it used minutes ago. If that has gone silent, the read ends with its time-out of 1.5 s, which with the 1.3 s before exceeds the bound of 2.0 s.

Change: connections to the store that were idle for 1.0 s are not used again. Hosts that read for all use theirs about twice a second.

--- a/src/cassiawalk/http1/client.py
+++ b/src/cassiawalk/http1/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 
 from cassiawalk.http1.connection import AnswerBroken
 from cassiawalk.http1.connection import AnswerData
@@ -45,10 +46,12 @@
     """Calls one address over pooled connections; a connection on which a call failed is closed.
 
     :param address: ``ip:port``, also sent as the Host header.
+    :param max_idle_s: see ``ConnectionPool``.
     """
 
-    def __init__(self, *, address: str) -> None:
-        self._pool = ConnectionPool(address=address)
+    def __init__(self, *, address: str, max_idle_s: float = math.inf) -> None:
+        self._max_idle_s = max_idle_s
+        self._pool = ConnectionPool(address=address, max_idle_s=max_idle_s)
         self._host = (b"Host", address.encode())
         self.calls = 0
 
@@ -85,7 +88,7 @@
     def set_address(self, address: str) -> None:
         """Use another address for later calls; calls in flight finish at the old one."""
         self._pool.close()
-        self._pool = ConnectionPool(address=address)
+        self._pool = ConnectionPool(address=address, max_idle_s=self._max_idle_s)
         self._host = (b"Host", address.encode())
 
     def close(self) -> None:
--- a/src/cassiawalk/http1/pool.py
+++ b/src/cassiawalk/http1/pool.py
@@ -1,6 +1,7 @@
 """Connection pool for one upstream."""
 
 import asyncio
+import math
 
 from cassiawalk.http1.connection import UpstreamConnection
 
@@ -22,9 +23,12 @@
     """Opens, reuses and closes the connections to one address of one upstream.
 
     :param address: ``ip:port``.
+    :param max_idle_s: a connection that has been idle for longer is not used again, whatever the
+        upstream announces.
     """
 
-    def __init__(self, *, address: str) -> None:
+    def __init__(self, *, address: str, max_idle_s: float = math.inf) -> None:
+        self._max_idle_s = max_idle_s
         ip, _, port = address.rpartition(":")
         self._ip, self._port = ip, int(port)
         self._idle: list[UpstreamConnection] = []
@@ -81,7 +85,8 @@
             timeout_s = (
                 IDLE_TIMEOUT_S if conn.keepalive_timeout_s is None else conn.keepalive_timeout_s
             )
-            if conn.reusable and now - conn.idle_since < timeout_s - IDLE_MARGIN_S:
+            limit_s = min(timeout_s - IDLE_MARGIN_S, self._max_idle_s)
+            if conn.reusable and now - conn.idle_since < limit_s:
                 return conn
             conn.close()
         return None
--- a/src/cassiawalk/ingress/node.py
+++ b/src/cassiawalk/ingress/node.py
@@ -164,7 +164,7 @@
 
     def _build_peers(self) -> None:
         profile = self._profile
-        own = entry_of(profile.host_id, profile.failure_domain, str(profile.peer_address))
+        own = entry_of(profile.host_id, profile.failure_domain, str(profile.announced_peer_address))
         records = HostRegistry(
             log=self._source.records,
             stream=self._source.host_stream,
@@ -340,7 +340,7 @@
             host=self._profile.host_id,
             incarnation=self._incarnation,
             failure_domain=self._profile.failure_domain,
-            peer_address=str(self._profile.peer_address),
+            peer_address=str(self._profile.announced_peer_address),
             now_s=self.time.now(),
             revision=-1 if config is None else config.revision,
             directory=self.directory.changed,
--- a/src/cassiawalk/ingress/profile.py
+++ b/src/cassiawalk/ingress/profile.py
@@ -54,6 +54,7 @@
     """One host's identity, addresses and bounds.
 
     :param ready_address: where the load balancer asks whether the host accepts connections.
+    :param announced_peer_address: where other hosts reach ``peer_address``.
     :param last_peer_port: the end of the port range that begins with ``peer_address``.
     :param strength: the host's capacity to serve other hosts as a hub: processor cores times the
         bandwidth of its link in Mbit/s.
@@ -64,6 +65,7 @@
     caller_address: Address
     ready_address: Address
     peer_address: Address
+    announced_peer_address: Address
     last_peer_port: int
     heartbeat_s: float
     bounds: FleetBounds
--- a/src/cassiawalk/platform/host.py
+++ b/src/cassiawalk/platform/host.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import collections.abc as cabc
+import dataclasses
 import os
 import pathlib
 import random
@@ -15,6 +16,7 @@
 from cassiawalk.clock import BootClock
 from cassiawalk.clock import SystemClock
 from cassiawalk.errors import CassiawalkError
+from cassiawalk.errors import WireError
 from cassiawalk.ingress.node import IngressNode
 from cassiawalk.ingress.source import PlatformSource
 from cassiawalk.linelog import LineLog
@@ -27,7 +29,9 @@
 from cassiawalk.platform.reload import SettingsReload
 from cassiawalk.platform.settings import PlatformSettings
 from cassiawalk.platform.settings import load_settings
+from cassiawalk.platform.settings import parse_address
 from cassiawalk.platform.store import PlatformStore
+from cassiawalk.settings import Address
 
 METRICS_PORT = 9464
 EXIT_OK = 0
@@ -53,6 +57,12 @@
         default=METRICS_PORT,
         help="port of the metrics",
     )
+    parser.add_argument(
+        "--announce-peer",
+        metavar="IP:PORT",
+        type=_address_argument,
+        help="where other hosts reach this one, if ports are mapped on the way",
+    )
     return parser
 
 
@@ -61,7 +71,7 @@
     args = build_parser().parse_args(argv)
     path = args.settings or pathlib.Path(os.environ.get(names.SETTINGS_ENV_VARIABLE, ""))
     try:
-        cfg = load_settings(path)
+        cfg = _with_announced_peer(load_settings(path), args.announce_peer)
         if args.check_settings:
             print(f"{path}: the settings are complete and valid")
             return EXIT_OK
@@ -75,6 +85,20 @@
     return EXIT_OK
 
 
+def _address_argument(text: str) -> Address:
+    try:
+        return parse_address(text)
+    except WireError as exc:
+        raise argparse.ArgumentTypeError(exc.message) from None
+
+
+def _with_announced_peer(cfg: PlatformSettings, announced: Address | None) -> PlatformSettings:
+    if announced is None:
+        return cfg
+    profile = dataclasses.replace(cfg.profile, announced_peer_address=announced)
+    return dataclasses.replace(cfg, profile=profile)
+
+
 async def _serve(cfg: PlatformSettings, path: pathlib.Path, metrics_port: int) -> None:
     log = LineLog(fd=sys.stdout.fileno(), fields={"host": cfg.profile.host_id})
     eliot.add_destinations(log)
--- a/src/cassiawalk/platform/settings.py
+++ b/src/cassiawalk/platform/settings.py
@@ -48,12 +48,14 @@
 def _profile(table: fields.JsonObject) -> HostProfile:
     listen = fields.object_field(table, "listen")
     first, last = _port_range(table)
+    peer_address = Address(ip=fields.string_field(table, "ip"), port=first)
     return HostProfile(
         host_id=HostId(fields.string_field(table, "node_name")),
         failure_domain=FailureDomain(fields.string_field(table, "zone")),
-        caller_address=_address(fields.string_field(listen, "front")),
-        ready_address=_address(fields.string_field(listen, "ready")),
-        peer_address=Address(ip=fields.string_field(table, "ip"), port=first),
+        caller_address=parse_address(fields.string_field(listen, "front")),
+        ready_address=parse_address(fields.string_field(listen, "ready")),
+        peer_address=peer_address,
+        announced_peer_address=peer_address,
         last_peer_port=last,
         heartbeat_s=fields.number_field(table, "heartbeat_ms", 1000) / 1000,
         bounds=_fleet_bounds(fields.object_field(table, "bounds")),
@@ -93,7 +95,11 @@
     )
 
 
-def _address(text: str) -> Address:
+def parse_address(text: str) -> Address:
+    """Return the address in a text.
+
+    :raises WireError: if it is not ``IP:PORT``.
+    """
     ip, _, port = text.rpartition(":")
     if not ip or not port.isdigit():
         raise WireError(f"{text!r} is not IP:PORT")
--- a/src/cassiawalk/platform/store.py
+++ b/src/cassiawalk/platform/store.py
@@ -27,6 +27,9 @@
 from cassiawalk.platform import names
 
 CALL_TIMEOUT_S = 1.5
+# A connection may have gone silent since its last use, and a host that must know can't wait for
+# the time-out. Hosts that read for all use theirs more often.
+MAX_IDLE_S = 1.0
 MAX_READ_KB = 1024  # per read; the store bounds reads by bytes, not by records
 APPEND_RETRY_AFTER_S = 0.3
 
@@ -43,7 +46,7 @@
     """Client for all streams; a stream is partition 0 of the topic with its name."""
 
     def __init__(self, *, address: str) -> None:
-        self._http = HttpClient(address=address)
+        self._http = HttpClient(address=address, max_idle_s=MAX_IDLE_S)
 
     def set_address(self, address: str) -> None:
         """Use another address for later calls."""
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -20,6 +20,7 @@
 
 READY_TIMEOUT_S = 15.0
 POLL_INTERVAL_S = 0.05
+FIRST_PEER_PORT = 7600
 BOUNDS = {"grace_s": 6, "usage_window_s": 1, "usage_late_s": 10}
 ONCE, SAFE, STREAM = "/once/", "/safe/", "/stream/"
 _Upstream = t.TypeVar("_Upstream", bound=PlatformUpstream)
@@ -111,6 +112,7 @@
         self.duties = DutyService()
         self.upstreams: list[PlatformUpstream] = []
         self.hosts: list[Host] = []
+        self._options: dict[str, tuple[str, ...]] = {}
 
     async def __aenter__(self) -> "PlatformFleet":
         await self.store.start()
@@ -147,19 +149,28 @@
         self.upstreams.append(upstream)
         return upstream
 
-    async def add_host(self, *, store_address: str | None = None) -> Host:
+    def next_peer_address(self) -> str:
+        """Return where the next host that is added accepts connections of other hosts."""
+        return f"{_host_ip(len(self.hosts))}:{FIRST_PEER_PORT}"
+
+    async def add_host(
+        self, *, store_address: str | None = None, announced_peer: str | None = None
+    ) -> Host:
         """Start a host process.
 
         :param store_address: where the host reaches the store; default: the store's own address.
+        :param announced_peer: where other hosts reach it; default: its own address.
         """
         name = f"host-{len(self.hosts)}"
+        if announced_peer is not None:
+            self._options[name] = ("--announce-peer", announced_peer)
         ip = _host_ip(len(self.hosts))
         settings = {
             "node_name": name,
             "ip": ip,
             "zone": "here",
             "listen": {"front": f"{ip}:8001", "ready": f"{ip}:8002"},
-            "internal_port_range": [7600, 7615],
+            "internal_port_range": [FIRST_PEER_PORT, FIRST_PEER_PORT + 15],
             "bounds": self._bounds,
             "platform": {"address": store_address or self.store.address},
             "cloud_api": {"address": self.duties.address},
@@ -185,6 +196,7 @@
             "-m",
             "cassiawalk.platform",
             str(self._settings_file(name)),
+            *self._options.get(name, ()),
             stdout=(self._directory / f"{name}.log").open("ab"),
         )
 
