End all connections of a stand-in that restarts, also those just accepted

test_crash_at_any_byte_of_a_stream_is_resumed_elsewhere failed once in a run of all tests and then in 3 of 22 plays: a request waited for its answer until the deadline. Traced with lines for each send, byte and end of a connection: the upstream's side never closed, as asyncio leaves a connection open that it accepted in the step in which the server closes; only its collection ends it. 24 of 24 plays passed with this. A process that dies has its connections closed by the kernel, so the stand-in was wrong.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -4,6 +4,7 @@
 import base64
 import collections
 import dataclasses
+import gc
 import socket
 import struct
 import time
@@ -52,6 +53,9 @@
         for conn in list(self._listener.connections):
             self._end_connection(conn, reset=reset)
         await self._listener.stop()
+        await asyncio.sleep(0)
+        # asyncio leaves open, until it is collected, what it accepted in the step of the close.
+        gc.collect()
         await asyncio.sleep(down_s)
         ip, _, port = self.address.rpartition(":")
         sock = listen(Address(ip=ip, port=int(port)))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -22,6 +22,7 @@
 # Seeds that failed before the fault was fixed, with the cause.
 FAILED_SEEDS = {
     1: "a SIGHUP that arrived while a host was starting terminated it",
+    200: "a host waited for peers on silent links while it stopped",
 }
 
 
