--- a/soak/limits.py
+++ b/soak/limits.py
@@ -44,15 +44,17 @@
 
 
 def check_repeats(
-    upstreams: cabc.Iterable[PlatformUpstream], record: RunRecord
+    upstreams: cabc.Iterable[PlatformUpstream], sent_at: cabc.Sequence[float]
 ) -> cabc.Iterator[str]:
-    """Yield each window in which upstreams got too many repeats."""
+    """Yield each window in which upstreams got too many repeats.
+
+    :param sent_at: when callers sent their requests, in monotonic seconds.
+    """
     repeats = repeat_times(upstreams)
-    requests = [sent.sent_at for sent in record.requests.values()]
     for begin in repeats:
         found = _within(repeats, begin)
         before = (begin, begin - REPEAT_WINDOW_S, begin - REPEAT_WINDOW_S / 2)
-        allowed = REPEAT_RATIO * max(_within(requests, at) for at in before) + REPEAT_EXTRA
+        allowed = REPEAT_RATIO * max(_within(sent_at, at) for at in before) + REPEAT_EXTRA
         if found > allowed:
             yield f"{found} repeats in {REPEAT_WINDOW_S} s, allowed are {allowed}"
 
@@ -69,5 +71,5 @@
     return times
 
 
-def _within(times: list[float], begin: float) -> int:
+def _within(times: cabc.Sequence[float], begin: float) -> int:
     return sum(begin <= at < begin + REPEAT_WINDOW_S for at in times)
--- a/soak/run.py
+++ b/soak/run.py
@@ -111,10 +111,11 @@
                 await callers
             logs = {host.name: self._fleet.lines(host) for host in self._fleet.hosts}
             upstreams = self._fleet.upstreams
+            requests = self._record.requests.values()
             return [
                 *self._violations,
                 *check_departures(self._departures, self._record, self._touch),
-                *check_repeats(upstreams, self._record),
+                *check_repeats(upstreams, [sent.sent_at for sent in requests]),
                 *self._record.violations(
                     upstreams=upstreams, duties=self._fleet.duties.calls, logs=logs
                 ),
--- a/src/cassiawalk/ingress/node.py
+++ b/src/cassiawalk/ingress/node.py
@@ -20,24 +20,17 @@
 from cassiawalk.ingress.census import HostCensus
 from cassiawalk.ingress.codec import HeadCodec
 from cassiawalk.ingress.config import ConfigView
-from cassiawalk.ingress.copying import CopyCall
-from cassiawalk.ingress.copying import PeerCopier
 from cassiawalk.ingress.correctedtime import CorrectedTime
 from cassiawalk.ingress.crashparts import CrashParts
 from cassiawalk.ingress.demandmeter import DemandMeter
 from cassiawalk.ingress.directory import Directory
 from cassiawalk.ingress.dutyparts import DutyParts
-from cassiawalk.ingress.follow import ConfigFollower
-from cassiawalk.ingress.follow import DirectoryFollower
-from cassiawalk.ingress.follow import ReadOptions
 from cassiawalk.ingress.forwarder import Forwarder
-from cassiawalk.ingress.freshness import Freshness
 from cassiawalk.ingress.heartbeat import Heartbeat
 from cassiawalk.ingress.heartbeats import HeartbeatExchange
 from cassiawalk.ingress.hosts import HostRegistry
 from cassiawalk.ingress.hosts import entry_of
 from cassiawalk.ingress.intake import Intake
-from cassiawalk.ingress.lapses import LapseChecker
 from cassiawalk.ingress.placement import Placer
 from cassiawalk.ingress.profile import FleetBounds
 from cassiawalk.ingress.profile import HostProfile
@@ -45,18 +38,13 @@
 from cassiawalk.ingress.receiver import HeartbeatReceiver
 from cassiawalk.ingress.report import IngressReport
 from cassiawalk.ingress.source import PlatformSource
+from cassiawalk.ingress.storeparts import StoreParts
 from cassiawalk.membership import Membership
 from cassiawalk.peer import PeerLinks
 from cassiawalk.peer import PeerServer
 from cassiawalk.settings import Address
 from cassiawalk.sockets import listen
 
-# With a heartbeat interval it stays under the age at which other hosts read the store themselves.
-CONFIG_WAIT_S = 0.5
-CONFIG_PAUSE_S = 0.0
-DIRECTORY_WAIT_S = 0.2
-DIRECTORY_PAUSE_S = 0.3
-SUSPECT_WAIT_S = 3.0  # hosts tell each other at once; the store is for those that none can tell
 # Heartbeats announce new hosts, and the heartbeat exchange reads the list when hosts are missing.
 MEMBERSHIP_POLL_S = 600.0
 NO_SECRET = ""  # the platform provides none; its network carries no outside traffic
@@ -111,9 +99,7 @@
         self._incarnation = new_uuid7()
         self._draining = False
         self.config = ConfigView()
-        self.config_freshness = Freshness(clock=boot_clock)
         self.directory = Directory(clock=clock)
-        self.directory_freshness = Freshness(clock=boot_clock)
         self.time = CorrectedTime(clock=boot_clock)
         self.usage = UsageCounts(now=self.time.now, window_s=profile.bounds.usage_window_s)
         self.demand = DemandMeter(clock=clock)
@@ -255,67 +241,20 @@
         )
 
     def _build_followers(self) -> None:
-        source = self._source
-        self.copier = PeerCopier(
+        self.store = StoreParts(
             host=self._profile.host_id,
-            view=self.config,
+            source=self._source,
+            config=self.config,
             directory=self.directory,
             heartbeats=self.heartbeats,
             links=self.links,
-            clock=self._clock,
-            rng=self._rng,
-            config_freshness=self.config_freshness,
-            directory_freshness=self.directory_freshness,
+            on_read=self.census.note_store,
             now_s=self.time.now,
-        )
-        self.heartbeats.add_listener(self.copier.note_heartbeat)
-        self.config_follower = ConfigFollower(
-            log=source.records,
-            options=self._read_options(
-                source.config_stream, CONFIG_WAIT_S, CONFIG_PAUSE_S, self.config_freshness
-            ),
-            key=source.config_key,
-            decode=source.decode_config,
-            view=self.config,
-            clock=self._clock,
-            rng=self._rng,
-        )
-        self.directory_follower = DirectoryFollower(
-            log=source.records,
-            options=self._read_options(
-                source.upstream_stream,
-                DIRECTORY_WAIT_S,
-                DIRECTORY_PAUSE_S,
-                self.directory_freshness,
-            ),
-            decode=source.decode_registration,
-            directory=self.directory,
             clock=self._clock,
+            boot_clock=self._boot_clock,
             rng=self._rng,
         )
-        self.lapses = LapseChecker(
-            directory=self.directory,
-            config=self.config,
-            inquiry=source.inquiry,
-            clock=self._clock,
-        )
-        self.copier.config_follower = self.config_follower
-        self.copier.directory_follower = self.directory_follower
-        self.peer_server.handle(CopyCall, self.copier.handle)
-
-    def _read_options(
-        self, stream: str, wait_s: float, pause_s: float, freshness: Freshness
-    ) -> ReadOptions:
-        return ReadOptions(
-            stream=stream,
-            wait_s=wait_s,
-            pause_s=pause_s,
-            should_read=lambda: self.copier.reads_store,
-            must_know=lambda: self.copier.must_know(freshness),
-            freshness=freshness,
-            on_change=self.heartbeats.send_now,
-            on_read=self.census.note_store,
-        )
+        self.store.serve(self.peer_server)
 
     def _build_duties(self) -> None:
         self.duties = DutyParts(
@@ -328,7 +267,7 @@
             time=self.time,
             usage=self.usage,
             demand=self.demand,
-            can_act=lambda: self.ready and self.copier.store_ok,
+            can_act=lambda: self.ready and self.store.copier.store_ok,
             clock=self._clock,
             boot_clock=self._boot_clock,
             rng=self._rng,
@@ -344,9 +283,9 @@
             now_s=self.time.now(),
             revision=-1 if config is None else config.revision,
             directory=self.directory.changed,
-            store_ok=self.copier.store_ok,
-            reads=self.copier.store_ok and self.copier.reads_store,
-            knows=self.copier.is_current,
+            store_ok=self.store.copier.store_ok,
+            reads=self.store.copier.store_ok and self.store.copier.reads_store,
+            knows=self.store.copier.is_current,
             duty=self.duties.known_holder(),
             leaving=self._draining,
             drawn=self.quotas.consumed(),
@@ -356,8 +295,8 @@
             strength=self._profile.strength,
             notes=self.crashes.exchange.digest(),
             census=self._count_hosts(),
-            config_age_s=_finite(self.config_freshness.age_s),
-            directory_age_s=_finite(self.directory_freshness.age_s),
+            config_age_s=_finite(self.store.config_freshness.age_s),
+            directory_age_s=_finite(self.store.directory_freshness.age_s),
         )
 
     def _count_hosts(self) -> int:
@@ -392,23 +331,17 @@
             sock=listen(Address(ip=self._profile.peer_address.ip, port=self._metrics_port)),
             handler=_MetricsHandler(report=self.report),
         )
-        suspects = ReadOptions(
-            stream=self._source.suspect_stream,
-            wait_s=SUSPECT_WAIT_S,
-            pause_s=0.0,
-            should_read=lambda: self.copier.reads_store,
+        crashes = self.crashes.components(
+            log=self._source.records, options=self.store.suspect_options(), rng=self._rng
         )
-        crashes = self.crashes.components(log=self._source.records, options=suspects, rng=self._rng)
         return [
             ready,
             metrics,
             self.links,
             self.peer_server,
-            self.config_follower,
-            self.directory_follower,
+            *self.store.followers(),
             self.heartbeats,
-            self.copier,
-            self.lapses,
+            *self.store.components(),
             *crashes,
             *self.duties.components(),
             self.forwarder,
--- a/tests/test_budget_processes.py
+++ b/tests/test_budget_processes.py
@@ -10,21 +10,21 @@
 
 import pytest
 
+from soak.limits import check_repeats
 from standins.platform_fleet import Host
 from standins.platform_fleet import PlatformFleet
 from standins.platform_fleet import build_request
 from standins.platform_fleet import wait_until
 
 HOSTS = 5
-RATIO, EXTRA, WINDOW_S = 0.2, 50.0, 10.0  # defaults of the hosts' settings
 CALL_INTERVAL_S = 0.15
 _numbers = itertools.count()
 
 
-async def _keep_calling(host: Host, sent: list[tuple[str, float]]) -> None:
+async def _keep_calling(host: Host, sent: list[float]) -> None:
     while True:
         request_id = f"b-{next(_numbers)}"
-        sent.append((request_id, time.monotonic()))
+        sent.append(time.monotonic())
         with contextlib.suppress(OSError, EOFError, TimeoutError):
             await host.request(build_request(request_id))
         await asyncio.sleep(CALL_INTERVAL_S)
@@ -70,7 +70,7 @@
 async def test_restarts_give_no_new_allowance_of_repeats(
     trouble: Trouble, tmp_path: pathlib.Path
 ) -> None:
-    sent: list[tuple[str, float]] = []
+    sent: list[float] = []
     async with PlatformFleet(tmp_path) as fleet:
         for _ in range(3):
             (await fleet.add_upstream()).refuses = True
@@ -82,27 +82,5 @@
         await trouble(fleet)
         for call in calls:
             call.cancel()
-        repeats = _repeat_times(fleet)
-    assert list(_excesses(repeats, [at for _, at in sent])) == []
-
-
-def _repeat_times(fleet: PlatformFleet) -> list[float]:
-    """Return when requests arrived that had arrived before."""
-    seen: set[str] = set()
-    times = []
-    arrivals = [run for upstream in fleet.upstreams for run in upstream.arrivals]
-    for run in sorted(arrivals, key=lambda run: run.at):
-        if run.request_id in seen:
-            times.append(run.at)
-        seen.add(run.request_id)
-    return times
-
-
-def _excesses(repeats: list[float], requests: list[float]) -> cabc.Iterator[tuple[int, float]]:
-    """Yield the repeats and the limit of each window that holds too many."""
-    for begin in repeats:
-        found = sum(begin <= at < begin + WINDOW_S for at in repeats)
-        before = (begin, begin - WINDOW_S, begin - WINDOW_S / 2)
-        most = max(sum(first <= at < first + WINDOW_S for at in requests) for first in before)
-        if found > RATIO * most + EXTRA:
-            yield found, RATIO * most + EXTRA
+        excesses = list(check_repeats(fleet.upstreams, sent))
+    assert excesses == []
--- a/tests/test_lapses.py
+++ b/tests/test_lapses.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections.abc as cabc
 import contextlib
-import itertools
 import pathlib
 import signal
 import time
@@ -25,12 +24,11 @@
 from cassiawalk.ingress.lapses import UpstreamInquiry
 from cassiawalk.ingress.lapses import UpstreamState
 from cassiawalk.platform.health import PlatformInquiry
-from standins.platform_fleet import Host
 from standins.platform_fleet import PlatformFleet
-from standins.platform_fleet import build_request
-from standins.platform_fleet import wait_until
 from tests.ingress_bed import config
 from tests.ingress_bed import route
+from tests.news_support import callers
+from tests.news_support import settled_fleet
 from tests.test_directory import ID
 from tests.test_directory import SERVICE
 from tests.test_directory import entry
@@ -38,7 +36,6 @@
 
 OUTAGE_S = 4.0
 HOSTS = 5
-_numbers = itertools.count()
 
 
 class _Inquiry(UpstreamInquiry):
@@ -147,30 +144,13 @@
 
 @pytest.fixture
 async def fleet(tmp_path: pathlib.Path) -> cabc.AsyncIterator[PlatformFleet]:
-    async with PlatformFleet(tmp_path) as running:
-        for _ in range(3):
-            await running.add_upstream()
-        for _ in range(HOSTS):
-            await running.add_host()
-        for host in running.hosts:
-            await wait_until(host.ready)
-        await asyncio.sleep(2.0)
+    async with settled_fleet(tmp_path, upstreams=3, add_hosts=_add_hosts) as running:
         yield running
 
 
-async def _keep_calling(host: Host, statuses: list[int]) -> None:
-    while True:
-        statuses.append((await host.request(build_request(f"l-{next(_numbers)}"))).status)
-        await asyncio.sleep(0.02)
-
-
-@contextlib.asynccontextmanager
-async def _callers(fleet: PlatformFleet) -> cabc.AsyncIterator[list[int]]:
-    statuses: list[int] = []
-    calls = [asyncio.create_task(_keep_calling(host, statuses)) for host in fleet.hosts]
-    yield statuses
-    for call in calls:
-        call.cancel()
+async def _add_hosts(fleet: PlatformFleet) -> None:
+    for _ in range(HOSTS):
+        await fleet.add_host()
 
 
 @pytest.mark.parametrize("leavers", [0, 1])
@@ -179,7 +159,7 @@
 ) -> None:
     leaving, staying = fleet.upstreams[:leavers], fleet.upstreams[leavers:]
     fleet.store.refusal = 503
-    async with _callers(fleet) as statuses:
+    async with callers(fleet.hosts) as statuses:
         await asyncio.sleep(OUTAGE_S)
         for upstream in leaving:
             await upstream.deregister()
@@ -211,7 +191,7 @@
     for host in frozen:
         host.process.send_signal(signal.SIGCONT)
     woken_at = time.monotonic()
-    async with _callers(fleet) as statuses:
+    async with callers(fleet.hosts) as statuses:
         await asyncio.sleep(4.0)
     assert not [run for run in leaver.arrivals if run.at > woken_at + 1.0]
     assert set(statuses) == {200}
--- a/tests/test_late_news.py
+++ b/tests/test_late_news.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections.abc as cabc
 import contextlib
-import itertools
 import pathlib
 import signal
 import time
@@ -14,31 +13,29 @@
 from cassiawalk.membership.rendezvous import rank
 from standins.platform_fleet import Host
 from standins.platform_fleet import PlatformFleet
-from standins.platform_fleet import build_request
 from standins.platform_fleet import platform_config
-from standins.platform_fleet import wait_until
+from tests.news_support import NEWS_LIMIT_S
+from tests.news_support import SETTLED_S
+from tests.news_support import callers
+from tests.news_support import in_force_after
+from tests.news_support import settled_fleet
 
 HOSTS = 7
 READERS = 2  # the hosts that read the store for all
-NEWS_LIMIT_S = 2.0  # from an acknowledgement of the store until it is in force at each host
 STOPPED_AFTER_S = (0.0, 0.01, 0.02, 0.04)  # after the acknowledgement
-SETTLED_S = 3.5
-_numbers = itertools.count()
 
 
 @pytest.fixture
 async def fleet(tmp_path: pathlib.Path) -> cabc.AsyncIterator[PlatformFleet]:
-    async with PlatformFleet(tmp_path) as running:
-        for _ in range(2):
-            await running.add_upstream()
-        for _ in range(HOSTS):
-            await running.add_host()
-        for host in running.hosts:
-            await wait_until(host.ready)
-        await asyncio.sleep(SETTLED_S)
+    async with settled_fleet(tmp_path, upstreams=2, add_hosts=_add_hosts) as running:
         yield running
 
 
+async def _add_hosts(fleet: PlatformFleet) -> None:
+    for _ in range(HOSTS):
+        await fleet.add_host()
+
+
 def _readers(fleet: PlatformFleet) -> list[Host]:
     order = rank("hubs", [HostId(host.name) for host in fleet.hosts])
     return [host for host in fleet.hosts if host.name in order[:READERS]]
@@ -56,14 +53,6 @@
         await asyncio.sleep(SETTLED_S)
 
 
-async def _in_force_after(host: Host, key: str, acknowledged_at: float) -> float:
-    """Return how long after an acknowledgement a host serves a new key."""
-    async with asyncio.timeout(10):
-        while (await host.request(build_request(f"k-{next(_numbers)}", key=key))).status != 200:
-            await asyncio.sleep(0.02)
-    return time.monotonic() - acknowledged_at
-
-
 async def test_configuration_is_in_force_in_time_though_its_readers_stop(
     fleet: PlatformFleet,
 ) -> None:
@@ -76,40 +65,30 @@
         acknowledged_at = time.monotonic()
         await asyncio.sleep(pause_s)
         async with _stopped(readers):
-            waits = [_in_force_after(host, key, acknowledged_at) for host in others]
+            waits = [in_force_after(host, key, acknowledged_at) for host in others]
             late += [taken for taken in await asyncio.gather(*waits) if taken > NEWS_LIMIT_S]
     assert late == []
 
 
-async def _keep_calling(host: Host) -> None:
-    while True:
-        await host.request(build_request(f"d-{next(_numbers)}"))
-        await asyncio.sleep(0.03)
-
-
 @pytest.mark.parametrize("announces", [True, False])
 async def test_no_request_reaches_an_upstream_that_left_though_the_readers_stop(
     fleet: PlatformFleet, announces: bool
 ) -> None:
     readers = _readers(fleet)
     leaver = fleet.upstreams[0]
-    calls = [
-        asyncio.create_task(_keep_calling(host)) for host in fleet.hosts if host not in readers
-    ]
     late: list[float] = []
-    for pause_s in STOPPED_AFTER_S:
-        await (leaver.register("draining") if announces else leaver.deregister())
-        acknowledged_at = time.monotonic()
-        await asyncio.sleep(pause_s)
-        async with _stopped(readers):
-            await asyncio.sleep(NEWS_LIMIT_S + 1.0)
-        late += [
-            run.at - acknowledged_at
-            for run in leaver.arrivals
-            if run.at > acknowledged_at + NEWS_LIMIT_S
-        ]
-        await leaver.register()
-        await asyncio.sleep(1.0)
-    for call in calls:
-        call.cancel()
+    async with callers(host for host in fleet.hosts if host not in readers):
+        for pause_s in STOPPED_AFTER_S:
+            await (leaver.register("draining") if announces else leaver.deregister())
+            acknowledged_at = time.monotonic()
+            await asyncio.sleep(pause_s)
+            async with _stopped(readers):
+                await asyncio.sleep(NEWS_LIMIT_S + 1.0)
+            late += [
+                run.at - acknowledged_at
+                for run in leaver.arrivals
+                if run.at > acknowledged_at + NEWS_LIMIT_S
+            ]
+            await leaver.register()
+            await asyncio.sleep(1.0)
     assert late == []
