Let fault proxies listen on the address of their target

Hosts of a run beside it had been told of a proxy on 127.0.0.1 whose port the test's upstream got when that proxy had stopped. Proxies of links between hosts listen on their host's own loopback address now, which no other run uses.

--- a/soak/fault_proxy.py
+++ b/soak/fault_proxy.py
@@ -52,8 +52,8 @@
         return len(self._conns)
 
     async def start(self) -> None:
-        """Listen on a free loopback port and set ``address``."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        """Listen on a free port of the target's IP and set ``address``."""
+        self._server = await asyncio.start_server(self._serve, self._target[0], 0)
         ip, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{ip}:{port}"
 
