Test that no request is sent to an upstream that left while it was connected to

Red without the check after the connection: the three cases named 'leaves', 'is gone' and 'is in doubt'.

--- a/tests/test_lapses.py
+++ b/tests/test_lapses.py
@@ -10,6 +10,7 @@
 import pytest
 
 from cassiawalk.clock import LoopClock
+from cassiawalk.http1 import UpstreamConnection
 from cassiawalk.ids import Offset
 from cassiawalk.ids import UpstreamId
 from cassiawalk.ingress.config import ConfigView
@@ -18,6 +19,7 @@
 from cassiawalk.ingress.directory import STALE_GRACE_S
 from cassiawalk.ingress.directory import UNANSWERED_S
 from cassiawalk.ingress.directory import Directory
+from cassiawalk.ingress.directory import Presence
 from cassiawalk.ingress.directory import Registration
 from cassiawalk.ingress.lapses import KEPT_S
 from cassiawalk.ingress.lapses import LapseChecker
@@ -25,7 +27,10 @@
 from cassiawalk.ingress.lapses import UpstreamState
 from cassiawalk.platform.health import PlatformInquiry
 from standins.platform_fleet import PlatformFleet
+from tests.ingress_bed import IngressBed
 from tests.ingress_bed import config
+from tests.ingress_bed import echo
+from tests.ingress_bed import post
 from tests.ingress_bed import route
 from tests.news_support import callers
 from tests.news_support import settled_fleet
@@ -195,3 +200,35 @@
         await asyncio.sleep(4.0)
     assert not [run for run in leaver.arrivals if run.at > woken_at + 1.0]
     assert set(statuses) == {200}
+
+
+@pytest.mark.parametrize("how", ["leaves", "is gone", "is in doubt"])
+async def test_upstream_that_leaves_while_its_connection_is_opened_gets_no_request(
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async with IngressBed(config(route(RetryRule.ONCE))) as bed:
+        leaver = await bed.add(echo, "u-1")
+        upstream = bed.directory.upstreams()[0]
+        opening, opened = asyncio.Event(), asyncio.Event()
+        acquire = upstream.pool.acquire
+
+        async def acquire_late(**_: float) -> UpstreamConnection:
+            conn = await acquire()
+            opening.set()
+            await opened.wait()
+            return conn
+
+        monkeypatch.setattr(upstream.pool, "acquire", acquire_late)
+        request = asyncio.create_task((await bed.caller()).request(post()))
+        await opening.wait()
+        other = await bed.add(echo, "u-2", offset=2)
+        match how:
+            case "leaves":
+                bed.register("u-1", leaver.address, offset=3, presence=Presence.LEAVING)
+            case "is gone":
+                bed.directory.remove(UpstreamId("u-1"), Offset(3))
+            case "is in doubt":
+                upstream.usable_until = 0.0
+        opened.set()
+        assert (await request).status == 200
+    assert (len(leaver.arrivals), len(other.arrivals)) == (0, 1)
