--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -14,8 +14,8 @@
 from cassiawalk.ingress.copying import READER_COPY_DELAY_S
 from cassiawalk.ingress.follow import ConfigFollower
 from cassiawalk.ingress.follow import ReadOptions
-from cassiawalk.ingress.node import CONFIG_PAUSE_S
-from cassiawalk.ingress.node import CONFIG_WAIT_S
+from cassiawalk.ingress.storeparts import CONFIG_PAUSE_S
+from cassiawalk.ingress.storeparts import CONFIG_WAIT_S
 from tests.fakes import FakeClock
 
 IN_FORCE_S = 2.0  # the shortest time limit of any deployment for a new revision
