--- a/soak/run.py
+++ b/soak/run.py
@@ -65,6 +65,7 @@
 class RunSize:
     """The size of a run; ``seconds`` is how long faults are injected.
 
+    ``store_returns`` tells whether the store returns from older copies, where that is planned.
     One more upstream ends its answers with their connection and crashes in some of them.
     """
 
@@ -72,6 +73,7 @@
     upstreams: int = 3
     callers: int = 6
     seconds: float = 12.0
+    store_returns: bool = True
 
 
 class SoakRun:
@@ -197,7 +199,8 @@
                 for upstream in self._fleet.upstreams:
                     upstream.refuses = False
             case FleetFault.STORE_OLDER_COPY:
-                await self._restore_older_copy()
+                if self._size.store_returns:
+                    await self._restore_older_copy()
             case FleetFault.CRASHING_REQUEST:
                 await self._send_crashing_request(planned)
             case _:
