Let tests of crashing requests wait for the hosts' first window of repeats

Traced: its first upstream had come back under another id, which hosts cannot know while the store refuses, and answered 421; the host was younger than 10 s, so it had no fixed part of the repeats (change of BUDGET), and too few requests for the part by ratio. Hosts of these tests have a window of 1 s now, and the tests wait for it.

--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -27,16 +27,19 @@
 NOT_RUN_REFUSAL = 503
 BLAME = (b"quarantined", b"suspect", b"crashed_upstream")
 
+REPEAT_WINDOW_S = 1  # a new process has no repeats of the fixed part for so long
+
 
 @pytest.fixture
 async def fleet(tmp_path: pathlib.Path) -> t.AsyncIterator[PlatformFleet]:
-    async with PlatformFleet(tmp_path) as running:
+    async with PlatformFleet(tmp_path, bounds={"budget_window_s": REPEAT_WINDOW_S}) as running:
         for _ in range(UPSTREAMS):
             await running.add_upstream(crash_on=CRASH)
         for _ in range(HOSTS):
             await running.add_host()
         for host in running.hosts:
             await wait_until(host.ready)
+        await asyncio.sleep(REPEAT_WINDOW_S)
         yield running
 
 
