Tell all hosts which usage window is about to be reported

Now a holder names the window in its heartbeats and reports only when two live hosts (or all, if fewer) have repeated it. Every host keeps the highest window it heard of. A new holder never counts a window that was named and has no record, nor one that ended before any process it knows of had started: if all who knew are gone, nobody has counts of it either. Such a window is late for good ('usage:skipped'), not reported twice.

Weighed: the counts themselves in heartbeats (the window would not be lost, but some 0.6 KB more in each of two heartbeats a second at 19 workspaces, for a case that needs two faults at once); a second record on another stream (the same copy loses it too).

No message more is sent; a heartbeat has one number more, and a report waits for the next heartbeats (0.5 s).

--- a/soak/run.py
+++ b/soak/run.py
@@ -65,7 +65,6 @@
 class RunSize:
     """The size of a run; ``seconds`` is how long faults are injected.
 
-    ``store_returns`` tells whether the store returns from older copies, where that is planned.
     One more upstream ends its answers with their connection and crashes in some of them.
     """
 
@@ -73,7 +72,6 @@
     upstreams: int = 3
     callers: int = 6
     seconds: float = 12.0
-    store_returns: bool = True
 
 
 class SoakRun:
@@ -199,8 +197,7 @@
                 for upstream in self._fleet.upstreams:
                     upstream.refuses = False
             case FleetFault.STORE_OLDER_COPY:
-                if self._size.store_returns:
-                    await self._restore_older_copy()
+                await self._restore_older_copy()
             case FleetFault.CRASHING_REQUEST:
                 await self._send_crashing_request(planned)
             case _:
--- a/src/cassiawalk/duties/reporter.py
+++ b/src/cassiawalk/duties/reporter.py
@@ -1,4 +1,9 @@
-"""Reports usage once for each window; the counts are appended to the log before the report."""
+"""Reports usage once for each window; the counts are appended to the log before the report.
+
+The log may lose a record, if its store returns from an older copy. So a report is sent only once
+other hosts know of it, see ``ReportProgress``, and a window that may have been reported is not
+counted anew: its report is then missing, but no second one with other counts is sent.
+"""
 
 import collections
 import collections.abc as cabc
@@ -14,6 +19,7 @@
 from cassiawalk.duties.api import FencingToken
 from cassiawalk.duties.api import UsageWindow
 from cassiawalk.duties.holder import Duty
+from cassiawalk.duties.progress import ReportProgress
 from cassiawalk.duties.usage import UsageCounts
 from cassiawalk.errors import WireError
 from cassiawalk.ids import Offset
@@ -56,12 +62,14 @@
         api: DutyApi,
         log: LogService,
         counts: UsageCounts,
+        progress: ReportProgress,
         now: cabc.Callable[[], float],
         max_delay_s: float,
     ) -> None:
         self._api = api
         self._log = log
         self._counts = counts
+        self._progress = progress
         self._now = now
         self._max_delay_s = max_delay_s
         self._next_offset = Offset(0)
@@ -81,8 +89,15 @@
         for window in due:
             if window not in self._recorded and self._now() - self._acquired_s < TAKEOVER_DELAY_S:
                 return DutyOutcome.DONE
+            if window not in self._recorded and not self._may_count(window):
+                self._skip(window)
+                continue
             record = await self._ensure_record(window)
-            if record is None or not may_send():
+            if record is None:
+                return DutyOutcome.UNKNOWN
+            if not self._progress.announce(window):
+                return DutyOutcome.DONE
+            if not may_send():
                 return DutyOutcome.UNKNOWN
             outcome = await self._report(record, by)
             if outcome is not DutyOutcome.DONE:
@@ -106,6 +121,19 @@
         oldest = self._counts.window_at(now - self._max_delay_s) - 1
         return [window for window in range(oldest, newest + 1) if window not in self._reported]
 
+    def _may_count(self, window: int) -> bool:
+        """Return whether no host can have reported a window that has no record."""
+        return window > self._progress.last and self._counts.covers(window)
+
+    def _skip(self, window: int) -> None:
+        self._reported.append(window)
+        eliot.log_message(
+            message_type="usage:skipped",
+            window=window,
+            announced=self._progress.last,
+            covered=self._counts.covers(window),
+        )
+
     async def _ensure_record(self, window: int) -> UsageRecord | None:
         """Return a window's first record on the log, or append one; None if the log fails."""
         known = self._recorded.get(window)
--- a/src/cassiawalk/duties/usage.py
+++ b/src/cassiawalk/duties/usage.py
@@ -32,6 +32,7 @@
     def __init__(self, *, now: cabc.Callable[[], float], window_s: float) -> None:
         self._now = now
         self._window_s = window_s
+        self._started_s = now()
         self._own: dict[int, Counts] = {}
         self._peers: dict[tuple[HostId, str], dict[int, Counts]] = {}
 
@@ -64,6 +65,13 @@
             counts_by_window[update.window] = dict(update.counts)
         _drop_oldest(counts_by_window)
 
+    def covers(self, window: int) -> bool:
+        """Return whether a process that this one knows was counting in a window.
+
+        That is this process, if it started before the window's end, or one that has sent counts.
+        """
+        return self._started_s < self.end_of(window) or bool(self.total(window))
+
     def total(self, window: int) -> Counts:
         """Return the sum of all processes' counts in a window, by workspace."""
         total = dict(self._own.get(window, {}))
--- a/src/cassiawalk/ingress/dutyparts.py
+++ b/src/cassiawalk/ingress/dutyparts.py
@@ -22,6 +22,7 @@
 from cassiawalk.ingress.heartbeats import HeartbeatExchange
 from cassiawalk.ingress.profile import HostProfile
 from cassiawalk.ingress.scaling import ScalingView
+from cassiawalk.ingress.sharedprogress import SharedProgress
 from cassiawalk.ingress.source import PlatformSource
 from cassiawalk.leases import LeaseManager
 
@@ -55,6 +56,8 @@
         self._demand = demand
         self._can_act = can_act
         self._candidacy = DutyCandidacy(host=self._host, clock=clock)
+        self.progress = SharedProgress(heartbeats=heartbeats)
+        heartbeats.add_listener(self.progress.receive)
         self.holder: DutyHolder | None = None
         if source.duties is None:
             return
@@ -108,6 +111,7 @@
             api=api,
             log=source.log,
             counts=usage,
+            progress=self.progress,
             now=time.now,
             max_delay_s=profile.bounds.usage_late_s,
         )
--- a/src/cassiawalk/ingress/heartbeat.py
+++ b/src/cassiawalk/ingress/heartbeat.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from cassiawalk.duties.progress import NO_WINDOW
 from cassiawalk.duties.usage import WindowCounts
 from cassiawalk.ids import HostId
 from cassiawalk.ids import Offset
@@ -40,6 +41,7 @@
     :param config_age_s: the age of the sender's knowledge of the configuration in seconds, see
         ``Freshness``; None if it has none.
     :param directory_age_s: the same of the upstreams.
+    :param reported: the last usage window that is known to be reported, see ``SharedProgress``.
     :param census: the number of hosts that the sender counts itself, see ``HostCensus``.
     """
 
@@ -67,6 +69,7 @@
     strength: float = 1.0
     notes: str | None = None
     census: int = 0
+    reported: int = NO_WINDOW
     config_age_s: float | None = None
     directory_age_s: float | None = None
 
--- a/src/cassiawalk/ingress/node.py
+++ b/src/cassiawalk/ingress/node.py
@@ -292,6 +292,7 @@
             use=self._upstream_use(),
             reading=self.demand.rates(),
             usage=self.usage.own_counts(),
+            reported=self.duties.progress.last,
             strength=self._profile.strength,
             notes=self.crashes.exchange.digest(),
             census=self._count_hosts(),
--- /dev/null
+++ b/src/cassiawalk/ingress/sharedprogress.py
@@ -0,0 +1,39 @@
+"""Shares with the other hosts, by heartbeats, which usage window was reported last."""
+
+from cassiawalk.duties.progress import NO_WINDOW
+from cassiawalk.duties.progress import ReportProgress
+from cassiawalk.ingress.heartbeat import Heartbeat
+from cassiawalk.ingress.heartbeats import HeartbeatExchange
+
+# With two of them, the holder and one more host may be lost before the next heartbeats.
+MIN_WITNESSES = 2
+
+
+class SharedProgress(ReportProgress):
+    """The last window that this host has announced or that a heartbeat has named.
+
+    It outlives the holder and the records in the store as long as one host lives that knew it.
+    """
+
+    def __init__(self, *, heartbeats: HeartbeatExchange) -> None:
+        self._heartbeats = heartbeats
+        self._last = NO_WINDOW
+
+    @property
+    def last(self) -> int:
+        """Return the last window that is known to be reported, ``NO_WINDOW`` if there is none."""
+        return self._last
+
+    def receive(self, heartbeat: Heartbeat) -> None:
+        """Take over what another host knows."""
+        self._last = max(self._last, heartbeat.reported)
+
+    def announce(self, window: int) -> bool:
+        """Record the window; return whether ``MIN_WITNESSES`` live hosts have repeated it.
+
+        If fewer hosts are live, all of them must have. A host without live others need not wait.
+        """
+        self._last = max(self._last, window)
+        live = self._heartbeats.live_hosts
+        known = [self._heartbeats.peers[host].heartbeat.reported >= window for host in live]
+        return sum(known) >= min(MIN_WITNESSES, len(known))
--- /dev/null
+++ b/tests/test_sharedprogress.py
@@ -0,0 +1,85 @@
+"""What hosts know of reported usage windows, beyond the host that reported them."""
+
+import dataclasses
+
+import pytest
+
+from cassiawalk.duties.progress import NO_WINDOW
+from cassiawalk.ids import HostId
+from cassiawalk.ingress.heartbeat import Heartbeat
+from cassiawalk.ingress.sharedprogress import SharedProgress
+from tests.test_heartbeats import Fleet
+
+WINDOW = 7
+# One interval to the hubs, one between them, one back to the other hosts.
+SPREAD_INTERVALS = 4
+LONG_INTERVALS = 30
+
+
+class ReportingFleet(Fleet):
+    """Hosts that share their progress in heartbeats."""
+
+    def __init__(self, count: int) -> None:
+        self.progress: dict[HostId, SharedProgress] = {}
+        super().__init__(count)
+        for host, exchange in self.hosts.items():
+            self.progress[host] = SharedProgress(heartbeats=exchange)
+            exchange.add_listener(self.progress[host].receive)
+
+    def _compose(self, host: HostId) -> Heartbeat:
+        return dataclasses.replace(super()._compose(host), reported=self.progress[host].last)
+
+
+@pytest.fixture
+async def holder_of(request: pytest.FixtureRequest) -> tuple[ReportingFleet, HostId]:
+    """A running fleet of a given size, and the hub that holds its duties."""
+    fleet = ReportingFleet(request.param)
+    await fleet.join()
+    await fleet.run(SPREAD_INTERVALS)
+    holder = next(host for host, exchange in fleet.hosts.items() if exchange.is_hub)
+    return fleet, holder
+
+
+@pytest.mark.parametrize("holder_of", [2, 3, 9, 20, 60, 195], indirect=True)
+async def test_announced_window_is_known_by_all_after_its_holder_has_ended(
+    holder_of: tuple[ReportingFleet, HostId],
+) -> None:
+    fleet, holder = holder_of
+    assert not fleet.progress[holder].announce(WINDOW)
+    await fleet.run(2)
+    assert fleet.progress[holder].announce(WINDOW)
+    fleet.dead.add(holder)
+    await fleet.run(SPREAD_INTERVALS)
+    assert {fleet.progress[found._host].last for found in fleet.live()} == {WINDOW}
+
+
+@pytest.mark.parametrize("holder_of", [2, 9], indirect=True)
+async def test_host_without_live_others_does_not_wait(
+    holder_of: tuple[ReportingFleet, HostId],
+) -> None:
+    fleet, holder = holder_of
+    fleet.dead.update(set(fleet.hosts) - {holder})
+    await fleet.run(LONG_INTERVALS)
+    assert fleet.progress[holder].announce(WINDOW)
+
+
+async def test_one_host_is_no_witness_for_a_fleet_of_more() -> None:
+    fleet = ReportingFleet(3)
+    await fleet.join()
+    await fleet.run(SPREAD_INTERVALS)
+    first, second, third = fleet.hosts
+    fleet.progress[first].announce(WINDOW)
+    await fleet.hosts[first].handle(dataclasses.replace(fleet._compose(second), reported=WINDOW))
+    assert not fleet.progress[first].announce(WINDOW)
+    await fleet.hosts[first].handle(dataclasses.replace(fleet._compose(third), reported=WINDOW))
+    assert fleet.progress[first].announce(WINDOW)
+
+
+async def test_older_announcement_changes_nothing() -> None:
+    fleet = ReportingFleet(2)
+    await fleet.join()
+    first, second = fleet.hosts
+    assert fleet.progress[first].last == NO_WINDOW
+    fleet.progress[first].announce(WINDOW)
+    fleet.progress[first].receive(dataclasses.replace(fleet._compose(second), reported=WINDOW - 1))
+    assert fleet.progress[first].last == WINDOW
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,9 +18,8 @@
 from standins.platform_upstream import PlatformUpstream
 from standins.raw_caller import Answer
 
-# Without returns of the store: see test_usage_is_reported_once_though_the_store_returned.
-SHORT_RUN = RunSize(hosts=3, upstreams=2, callers=4, seconds=5.0, store_returns=False)
-LONG_RUN = RunSize(store_returns=False)
+SHORT_RUN = RunSize(hosts=3, upstreams=2, callers=4, seconds=5.0)
+LONG_RUN = RunSize()
 # Seeds that failed before the fault was fixed, with the cause.
 FAILED_SEEDS = {
     1: "a SIGHUP that arrived while a host was starting terminated it",
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -15,6 +15,8 @@
 from cassiawalk.duties import FencingToken
 from cassiawalk.duties import UpstreamOrder
 from cassiawalk.duties import UsageWindow
+from cassiawalk.duties.progress import LocalProgress
+from cassiawalk.duties.progress import ReportProgress
 from cassiawalk.duties.reporter import TAKEOVER_DELAY_S
 from cassiawalk.duties.reporter import UsageReporter
 from cassiawalk.duties.usage import UsageCounts
@@ -79,10 +81,23 @@
 class Holder:
     """One process that may hold the duties."""
 
-    def __init__(self, clock: FakeClock, log: MemoryLog, api: Reports, fence: int) -> None:
+    def __init__(
+        self,
+        clock: FakeClock,
+        log: MemoryLog,
+        api: Reports,
+        fence: int,
+        progress: ReportProgress | None = None,
+    ) -> None:
         self.counts = UsageCounts(now=clock.wall, window_s=WINDOW_S)
+        self.progress = progress or LocalProgress()
         self.reporter = UsageReporter(
-            api=api, log=log, counts=self.counts, now=clock.wall, max_delay_s=MAX_DELAY_S
+            api=api,
+            log=log,
+            counts=self.counts,
+            progress=self.progress,
+            now=clock.wall,
+            max_delay_s=MAX_DELAY_S,
         )
         self.by = FencingToken(holder=HostId(f"h-{fence}"), fence=Offset(fence))
 
@@ -187,6 +202,61 @@
     assert api.calls == 0
 
 
+async def test_window_whose_record_was_lost_is_not_counted_anew() -> None:
+    """Guards against a second report with other counts after the store lost the first's record.
+
+    Seeds 3006 and 3010 of the soak: the store returned from an older copy, and the holder stopped.
+    """
+    clock, log, api = FakeClock(), MemoryLog(), Reports()
+    shared = LocalProgress()
+    first = Holder(clock, log, api, 1, shared)
+    second = Holder(clock, log, api, 2, shared)
+    first.counts.count_started(FAMILY)
+    clock.now += WINDOW_S + 2
+    await first.settle(clock)
+    last = shared.last
+    assert last in api.windows
+    log.payloads.clear()
+    second.counts.count_started(FAMILY)
+    await second.settle(clock)
+    clock.now += WINDOW_S
+    await second.step()
+    assert max(api.windows) > last
+
+
+async def test_report_waits_until_other_hosts_know_of_it() -> None:
+    clock, log, api = FakeClock(), MemoryLog(), Reports()
+    progress = UnheardProgress()
+    holder = Holder(clock, log, api, 1, progress)
+    clock.now += WINDOW_S + 2
+    await holder.settle(clock)
+    assert log.payloads and not api.windows
+    progress.heard = True
+    await holder.step()
+    assert api.windows
+
+
+async def test_window_before_the_start_of_all_processes_is_not_reported() -> None:
+    """No process has counted it, and one that is gone may have reported it."""
+    clock, log, api = FakeClock(), MemoryLog(), Reports()
+    clock.now += 1.5 * WINDOW_S
+    holder = Holder(clock, log, api, 1)
+    await holder.settle(clock)
+    clock.now += WINDOW_S
+    await holder.step()
+    assert min(api.windows) == holder.counts.window_at(1000.0 + 1.5 * WINDOW_S)
+
+
+class UnheardProgress(LocalProgress):
+    """Announcements that no other host has heard until ``heard`` is set."""
+
+    heard = False
+
+    def announce(self, window: int) -> bool:
+        super().announce(window)
+        return self.heard
+
+
 class SteppingClock(FakeClock):
     """A clock whose wall-clock time may differ from its monotonic time."""
 
