Keep the order of duty holders where the platform checks no fencing number

The old one went on acting for 3.5 s, and a call begun then may last 2.0 s more. Where require_fencing is false the platform accepts it: a call with a lower number after a higher one, or two holders in turn.

Change: the bound is read from the settings. Without checks another host waits for the whole lease (4.0 s and a margin of 0.5 s). A call is begun only while the lease outlasts the call's limit, and that is asked again right before its bytes are written, since a host may have been suspended while it connected. A holder that leaves in order gives the lease up after its last call, but not before it has held it for the bound's lease time, so that no host is back within it.

Ruled out: a second number agreed between hosts (the log's order is enough); a shorter limit of calls (a slow platform would then answer none).

Also for platforms that check, calls now begin 2.0 s and not 1.0 s before the lease's end at the latest: a holder that can't renew stops a second sooner.

--- a/src/cassiawalk/duties/api.py
+++ b/src/cassiawalk/duties/api.py
@@ -11,6 +11,9 @@
 from cassiawalk.ids import ServiceName
 from cassiawalk.ids import WorkspaceName
 
+# After this, a call is given up and nothing more of it is sent. A lease must outlast it.
+CALL_LIMIT_S = 2.0
+
 
 class DutyOutcome(enum.Enum):
     """The result of a call.
@@ -29,10 +32,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class FencingToken:
-    """The calling host, and its fencing number, which is higher for each later holder."""
+    """The calling host, and its fencing number, which is higher for each later holder.
+
+    :param may_send: returns whether the holder may still begin a call. It is asked right before the
+        bytes of a call are written, as the host may have been suspended since the last time.
+    """
 
     holder: HostId
     fence: Offset
+    may_send: cabc.Callable[[], bool] = lambda: True
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/cassiawalk/duties/reporter.py
+++ b/src/cassiawalk/duties/reporter.py
@@ -79,7 +79,7 @@
         self._recorded: dict[int, UsageRecord] = {}
         self._reported: collections.deque[int] = collections.deque(maxlen=WINDOWS_KEPT)
 
-    async def step(self, by: FencingToken, may_send: cabc.Callable[[], bool]) -> DutyOutcome:
+    async def step(self, by: FencingToken) -> DutyOutcome:
         """Append the counts of each window that is due to the log, then report them."""
         due = self._due()
         if not due:
@@ -97,7 +97,7 @@
                 return DutyOutcome.UNKNOWN
             if not self._progress.announce(window):
                 return DutyOutcome.DONE
-            if not may_send():
+            if not by.may_send():
                 return DutyOutcome.UNKNOWN
             outcome = await self._report(record, by)
             if outcome is not DutyOutcome.DONE:
--- a/src/cassiawalk/duties/scaler.py
+++ b/src/cassiawalk/duties/scaler.py
@@ -156,21 +156,19 @@
         self._peaks: dict[ServiceName, tuple[int, float]] = {}
         self._services_with_demand: set[ServiceName] = set()
 
-    async def step(self, by: FencingToken, may_send: cabc.Callable[[], bool]) -> DutyOutcome:
+    async def step(self, by: FencingToken) -> DutyOutcome:
         """Send the orders that are due."""
         if self._fence != by.fence:
             self._fence = by.fence
             self._ordered.clear()
         for current in self._services():
             state = dataclasses.replace(current, wanted=self._wanted(current))
-            outcome = await self._order(state, by, may_send)
+            outcome = await self._order(state, by)
             if outcome is not DutyOutcome.DONE:
                 return outcome
         return DutyOutcome.DONE
 
-    async def _order(
-        self, state: ServiceState, by: FencingToken, may_send: cabc.Callable[[], bool]
-    ) -> DutyOutcome:
+    async def _order(self, state: ServiceState, by: FencingToken) -> DutyOutcome:
         # Reclaimable upstreams are ordered first. How many of them are granted decides how many
         # on-demand ones are needed.
         for orders_reclaimable in (True, False):
@@ -179,7 +177,7 @@
                 target = (state.service, domain, reclaimable)
                 if reclaimable is not orders_reclaimable or not self._is_due(target, count, state):
                     continue
-                if not may_send():
+                if not by.may_send():
                     return DutyOutcome.UNKNOWN
                 if await self._send(target, count, by) is DutyOutcome.SUPERSEDED:
                     return DutyOutcome.SUPERSEDED
--- a/src/cassiawalk/http1/client.py
+++ b/src/cassiawalk/http1/client.py
@@ -1,6 +1,7 @@
 """HTTP client for one address that returns complete answers."""
 
 import asyncio
+import collections.abc as cabc
 import dataclasses
 import math
 
@@ -63,11 +64,13 @@
         headers: Headers = (),
         body: bytes = b"",
         timeout_s: float,
+        may_send: cabc.Callable[[], bool] = lambda: True,
     ) -> CompleteAnswer:
         """Return the answer.
 
         :param timeout_s: limit for the whole call, connecting included, in seconds.
-        :raises CallError: if no complete answer arrived in time.
+        :param may_send: returns whether the call may be sent; asked when a connection is there.
+        :raises CallError: if no complete answer arrived in time, or the call may not be sent.
         """
         self.calls += 1
         conn: UpstreamConnection | None = None
@@ -75,6 +78,8 @@
         try:
             async with asyncio.timeout(timeout_s):
                 conn = await pool.acquire(timeout_s=timeout_s)
+                if not may_send():
+                    raise CallError("it may no longer be sent", sent=False)
                 self._send(conn, method, target, headers, body)
                 return await _read_answer(conn)
         except ConnectError as exc:
--- a/src/cassiawalk/ingress/dutyparts.py
+++ b/src/cassiawalk/ingress/dutyparts.py
@@ -7,9 +7,9 @@
 from cassiawalk.clock import Clock
 from cassiawalk.duties import DutyApi
 from cassiawalk.duties.candidacy import DutyCandidacy
-from cassiawalk.duties.holder import DUTY_LEASE_TIMES
 from cassiawalk.duties.holder import DUTY_STREAM
 from cassiawalk.duties.holder import DutyHolder
+from cassiawalk.duties.holder import duty_lease_times
 from cassiawalk.duties.reporter import UsageReporter
 from cassiawalk.duties.scaler import Scaler
 from cassiawalk.duties.usage import UsageCounts
@@ -66,7 +66,7 @@
             holder=f"{self._host}/{incarnation}",
             log=source.log,
             clock=boot_clock,
-            times=DUTY_LEASE_TIMES,
+            times=duty_lease_times(fenced=profile.bounds.checks_fencing),
             stream=DUTY_STREAM,
         )
         view = ScalingView(
@@ -79,6 +79,8 @@
             leases=leases,
             duties=[scaler, reporter],
             is_candidate=self._is_candidate,
+            fenced=profile.bounds.checks_fencing,
+            min_term_s=profile.bounds.lease_s,
             clock=boot_clock,
             rng=rng,
         )
--- a/src/cassiawalk/ingress/profile.py
+++ b/src/cassiawalk/ingress/profile.py
@@ -20,6 +20,8 @@
     :param usage_window_s: the length of the windows in which usage is counted.
     :param usage_late_s: how long after the end of its window a usage report is still useful.
     :param lease_s: how long the holder of a duty may be unreachable before another host takes over.
+    :param checks_fencing: whether the platform refuses calls of duties with a lower fencing number
+        than it has seen.
     :param quota_ratio: what workspaces may use beyond their quotas within ``quota_window_s``, as a
         ratio of the quota.
     :param quota_amount: what they may use in addition to ``quota_ratio``, in requests or tokens.
@@ -37,6 +39,7 @@
     usage_window_s: float = 5.0
     usage_late_s: float = 10.0
     lease_s: float = 3.0
+    checks_fencing: bool = True
     quota_window_s: float = 8.0
     quota_ratio: float = 0.0
     quota_amount: float = 0.0
--- a/src/cassiawalk/leases/manager.py
+++ b/src/cassiawalk/leases/manager.py
@@ -122,6 +122,22 @@
         claims = [claim for pool in pools if (claim := self._due(pool, pool in fenced)) is not None]
         if not claims:
             return False
+        await self._append(claims, duration_s=self._times.lease_s)
+        return True
+
+    async def release(self, pool: PoolName, *, after_s: float) -> None:
+        """Give up a lease that is held, so that other processes need not wait for its end.
+
+        The last call under the lease must have ended before.
+
+        :param after_s: how long other processes still have to wait, in seconds.
+        """
+        lease = self.held(pool)
+        self.drop(pool)
+        if lease is not None:
+            await self._append([PoolClaim(pool=pool, fence=lease.fence)], duration_s=after_s)
+
+    async def _append(self, claims: cabc.Sequence[PoolClaim], *, duration_s: float) -> None:
         self._number += 1
         sent_at = self._clock.monotonic()
         self._sent_at[self._number] = sent_at
@@ -130,7 +146,7 @@
             host=self._host,
             holder=self._holder,
             number=self._number,
-            duration_s=self._times.lease_s,
+            duration_s=duration_s,
             read_through=Offset(self._next_offset - 1),
             claims=tuple(claims),
         )
@@ -141,7 +157,6 @@
         )
         if not isinstance(outcome, Appended):
             eliot.log_message(message_type="orders:append-failed", reason=outcome.reason)
-        return True
 
     def _due(self, pool: PoolName, fenced: bool) -> PoolClaim | None:
         """Return the claim to send for a pool now, or None if none is due."""
@@ -155,7 +170,9 @@
             return PoolClaim(pool=pool, fence=lease.fence)
         # Engines that check fencing numbers refuse a superseded holder, so one missed renewal is
         # enough. With other engines the full duration of the old lease must pass.
-        lease_s = self._times.renew_after_s if fenced else lease.duration_s
+        lease_s = lease.duration_s
+        if fenced:
+            lease_s = min(lease_s, self._times.renew_after_s)
         wait_s = lease_s + self._times.margin_s
         return PoolClaim(pool=pool) if now >= lease.read_at + wait_s else None
 
--- a/src/cassiawalk/platform/duties.py
+++ b/src/cassiawalk/platform/duties.py
@@ -4,6 +4,7 @@
 
 import orjson
 
+from cassiawalk.duties import CALL_LIMIT_S
 from cassiawalk.duties import DutyApi
 from cassiawalk.duties import DutyOutcome
 from cassiawalk.duties import FencingToken
@@ -15,8 +16,6 @@
 from cassiawalk.platform import _fields as fields
 from cassiawalk.platform import names
 
-CALL_TIMEOUT_S = 2.0
-
 
 class PlatformDuties(DutyApi):
     """Usage reports and upstream orders over HTTP."""
@@ -57,7 +56,12 @@
         ]
         try:
             answer = await self._http.call(
-                "POST", target, headers=headers, body=orjson.dumps(body), timeout_s=CALL_TIMEOUT_S
+                "POST",
+                target,
+                headers=headers,
+                body=orjson.dumps(body),
+                timeout_s=CALL_LIMIT_S,
+                may_send=by.may_send,
             )
         except CallError:
             return DutyOutcome.UNKNOWN
--- a/src/cassiawalk/platform/settings.py
+++ b/src/cassiawalk/platform/settings.py
@@ -91,6 +91,7 @@
         quota_window_s=fields.number_field(bounds, "quota_window_s", defaults.quota_window_s),
         quota_ratio=fields.number_field(bounds, "quota_overage", defaults.quota_ratio),
         quota_amount=fields.number_field(bounds, "quota_slack", defaults.quota_amount),
+        checks_fencing=fields.boolean_field(bounds, "require_fencing", defaults.checks_fencing),
         lease_s=fields.number_field(bounds, "lease_ms", defaults.lease_s * 1000) / 1000,
     )
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -180,26 +180,34 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class DutyCall:
-    """One accepted call of a duty."""
+    """One accepted call of a duty; ``at`` is its arrival, in monotonic seconds."""
 
     path: str
     holder: str
     fencing_token: int
     body: dict[str, t.Any]
+    at: float = 0.0
 
 
 class DutyService(StandIn):
-    """Records the calls of duties; refuses those with a lower fencing token than an earlier one."""
+    """Records the calls of duties in the order of their arrival.
 
-    def __init__(self) -> None:
+    With ``checks_fencing``, it refuses those with a lower fencing token than an earlier one.
+    ``delay_s`` delays all answers, and ``loses_answers`` withholds them.
+    """
+
+    def __init__(self, *, checks_fencing: bool = True) -> None:
         super().__init__()
+        self._checks_fencing = checks_fencing
+        self.delay_s = 0.0
+        self.loses_answers = False
         self.calls: list[DutyCall] = []
         self._highest_token = -1
 
     async def handle(self, exchange: Exchange) -> None:
         """Record or refuse one call."""
         token = int(header_value(exchange.headers, b"x-fencing-token") or b"-1")
-        if token < self._highest_token:
+        if self._checks_fencing and token < self._highest_token:
             exchange.answer(409, JSON, b'{"reason":"fenced"}')
             return
         self._highest_token = token
@@ -210,6 +218,10 @@
                 holder=holder,
                 fencing_token=token,
                 body=orjson.loads(exchange.body),
+                at=time.monotonic(),
             )
         )
+        await asyncio.sleep(self.delay_s)
+        if self.loses_answers:
+            await asyncio.Event().wait()
         exchange.answer(200, JSON, b"{}")
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -128,7 +128,7 @@
         self._directory = directory
         self._bounds = {**BOUNDS, **(bounds or {})}
         self.store = PlatformStore()
-        self.duties = DutyService()
+        self.duties = DutyService(checks_fencing=self._bounds.get("require_fencing", True))
         self.upstreams: list[PlatformUpstream] = []
         self.hosts: list[Host] = []
         self._options: dict[str, tuple[str, ...]] = {}
--- a/tests/test_duty_holder.py
+++ b/tests/test_duty_holder.py
@@ -59,6 +59,8 @@
         leases=leases,
         duties=[],
         is_candidate=lambda: True,
+        fenced=True,
+        min_term_s=3.0,
         clock=clock,
         rng=random.Random(1),
     )
--- a/tests/test_scaler.py
+++ b/tests/test_scaler.py
@@ -163,7 +163,7 @@
         """Step the scaler and return the lowest number of live upstreams."""
         lowest = 1000
         for _ in range(int(seconds / 0.4)):
-            await self.scaler.step(BY, lambda: True)
+            await self.scaler.step(BY)
             self.clock.now += 0.4
             lowest = min(lowest, self.platform.total)
         return lowest
@@ -253,13 +253,13 @@
 async def test_refused_fencing_number_ends_the_step() -> None:
     simulation = _simulation()
     simulation.platform.outcome = DutyOutcome.SUPERSEDED
-    assert await simulation.scaler.step(BY, lambda: True) is DutyOutcome.SUPERSEDED
+    assert await simulation.scaler.step(BY) is DutyOutcome.SUPERSEDED
     assert len(simulation.platform.orders) == 1
 
 
 async def test_no_order_is_sent_without_the_lease() -> None:
     simulation = _simulation()
-    await simulation.scaler.step(BY, lambda: False)
+    await simulation.scaler.step(dataclasses.replace(BY, may_send=lambda: False))
     assert simulation.platform.orders == []
 
 
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -102,7 +102,7 @@
         self.by = FencingToken(holder=HostId(f"h-{fence}"), fence=Offset(fence))
 
     async def step(self) -> DutyOutcome:
-        return await self.reporter.step(self.by, lambda: True)
+        return await self.reporter.step(self.by)
 
     async def settle(self, clock: FakeClock) -> DutyOutcome:
         """Step now, and again when all hosts' counts have had time to arrive."""
