Keep no connection for two calls where answers do not name theirs

Found by looking for what operators of similar systems reported: a server sends a second copy of an answer, late, on a connection that is in use again. On the users' platform the request's id tells it apart. On the own interface nothing did: the next caller of the engine got the completion of the one before, an append to the log got the offset of another record, a list of hosts was an old one.

Now calls of engines, the log, the host list and the cloud open a connection each, as calls of plain services already did. Weighed: an id in each answer (the protocols of these systems have none, and an engine that leaves it out would be as exposed); a look at the connection before each use (the copy may come later). Cost: a handshake a call.

Not mended: calls of the users' store keep their connections, as its answers bear no id and new connections take a second and more on links that lose packets.

--- a/src/cassiawalk/clients/_http.py
+++ b/src/cassiawalk/clients/_http.py
@@ -12,7 +12,7 @@
 
 CONNECT_TIMEOUT_S = 2.0
 ANSWER_TIMEOUT_S = 10.0
-POOL_CONNECTIONS = 512
+MAX_CONNECTIONS = 512
 _NO_CONTENT = 204
 
 # aiosonic raises ValueError for a truncated chunked answer, and IncompleteReadError (an EOFError)
@@ -43,12 +43,15 @@
 
 
 def new_client(*, answer_timeout_s: float | None = ANSWER_TIMEOUT_S) -> aiosonic.HTTPClient:
-    """Return an HTTP client with its own connection pool.
+    """Return an HTTP client that opens a connection for each call.
+
+    The library takes the next bytes on a kept connection for the answer to the next call, also if
+    they are a second copy of the answer before.
 
     :param answer_timeout_s: limit for each read and for the whole exchange, in seconds; None for no
         limit, as for streams.
     """
-    pool = aiosonic.pools.PoolConfig(size=POOL_CONNECTIONS)
+    pool = aiosonic.pools.PoolConfig(size=MAX_CONNECTIONS, max_conn_requests=0)
     timeouts = aiosonic.timeout.Timeouts(
         sock_connect=CONNECT_TIMEOUT_S,
         sock_read=answer_timeout_s,
--- a/src/cassiawalk/clients/engine_http.py
+++ b/src/cassiawalk/clients/engine_http.py
@@ -93,10 +93,12 @@
             self._pool.release(conn)
 
     def _send(self, conn: UpstreamConnection, body: bytes) -> None:
+        """Send a request and keep the connection for it alone, as answers do not name theirs."""
         headers = [
             (b"Host", self._address.encode()),
             (b"Content-Type", b"application/json"),
             (b"Content-Length", str(len(body)).encode()),
+            (b"Connection", b"close"),
         ]
         conn.send(
             method=b"POST",
