Answer requests on connections that a stopping host has just accepted

Found by looking for what operators of similar systems reported: requests cut off during a planned stop under load. Cause, on both entries: the end of a drain closed the listening socket, and the kernel reset the connections that waited in its queue, with the requests that they had sent; and it closed connections as idle that had been accepted a moment before, whose request had not been read.

Now what waits in the queue is accepted before the socket is closed, a new connection may send its first request within 1 s, and only then are idle connections closed.

--- a/src/cassiawalk/http1/server.py
+++ b/src/cassiawalk/http1/server.py
@@ -15,6 +15,7 @@
 from cassiawalk.http1.exchange import CallerLimits
 from cassiawalk.http1.exchange import Exchange
 from cassiawalk.http1.exchange import ExchangeHandler
+from cassiawalk.sockets import accept_waiting
 from cassiawalk.sockets import set_reset_on_close
 
 LINGER_TIMEOUT_S = 1.0  # discard what still arrives: a reset could make the caller lose its answer
@@ -48,6 +49,7 @@
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due = 0.0
+        self._first_request_due = self._loop.time() + listener.first_request_s
         self.can_write = asyncio.Event()
         self.can_write.set()
 
@@ -61,6 +63,11 @@
         """Return whether no byte of a request has arrived since the last answer."""
         return self._stage is _Stage.IDLE
 
+    @property
+    def expects_request(self) -> bool:
+        """Return whether the connection is new and its first request may be on the way."""
+        return self.idle and self._loop.time() < self._first_request_due
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and wait for a request."""
         self._transport = t.cast(asyncio.Transport, transport)
@@ -144,8 +151,8 @@
         self._transport.abort()
 
     def close_idle(self) -> None:
-        """Close the connection if no request is under way on it."""
-        if self._stage is _Stage.IDLE:
+        """Close the connection if no request is under way on it, nor expected as its first."""
+        if self.idle and not self.expects_request:
             self._stage = _Stage.CLOSED
             self._transport.close()
 
@@ -226,6 +233,7 @@
     def _begin_answer(self) -> None:
         assert self._request is not None
         self._raw = self._http.trailing_data[0]
+        self._first_request_due = 0.0
         self._stop_timer()
         self._stage = _Stage.ANSWERING
         exchange = Exchange(
@@ -315,6 +323,8 @@
     :param limits: returns the limits in force.
     :param drain_linger_s: how long a drain waits before it closes the listening socket and idle
         connections, in seconds, so that requests sent just before the close are still answered.
+    :param first_request_s: how long a new connection may take during a drain until its first
+        request has begun to arrive, in seconds.
     """
 
     def __init__(
@@ -324,11 +334,13 @@
         handler: ExchangeHandler,
         limits: cabc.Callable[[], CallerLimits] = CallerLimits,
         drain_linger_s: float = 0.0,
+        first_request_s: float = 0.0,
     ) -> None:
         self._sock = sock
         self._handler = handler
         self._limits = limits
         self._drain_linger_s = drain_linger_s
+        self.first_request_s = first_request_s
         self._server: asyncio.Server | None = None
         self.connections: set[_Connection] = set()
         self.draining = False
@@ -357,15 +369,24 @@
         It first waits ``drain_linger_s``, so that callers receive the announcement of the close.
         """
         await asyncio.sleep(self._drain_linger_s)
-        if self._server is not None:
-            self._server.close()
+        await self._stop_accepting()
         for conn in list(self.connections):
             conn.close_idle()
-        while any(conn.busy for conn in self.connections):
+        while any(conn.busy or conn.expects_request for conn in self.connections):
             await asyncio.sleep(DRAIN_POLL_S)
             for conn in list(self.connections):
                 conn.close_idle()
 
+    async def _stop_accepting(self) -> None:
+        """Close the listening socket, but serve the connections that wait in its queue."""
+        if self._server is None:
+            return
+        waiting = accept_waiting(self._sock)
+        self._server.close()
+        loop = asyncio.get_running_loop()
+        for sock in waiting:
+            await loop.connect_accepted_socket(lambda: _Connection(listener=self), sock)
+
     async def stop(self) -> None:
         """Stop accepting connections and cancel the exchanges that are left."""
         if self._server is not None:
--- a/src/cassiawalk/httpserver.py
+++ b/src/cassiawalk/httpserver.py
@@ -9,6 +9,7 @@
 import uvicorn
 
 from cassiawalk.app import Component
+from cassiawalk.sockets import accept_waiting
 
 START_POLL_INTERVAL_S = 0.01
 IDLE_POLL_INTERVAL_S = 0.02
@@ -85,6 +86,9 @@
         await self._wait_idle()
         await asyncio.sleep(LATE_REQUEST_GRACE_S)
         await self._wait_idle()
+        await self._stop_accepting()
+        await asyncio.sleep(LATE_REQUEST_GRACE_S)
+        await self._wait_idle()
 
     async def stop(self) -> None:
         """Finish the responses in progress within ``close_limit_s``, and close the socket."""
@@ -93,6 +97,24 @@
             await asyncio.gather(self._serving, return_exceptions=True)
         await super().stop()
 
+    async def _stop_accepting(self) -> None:
+        """Close the listening socket, but serve the connections that wait in its queue."""
+        waiting = accept_waiting(self._sock)
+        for server in self._server.servers:
+            server.close()
+        loop = asyncio.get_running_loop()
+        for sock in waiting:
+            await loop.connect_accepted_socket(self._new_protocol, sock)
+
+    def _new_protocol(self) -> asyncio.Protocol:
+        cfg = self._server.config
+        protocol = t.cast(t.Callable[..., asyncio.Protocol], cfg.http_protocol_class)
+        return protocol(
+            config=cfg,
+            server_state=self._server.server_state,
+            app_state=self._server.lifespan.state,
+        )
+
     async def _wait_idle(self) -> None:
         while self._tracker.active:
             await asyncio.sleep(IDLE_POLL_INTERVAL_S)
--- a/src/cassiawalk/ingress/node.py
+++ b/src/cassiawalk/ingress/node.py
@@ -49,6 +49,7 @@
 MEMBERSHIP_POLL_S = 600.0
 NO_SECRET = ""  # the platform provides none; its network carries no outside traffic
 DRAIN_LINGER_S = 2.5  # the load balancer stops sending after two failed checks, a second apart
+FIRST_REQUEST_S = 1.0
 STOP_MARGIN_S = 0.6
 
 
@@ -324,6 +325,7 @@
             handler=self.forwarder,
             limits=self.config.limits,
             drain_linger_s=DRAIN_LINGER_S,
+            first_request_s=FIRST_REQUEST_S,
         )
         ready = HttpListener(
             sock=listen(self._profile.ready_address), handler=_ReadinessHandler(node=self)
--- a/src/cassiawalk/sockets.py
+++ b/src/cassiawalk/sockets.py
@@ -1,5 +1,6 @@
 """Listening sockets."""
 
+import contextlib
 import socket
 import struct
 import typing as t
@@ -30,6 +31,20 @@
     return f"{ip}:{port}"
 
 
+def accept_waiting(sock: socket.socket) -> list[socket.socket]:
+    """Return the connections in the queue of a listening socket, accepted.
+
+    Closing the socket would reset those that are still there, with what has been sent on them.
+    """
+    accepted = []
+    with contextlib.suppress(OSError):
+        while True:
+            accepted.append(sock.accept()[0])
+    for conn in accepted:
+        conn.setblocking(False)
+    return accepted
+
+
 class _HasOptions(t.Protocol):
     def setsockopt(self, level: int, name: int, value: bytes, /) -> None: ...
 
