Run tests side by side

Ruled out: shared ports (tests take free ones, and hosts' loopback addresses follow the process id of the test) and shared state on disk.

Now pytest-xdist runs five tests at a time; each test is started by whichever worker is free. No check was changed. Weighed: virtual time for the process tests (processes are their point).

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
+# Most tests wait for processes of their own, so several run side by side.
+TEST_WORKERS ?= 5
 READY := $(VENV)/.ready
 
 .PHONY: demo test bench soak check format clean
@@ -13,7 +15,7 @@
 	touch $(READY)
 
 test: $(READY)
-	$(BIN)/python -m pytest $(PYTEST_ARGS)
+	$(BIN)/python -m pytest -n $(TEST_WORKERS) --dist worksteal $(PYTEST_ARGS)
 
 check: $(READY)
 	$(BIN)/black --check --quiet .
