Believe no announcement of a usage window that has not ended

Such a window is not believed now, neither from others nor, after a correction of the own clock, from oneself.

Before: both rows of the new test red (by its first assertion). After: passed.

--- a/src/cassiawalk/ingress/dutyparts.py
+++ b/src/cassiawalk/ingress/dutyparts.py
@@ -56,7 +56,9 @@
         self._demand = demand
         self._can_act = can_act
         self._candidacy = DutyCandidacy(host=self._host, clock=clock)
-        self.progress = SharedProgress(heartbeats=heartbeats)
+        self.progress = SharedProgress(
+            heartbeats=heartbeats, newest=lambda: usage.window_at(time.now()) - 1
+        )
         heartbeats.add_listener(self.progress.receive)
         self.holder: DutyHolder | None = None
         if source.duties is None:
--- a/tests/test_sharedprogress.py
+++ b/tests/test_sharedprogress.py
@@ -21,9 +21,10 @@
 
     def __init__(self, count: int) -> None:
         self.progress: dict[HostId, SharedProgress] = {}
+        self.newest = WINDOW
         super().__init__(count)
         for host, exchange in self.hosts.items():
-            self.progress[host] = SharedProgress(heartbeats=exchange)
+            self.progress[host] = SharedProgress(heartbeats=exchange, newest=lambda: self.newest)
             exchange.add_listener(self.progress[host].receive)
 
     def _compose(self, host: HostId) -> Heartbeat:
@@ -83,3 +84,18 @@
     fleet.progress[first].announce(WINDOW)
     fleet.progress[first].receive(dataclasses.replace(fleet._compose(second), reported=WINDOW - 1))
     assert fleet.progress[first].last == WINDOW
+
+
+@pytest.mark.parametrize("ahead", [1, 480])
+async def test_window_that_has_not_ended_is_not_believed(ahead: int) -> None:
+    """Guards against a host with a wrong clock that keeps all others from reporting."""
+    fleet = ReportingFleet(2)
+    await fleet.join()
+    first, second = fleet.hosts
+    known = fleet.progress[first]
+    known.receive(dataclasses.replace(fleet._compose(second), reported=WINDOW + ahead))
+    assert known.last == NO_WINDOW
+    known.announce(WINDOW + ahead)
+    assert known.last == NO_WINDOW
+    known.receive(dataclasses.replace(fleet._compose(second), reported=WINDOW))
+    assert known.last == WINDOW
