Go on after an unexpected error in a task that lives as long as its process

Found by looking for what operators of similar systems reported: one malformed message or unexpected error takes a whole process down. Processes stayed up here, but an exception in one of 19 tasks that run for a process's life (reading of the store, heartbeats, duties, leases, feeds, sequencers) was logged and ended it for good: such a host went on serving and never heard of a revision again, or never held duties. Three ways to it, by reading:

- a record of the store on which decoding fails in a way it did not foresee ended the reading of its stream, on every host alike;
- an error while a heartbeat was composed left its call marked as under way, so that this host never called that peer again;
- a scaled service without priced domains ended the scaler by a division by zero, on one holder of the duties after the other.

Now these tasks begin again a second after an exception (task:restarted), a record that fails is passed over with a log line, and the two defects are mended.

--- a/src/cassiawalk/admission/limits.py
+++ b/src/cassiawalk/admission/limits.py
@@ -86,7 +86,7 @@
 
     async def start(self) -> None:
         """Start the task that renews the shares."""
-        self.spawn(self._renew_forever(), name="limit-shares")
+        self.keep_running(self._renew_forever, name="limit-shares")
 
     @property
     def interval_s(self) -> float:
--- a/src/cassiawalk/app.py
+++ b/src/cassiawalk/app.py
@@ -9,6 +9,8 @@
 from cassiawalk.metering import Meter
 from cassiawalk.metering import MeteredCoroutine
 
+RESTART_PAUSE_S = 1.0  # between the end of a task by an exception and its next start
+
 
 class Component:
     """A unit with tasks of its own that the application starts, drains and stops.
@@ -41,6 +43,15 @@
         task.add_done_callback(lambda done: _on_task_done(tasks, done))
         return task
 
+    def keep_running(
+        self, run: cabc.Callable[[], cabc.Coroutine[t.Any, t.Any, None]], *, name: str
+    ) -> asyncio.Task[None]:
+        """Run a task for the component's life, and begin it again if an exception ends it.
+
+        The exception is logged. ``run`` must be able to go on from the component's state.
+        """
+        return self.spawn(_restart_on_error(run, name), name=name)
+
     async def cancel_tasks(self) -> None:
         """Cancel the component's tasks and wait for them."""
         tasks = list(self.__dict__.get("_tasks", ()))
@@ -49,6 +60,17 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
+async def _restart_on_error(
+    run: cabc.Callable[[], cabc.Coroutine[t.Any, t.Any, None]], name: str
+) -> None:
+    while True:
+        try:
+            return await run()
+        except Exception as exc:
+            eliot.log_message(message_type="task:restarted", task=name, error=repr(exc))
+        await asyncio.sleep(RESTART_PAUSE_S)
+
+
 def _on_task_done(tasks: set[asyncio.Task[t.Any]], done: asyncio.Task[t.Any]) -> None:
     """Remove a finished task from ``tasks``, and log its exception if it failed."""
     tasks.discard(done)
--- a/src/cassiawalk/control/follower.py
+++ b/src/cassiawalk/control/follower.py
@@ -104,7 +104,7 @@
 
     async def start(self) -> None:
         """Start to follow the log directly. Hosts with a ``RelayNode`` start that instead."""
-        self.spawn(self._follow(), name="control-follower")
+        self.keep_running(self._follow, name="control-follower")
 
     async def wait_for(self, predicate: cabc.Callable[[ConfigState], bool]) -> ConfigState:
         """Return the first state that satisfies ``predicate``."""
--- a/src/cassiawalk/control/housekeeping.py
+++ b/src/cassiawalk/control/housekeeping.py
@@ -74,7 +74,7 @@
     async def start(self) -> None:
         """Start periodic checks for due work."""
         self._follower.add_listener(self._on_state)
-        self.spawn(self._run(), name="control-housekeeping")
+        self.keep_running(self._run, name="control-housekeeping")
 
     async def check(self) -> None:
         """Do the work that is due for this host."""
--- a/src/cassiawalk/control/relay.py
+++ b/src/cassiawalk/control/relay.py
@@ -84,7 +84,7 @@
         """Start to keep the configuration up to date."""
         self._membership.add_listener(self._refresh_position)
         self._refresh_position()
-        self.spawn(self._run(), name="control-relay")
+        self.keep_running(self._run, name="control-relay")
 
     def _refresh_position(self) -> None:
         hosts = [
--- a/src/cassiawalk/duties/holder.py
+++ b/src/cassiawalk/duties/holder.py
@@ -103,7 +103,7 @@
 
     async def start(self) -> None:
         """Start to claim the lease and perform the duties."""
-        self.spawn(self._run(), name="duties")
+        self.keep_running(self._run, name="duties")
 
     async def begin_drain(self) -> None:
         """Stop performing the duties after the current one and give up the lease."""
--- a/src/cassiawalk/duties/scaler.py
+++ b/src/cassiawalk/duties/scaler.py
@@ -79,6 +79,8 @@
     :param expected: reclaimable upstreams that are live, or granted and still starting.
     """
     wanted = state.wanted
+    if not state.domains:
+        return {}
     domains = sorted(state.domains, key=lambda domain: (state.domain_prices.get(domain, 1), domain))
     orders: dict[tuple[FailureDomain, bool], int] = {}
     for index, domain in enumerate(domains):
--- a/src/cassiawalk/handover/receiver.py
+++ b/src/cassiawalk/handover/receiver.py
@@ -43,7 +43,7 @@
 
     async def start(self) -> None:
         """Start announcing the requests that were handed over to this host."""
-        self.spawn(self._announce_periodically(), name="handover-announce")
+        self.keep_running(self._announce_periodically, name="handover-announce")
 
     async def handle_offer(self, offer: HandoverOffer) -> HandoverReply:
         """Accept an offer, unless this host accepts no requests or holds a newer run.
--- a/src/cassiawalk/ingress/copying.py
+++ b/src/cassiawalk/ingress/copying.py
@@ -119,7 +119,7 @@
 
     async def start(self) -> None:
         """Start checking for newer data on other hosts."""
-        self.spawn(self._run(), name="copier")
+        self.keep_running(self._run, name="copier")
 
     @property
     def store_ok(self) -> bool:
--- a/src/cassiawalk/ingress/follow.py
+++ b/src/cassiawalk/ingress/follow.py
@@ -90,7 +90,7 @@
 
     async def start(self) -> None:
         """Start reading."""
-        self.spawn(self._follow(), name=f"follow-{self._options.stream}")
+        self.keep_running(self._follow, name=f"follow-{self._options.stream}")
 
     @property
     def source_unavailable(self) -> bool:
@@ -164,7 +164,7 @@
         before = self.version()
         self.on_batch()
         for record in batch.records:
-            self.apply_record(record)
+            self._apply_record(record)
         if isinstance(batch, KeyedList):
             self.apply_list(batch)
         self._next = batch.end
@@ -172,6 +172,18 @@
         if self.version() != before:
             self._options.on_change()
 
+    def _apply_record(self, record: KeyedRecord) -> None:
+        """Apply a record; one that causes an unexpected error must not keep back all others."""
+        try:
+            self.apply_record(record)
+        except Exception as exc:
+            eliot.log_message(
+                message_type="follow:record-failed",
+                stream=self._options.stream,
+                key=record.key,
+                error=repr(exc),
+            )
+
     async def _handle_failure(self, failed: ReadFailed, started_at: float) -> None:
         self._failures += 1
         if self._failing_since is None:
--- a/src/cassiawalk/ingress/heartbeats.py
+++ b/src/cassiawalk/ingress/heartbeats.py
@@ -92,8 +92,8 @@
 
     async def start(self) -> None:
         """Start sending heartbeats and maintaining this host's record in the store."""
-        self.spawn(self._run_heartbeats(), name="beats")
-        self.spawn(self._maintain_record(), name="host-record")
+        self.keep_running(self._run_heartbeats, name="beats")
+        self.keep_running(self._maintain_record, name="host-record")
 
     async def begin_drain(self) -> None:
         """Remove this host's record from the store, so that no host waits for its heartbeats."""
@@ -311,10 +311,9 @@
         return view is None or self._clock.monotonic() - view.received_at > CALL_BACK_AFTER_S
 
     async def _call(self, host: HostId, is_primary: bool) -> None:
-        heartbeat = self._add_aggregate_for(
-            host, dataclasses.replace(self._compose_with_aggregate(), first=is_primary)
-        )
         try:
+            own = dataclasses.replace(self._compose_with_aggregate(), first=is_primary)
+            heartbeat = self._add_aggregate_for(host, own)
             reply = await self._links.call(host, heartbeat, Heartbeat, timeout_s=CALL_TIMEOUT_S)
         finally:
             self._pending_calls.discard(host)
--- a/src/cassiawalk/ingress/suspects.py
+++ b/src/cassiawalk/ingress/suspects.py
@@ -63,7 +63,7 @@
     async def start(self) -> None:
         """Start reading and writing."""
         await super().start()
-        self.spawn(self._write(), name="suspect-records")
+        self.keep_running(self._write, name="suspect-records")
 
     def apply_record(self, record: KeyedRecord) -> None:
         """Merge the notes of a record."""
--- a/src/cassiawalk/membership/hosts.py
+++ b/src/cassiawalk/membership/hosts.py
@@ -59,7 +59,7 @@
     async def start(self) -> None:
         """Read the host list once, then keep the view up to date."""
         await self.refresh()
-        self.spawn(self._poll(), name="membership-poll")
+        self.keep_running(self._poll, name="membership-poll")
 
     def add_listener(self, listener: cabc.Callable[[], None]) -> None:
         """Call ``listener`` after each change of the view."""
--- a/src/cassiawalk/once/pool.py
+++ b/src/cassiawalk/once/pool.py
@@ -51,7 +51,7 @@
 
     async def start(self) -> None:
         """Start the periodic maintenance."""
-        self.spawn(self._maintain(), name="sequencer-pool")
+        self.keep_running(self._maintain, name="sequencer-pool")
 
     async def sequencer(self, partition: Partition) -> Sequencer:
         """Return the partition's sequencer; it is started on first use."""
--- a/src/cassiawalk/once/sequencer.py
+++ b/src/cassiawalk/once/sequencer.py
@@ -92,7 +92,7 @@
 
     async def start(self) -> None:
         """Start the append loop."""
-        self.spawn(self._run(), name=f"sequencer-{self._reader.stream}")
+        self.keep_running(self._run, name=f"sequencer-{self._reader.stream}")
 
     async def stop(self) -> None:
         """Stop the append loop; pending records fail with ``Unavailable``."""
--- a/src/cassiawalk/orders/controller.py
+++ b/src/cassiawalk/orders/controller.py
@@ -76,7 +76,7 @@
 
     async def start(self) -> None:
         """Start to control the engines of pools."""
-        self.spawn(self._run(), name="orders")
+        self.keep_running(self._run, name="orders")
 
     async def step(self) -> None:
         """Claim or renew the leases that are due, then send the orders that are due under them."""
--- a/src/cassiawalk/peer/feed.py
+++ b/src/cassiawalk/peer/feed.py
@@ -102,9 +102,9 @@
         """Start polling or following."""
         self._membership.add_listener(self._signal_change)
         self._note_store.add_listener(self._note_changed)
-        self.spawn(self._poll_notices(), name="cloud-notices")
-        self.spawn(self._push_updates(), name="leaving-marks")
-        self.spawn(self._follow(), name="membership-feed")
+        self.keep_running(self._poll_notices, name="cloud-notices")
+        self.keep_running(self._push_updates, name="leaving-marks")
+        self.keep_running(self._follow, name="membership-feed")
 
     async def handle_share(self, call: ShareCall) -> ShareReply:
         """Merge the marks and notes of a peer."""
--- a/src/cassiawalk/platform/reload.py
+++ b/src/cassiawalk/platform/reload.py
@@ -39,7 +39,7 @@
 
     async def start(self) -> None:
         """Start watching the file."""
-        self.spawn(self._watch(), name="settings")
+        self.keep_running(self._watch, name="settings")
 
     def reload(self) -> None:
         """Apply the file as far as possible without a restart; a faulty file changes nothing."""
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -8,9 +8,11 @@
 from cassiawalk.clients import KeyedChanges
 from cassiawalk.clients import KeyedList
 from cassiawalk.clients import KeyedLog
+from cassiawalk.clients import KeyedRecord
 from cassiawalk.clients import ReadFailed
 from cassiawalk.ids import Offset
 from cassiawalk.ingress.config import ConfigView
+from cassiawalk.ingress.config import IngressConfig
 from cassiawalk.ingress.copying import READER_COPY_DELAY_S
 from cassiawalk.ingress.follow import ConfigFollower
 from cassiawalk.ingress.follow import ReadOptions
@@ -47,6 +49,44 @@
         raise NotImplementedError
 
 
+class ListOfTwo(EmptyLog):
+    """Returns a record that causes an error, then one that is sound."""
+
+    async def newest(self, *, stream: str) -> KeyedList | ReadFailed:
+        records = [
+            KeyedRecord(key="config", value=value, offset=Offset(number))
+            for number, value in enumerate((b"bad", b"sound"))
+        ]
+        return KeyedList(records=tuple(records), end=Offset(2))
+
+
+async def test_record_that_causes_an_error_does_not_end_the_reading_of_others() -> None:
+    """One such record ended the reading of its stream on each host, for the process's life."""
+    clock = FakeClock()
+    log = ListOfTwo(clock)
+    decoded: list[bytes] = []
+
+    def decode(value: bytes) -> IngressConfig:
+        decoded.append(value)
+        raise RecursionError("not foreseen")
+
+    follower = ConfigFollower(
+        log=log,
+        options=ReadOptions(stream="config", wait_s=CONFIG_WAIT_S, pause_s=CONFIG_PAUSE_S),
+        key="config",
+        decode=decode,
+        view=ConfigView(),
+        clock=clock,
+        rng=random.Random(1),
+    )
+    await follower.start()
+    for _ in range(20):
+        await asyncio.sleep(0)
+    await follower.stop()
+    assert decoded == [b"bad", b"sound"]
+    assert log.waits
+
+
 async def _follow(seed: int) -> EmptyLog:
     clock = FakeClock()
     log = EmptyLog(clock)
