Learn how fast engines prefill before ordering more of them

Now each host estimates the speed of a service's engines from first tokens: the median slope over pairs of its last 64 prompts that did not wait. The scaler uses it, and 50,000 as the least.

With the least, engines slower than 50,000 are treated as before.

--- a/src/cassiawalk/duties/scaler.py
+++ b/src/cassiawalk/duties/scaler.py
@@ -19,9 +19,7 @@
 ORDER_RETRY_PAUSE_S = 2.0
 # Target for the mean fraction of an upstream's slots that are in use.
 TARGET_SLOT_USE = 0.35
-# Prefill throughput of one upstream that does nothing else.
-PREFILL_TOKENS_PER_S = 50_000.0
-# Target fraction of the prefill throughput, low enough for short queues at each upstream.
+# Target fraction of the prefill speed, low enough for short queues at each upstream.
 TARGET_PREFILL_USE = 0.2
 # Fraction of the wanted upstreams that is ordered where only on-demand ones are available.
 ON_DEMAND_FRACTION = 0.8
@@ -47,6 +45,7 @@
     :param running: requests at the service's upstreams, from all hosts.
     :param slots: how many requests one upstream runs concurrently.
     :param prefill_tokens_per_s: rate of requested prompt tokens that are in no prefix cache.
+    :param speed_tokens_per_s: how many prompt tokens one upstream prefills in a second.
     :param wanted: the target number of upstreams.
     :param boot_s: seconds from an order until the new upstream serves requests.
     """
@@ -60,6 +59,7 @@
     running: int
     slots: int
     prefill_tokens_per_s: float
+    speed_tokens_per_s: float
     boot_s: float
     wanted: int = 0
 
@@ -123,7 +123,7 @@
 def needed_upstreams(state: ServiceState) -> int:
     """Return how many upstreams serve the current load with short queues."""
     for_slots = state.running / (state.slots * TARGET_SLOT_USE)
-    for_prefill = state.prefill_tokens_per_s / (PREFILL_TOKENS_PER_S * TARGET_PREFILL_USE)
+    for_prefill = state.prefill_tokens_per_s / (state.speed_tokens_per_s * TARGET_PREFILL_USE)
     least = MIN_IN_DOMAIN * len(state.domains)
     return max(least, math.ceil(for_slots), math.ceil(for_prefill))
 
@@ -214,6 +214,7 @@
             needed=needed,
             running=state.running,
             reading_per_s=round(state.prefill_tokens_per_s),
+            speed_per_s=round(state.speed_tokens_per_s),
             there=_live_count(state),
         )
 
--- a/src/cassiawalk/ingress/dutyparts.py
+++ b/src/cassiawalk/ingress/dutyparts.py
@@ -25,6 +25,7 @@
 from cassiawalk.ingress.sharedprogress import SharedProgress
 from cassiawalk.ingress.source import PlatformSource
 from cassiawalk.leases import LeaseManager
+from cassiawalk.routing.prefillspeed import PrefillSpeeds
 
 
 class DutyParts:
@@ -46,6 +47,7 @@
         time: CorrectedTime,
         usage: UsageCounts,
         demand: DemandMeter,
+        speeds: PrefillSpeeds,
         can_act: cabc.Callable[[], bool],
         clock: Clock,
         boot_clock: Clock,
@@ -72,7 +74,11 @@
             stream=DUTY_STREAM,
         )
         view = ScalingView(
-            config=config, directory=directory, prefill_demand=self._prefill_demand, clock=clock
+            config=config,
+            directory=directory,
+            prefill_demand=self._prefill_demand,
+            speeds=speeds,
+            clock=clock,
         )
         reporter = self._reporter(source.duties, profile, source, time, usage)
         scaler = Scaler(api=source.duties, services=view.services, clock=boot_clock)
--- a/src/cassiawalk/ingress/forwarder.py
+++ b/src/cassiawalk/ingress/forwarder.py
@@ -19,6 +19,7 @@
 from cassiawalk.ingress.intake import Intake
 from cassiawalk.ingress.intake import RefusedError
 from cassiawalk.ingress.job import Job
+from cassiawalk.ingress.outcome import AnswerTrace
 from cassiawalk.ingress.outcome import AttemptEnd
 from cassiawalk.ingress.placement import Placement
 from cassiawalk.ingress.placement import Placer
@@ -27,6 +28,7 @@
 from cassiawalk.results import Execution
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
+from cassiawalk.routing.prefillspeed import PrefillSpeeds
 
 NO_UPSTREAM_RETRY_S = 0.4
 FULL_RETRY_S = 0.3
@@ -45,10 +47,12 @@
         clock: Clock,
         report: IngressReport,
         meter: DemandMeter,
+        speeds: PrefillSpeeds,
         screening: Screening,
     ) -> None:
         self._screening = screening
         self._meter = meter
+        self._speeds = speeds
         self._intake = intake
         self._placer = placer
         self._budgets = budgets
@@ -149,12 +153,22 @@
             self._screening.note_unanswered(job, placement.upstream)
             raise
         self._report.note_attempt(job, placement, end, attempt.trace)
+        self._note_speed(job, placement, attempt.trace)
         if end is AttemptEnd.DELIVERED and job.succeeded:
             self._screening.note_completed(job)
         if placement.upstream.superseded:
             self._screening.note_superseded(placement.upstream)
         return end, attempt.trace.reason
 
+    def _note_speed(self, job: Job, placement: Placement, trace: AnswerTrace) -> None:
+        """Learn from the first token of a prompt that was prefilled at once after its prefix."""
+        if trace.first_s is None or not job.route.rule.is_stream or job.sends > 1:
+            return
+        if placement.pending_tokens or placement.holder is not None:
+            return
+        if placement.unread_tokens == job.unshared_tokens:
+            self._speeds.note(job.service, placement.unread_tokens, trace.first_s)
+
     async def _note_lost(self, job: Job, upstream: Upstream) -> None:
         """Find out whether the upstream died; wait for it only if the request may be retried."""
         finding = self._screening.note_lost(job, upstream)
--- a/src/cassiawalk/ingress/node.py
+++ b/src/cassiawalk/ingress/node.py
@@ -42,6 +42,7 @@
 from cassiawalk.membership import Membership
 from cassiawalk.peer import PeerLinks
 from cassiawalk.peer import PeerServer
+from cassiawalk.routing.prefillspeed import PrefillSpeeds
 from cassiawalk.settings import Address
 from cassiawalk.sockets import listen
 
@@ -104,6 +105,7 @@
         self.time = CorrectedTime(clock=boot_clock)
         self.usage = UsageCounts(now=self.time.now, window_s=profile.bounds.usage_window_s)
         self.demand = DemandMeter(clock=clock)
+        self.speeds = PrefillSpeeds()
         self.report = IngressReport(clock=clock, on_started=self.usage.count_started)
         self._build_peers()
         self._build_requests()
@@ -238,6 +240,7 @@
             clock=self._clock,
             report=self.report,
             meter=self.demand,
+            speeds=self.speeds,
             screening=self.crashes.screening,
         )
 
@@ -268,6 +271,7 @@
             time=self.time,
             usage=self.usage,
             demand=self.demand,
+            speeds=self.speeds,
             can_act=lambda: self.ready and self.store.copier.store_ok,
             clock=self._clock,
             boot_clock=self._boot_clock,
--- a/src/cassiawalk/ingress/placement.py
+++ b/src/cassiawalk/ingress/placement.py
@@ -33,6 +33,7 @@
     :param cost: the value that upstreams were compared by, in seconds.
     :param first_s: the expected time to the first token, in seconds.
     :param unread_tokens: the prompt tokens that the upstream is expected to prefill.
+    :param pending_tokens: the prompt tokens of other requests that it is expected to prefill first.
     :param candidates: the number of upstreams that were compared.
     :param holder: another upstream from which the prompt's shared prefix may be fetched.
     """
@@ -41,6 +42,7 @@
     cost: float
     first_s: float
     unread_tokens: int
+    pending_tokens: int
     candidates: int
     holder: Upstream | None = None
 
@@ -140,5 +142,6 @@
             cost=cost,
             first_s=first_s,
             unread_tokens=prefill,
+            pending_tokens=pending,
             candidates=candidates,
         )
--- a/src/cassiawalk/ingress/scaling.py
+++ b/src/cassiawalk/ingress/scaling.py
@@ -12,6 +12,7 @@
 from cassiawalk.ingress.config import ServiceConfig
 from cassiawalk.ingress.directory import Directory
 from cassiawalk.ingress.directory import Upstream
+from cassiawalk.routing.prefillspeed import PrefillSpeeds
 
 DEFAULT_SLOTS = 64
 DIRECTORY_SETTLE_S = 5.0  # by then, all live upstreams have written their entries
@@ -24,6 +25,7 @@
 
     :param prefill_demand: returns the prefill demand of a service over all hosts, in tokens per
         second.
+    :param speeds: how fast the engines of each service prefill.
     """
 
     def __init__(
@@ -32,11 +34,13 @@
         config: ConfigView,
         directory: Directory,
         prefill_demand: PrefillDemand,
+        speeds: PrefillSpeeds,
         clock: Clock,
     ) -> None:
         self._config = config
         self._directory = directory
         self._prefill_demand = prefill_demand
+        self._speeds = speeds
         self._clock = clock
 
     def services(self) -> list[ServiceState]:
@@ -68,6 +72,7 @@
             running=sum(upstream.load.total for upstream in upstreams),
             slots=slots,
             prefill_tokens_per_s=self._prefill_demand(service.name),
+            speed_tokens_per_s=self._speeds.tokens_per_s(service.name),
             boot_s=bounds.boot_s,
         )
 
--- a/tests/ingress_bed.py
+++ b/tests/ingress_bed.py
@@ -48,6 +48,7 @@
 from cassiawalk.peer import NoteStore
 from cassiawalk.peer import PeerLinks
 from cassiawalk.platform.codec import PlatformHeadCodec
+from cassiawalk.routing.prefillspeed import PrefillSpeeds
 from cassiawalk.settings import Address
 from cassiawalk.sockets import bound_address
 from cassiawalk.sockets import listen
@@ -252,6 +253,7 @@
             clock=clock,
             report=self.report,
             meter=DemandMeter(clock=clock),
+            speeds=PrefillSpeeds(),
             screening=self._screening(),
         )
         self._sock = listen(Address(ip="127.0.0.1", port=0))
--- a/tests/test_scaler.py
+++ b/tests/test_scaler.py
@@ -13,7 +13,6 @@
 from cassiawalk.duties import UsageWindow
 from cassiawalk.duties.scaler import MIN_IN_DOMAIN
 from cassiawalk.duties.scaler import ON_DEMAND_FRACTION
-from cassiawalk.duties.scaler import PREFILL_TOKENS_PER_S
 from cassiawalk.duties.scaler import SCALE_DOWN_DELAY_S
 from cassiawalk.duties.scaler import TARGET_PREFILL_USE
 from cassiawalk.duties.scaler import DomainState
@@ -33,12 +32,18 @@
 MIN_TOTAL = MIN_IN_DOMAIN * len(DOMAINS)
 WANTED = 10
 NEEDED = math.ceil(ON_DEMAND_FRACTION * WANTED)
-PREFILL_DEMAND_PER_S = (WANTED - 0.5) * PREFILL_TOKENS_PER_S * TARGET_PREFILL_USE
+SPEED_TOKENS_PER_S = 40_000.0
+PREFILL_DEMAND_PER_S = (WANTED - 0.5) * SPEED_TOKENS_PER_S * TARGET_PREFILL_USE
 BY = FencingToken(holder=HostId("h"), fence=Offset(3))
 BOOT_S = 4.0
 
 
-def state(domains: cabc.Mapping[FailureDomain, DomainState], *, running: int = 0) -> ServiceState:
+def state(
+    domains: cabc.Mapping[FailureDomain, DomainState],
+    *,
+    running: int = 0,
+    speed: float = SPEED_TOKENS_PER_S,
+) -> ServiceState:
     return ServiceState(
         service=ServiceName("models"),
         min_per_domain=1,
@@ -49,6 +54,7 @@
         running=running,
         slots=64,
         prefill_tokens_per_s=PREFILL_DEMAND_PER_S,
+        speed_tokens_per_s=speed,
         boot_s=BOOT_S,
         wanted=WANTED,
     )
@@ -89,6 +95,12 @@
     assert needed_upstreams(state(NONE_LIVE, running=400)) > base == WANTED
 
 
+@pytest.mark.parametrize(("factor", "wanted"), [(0.5, 19), (1.0, WANTED), (4.0, MIN_TOTAL)])
+def test_slower_engines_need_more_of_them(factor: float, wanted: int) -> None:
+    """A speed that was the same for all services ordered twice the upstreams of a fast one."""
+    assert needed_upstreams(state(NONE_LIVE, speed=factor * SPEED_TOKENS_PER_S)) == wanted
+
+
 class Platform(DutyApi):
     """Starts ordered upstreams after the boot time.
 
--- a/tests/test_stop_under_load.py
+++ b/tests/test_stop_under_load.py
@@ -78,8 +78,8 @@
     host = fleet.hosts["host-1"]
     body = b'{"home": 7}'
     head = (
-        f"POST /v1/services/beds/list HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer {CALLER_TOKEN}\r\n"
-        f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+        "POST /v1/services/beds/list HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\n"
+        f"Authorization: Bearer {CALLER_TOKEN}\r\nContent-Length: {len(body)}\r\n\r\n"
     )
     callers = Callers(host.caller, lambda _: head.encode() + body)
     running = [asyncio.create_task(callers.run(number)) for number in range(CALLERS)]
