--- a/standins/unframed_upstream.py
+++ b/standins/unframed_upstream.py
@@ -166,7 +166,7 @@
         self._writer.write(event.data[: cut.after_bytes])
         self._upstream.crash(reset=cut.reset)
 
-    def reset(self, exchange: Exchange) -> None:
+    def reset(self, exchange: Exchange, *, discard: bool) -> None:
         """Reset the connection."""
         self.abort()
 
