Separate what hosts share from the request path

Now fleet/ holds what hosts know of one another (records, heartbeats, hubs, time, notes, progress of reports), storeview/ what they know from the store (configuration, upstreams, their load and health, reading, copying, age), and ingress/ the request path and the assembly of a host. fleet imports from neither of the two, storeview only from fleet. For that the parts of prompts moved to routing/promptparts.py, and the load that an upstream reports to its load's module. No behaviour is changed; only imports and pages name other places.

--- a/benchmarks/batch_engine.py
+++ b/benchmarks/batch_engine.py
@@ -7,8 +7,8 @@
 import dataclasses
 
 from cassiawalk.ids import RequestId
-from cassiawalk.ingress.codec import PartId
-from cassiawalk.ingress.codec import PromptPart
+from cassiawalk.routing.promptparts import PartId
+from cassiawalk.routing.promptparts import PromptPart
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/benchmarks/prompt_load.py
+++ b/benchmarks/prompt_load.py
@@ -29,14 +29,14 @@
 from cassiawalk.ids import ServiceName
 from cassiawalk.ids import UpstreamId
 from cassiawalk.ingress.codec import Demand
-from cassiawalk.ingress.codec import PartId
-from cassiawalk.ingress.codec import PromptPart
-from cassiawalk.ingress.directory import Directory
-from cassiawalk.ingress.directory import Presence
-from cassiawalk.ingress.directory import Registration
-from cassiawalk.ingress.directory import Upstream
 from cassiawalk.ingress.job import Job
 from cassiawalk.ingress.placement import Placer
+from cassiawalk.routing.promptparts import PartId
+from cassiawalk.routing.promptparts import PromptPart
+from cassiawalk.storeview.directory import Directory
+from cassiawalk.storeview.directory import Presence
+from cassiawalk.storeview.directory import Registration
+from cassiawalk.storeview.directory import Upstream
 
 SERVICE = ServiceName("models")
 FAILURE_DOMAIN = FailureDomain("here")
--- a/src/cassiawalk/ingress/heartbeat.py
+++ b/src/cassiawalk/fleet/heartbeat.py
@@ -4,12 +4,12 @@
 
 from cassiawalk.duties.progress import NO_WINDOW
 from cassiawalk.duties.usage import WindowCounts
+from cassiawalk.fleet.aggregates import HostAggregate
+from cassiawalk.fleet.aggregates import UpstreamUse
 from cassiawalk.ids import HostId
 from cassiawalk.ids import Offset
 from cassiawalk.ids import ServiceName
 from cassiawalk.ids import WorkspaceName
-from cassiawalk.ingress.aggregates import HostAggregate
-from cassiawalk.ingress.aggregates import UpstreamUse
 from cassiawalk.peer.messages import messages
 
 
--- a/src/cassiawalk/ingress/hosts.py
+++ b/src/cassiawalk/fleet/hosts.py
@@ -16,9 +16,9 @@
 from cassiawalk.clients import KeyedRecord
 from cassiawalk.clients import ReadFailed
 from cassiawalk.errors import WireError
+from cassiawalk.fleet.correctedtime import CorrectedTime
 from cassiawalk.ids import FailureDomain
 from cassiawalk.ids import HostId
-from cassiawalk.ingress.correctedtime import CorrectedTime
 from cassiawalk.wire import from_plain
 from cassiawalk.wire import load
 from cassiawalk.wire import to_plain
--- a/src/cassiawalk/ingress/hubs.py
+++ b/src/cassiawalk/fleet/hubs.py
@@ -3,8 +3,8 @@
 import collections.abc as cabc
 
 from cassiawalk.clock import Clock
+from cassiawalk.fleet.hosts import HostRegistry
 from cassiawalk.ids import HostId
-from cassiawalk.ingress.hosts import HostRegistry
 from cassiawalk.membership.rendezvous import rank
 
 MIN_HUBS = 3
--- a/src/cassiawalk/ingress/hubsums.py
+++ b/src/cassiawalk/fleet/hubsums.py
@@ -2,12 +2,12 @@
 
 import collections.abc as cabc
 
+from cassiawalk.fleet.aggregates import EMPTY_AGGREGATE
+from cassiawalk.fleet.aggregates import HostAggregate
+from cassiawalk.fleet.aggregates import sum_amounts
+from cassiawalk.fleet.aggregates import sum_use
+from cassiawalk.fleet.heartbeat import Heartbeat
 from cassiawalk.ids import WorkspaceName
-from cassiawalk.ingress.aggregates import EMPTY_AGGREGATE
-from cassiawalk.ingress.aggregates import HostAggregate
-from cassiawalk.ingress.aggregates import sum_amounts
-from cassiawalk.ingress.aggregates import sum_use
-from cassiawalk.ingress.heartbeat import Heartbeat
 
 
 def sum_of_spokes(
--- a/src/cassiawalk/ingress/notes.py
+++ b/src/cassiawalk/fleet/notes.py
@@ -7,9 +7,9 @@
 
 from cassiawalk.app import Component
 from cassiawalk.clock import Clock
+from cassiawalk.fleet.heartbeat import Heartbeat
+from cassiawalk.fleet.heartbeats import HeartbeatExchange
 from cassiawalk.ids import HostId
-from cassiawalk.ingress.heartbeat import Heartbeat
-from cassiawalk.ingress.heartbeats import HeartbeatExchange
 from cassiawalk.peer import Note
 from cassiawalk.peer import NoteSharing
 from cassiawalk.peer import NoteStore
--- a/src/cassiawalk/ingress/recordkeeper.py
+++ b/src/cassiawalk/fleet/recordkeeper.py
@@ -5,7 +5,7 @@
 import random
 
 from cassiawalk.clock import Clock
-from cassiawalk.ingress.hosts import HostRegistry
+from cassiawalk.fleet.hosts import HostRegistry
 from cassiawalk.membership import Membership
 
 RECORD_CHECK_INTERVAL_S = 2.5
--- a/src/cassiawalk/ingress/sharedprogress.py
+++ b/src/cassiawalk/fleet/sharedprogress.py
@@ -4,8 +4,8 @@
 
 from cassiawalk.duties.progress import NO_WINDOW
 from cassiawalk.duties.progress import ReportProgress
-from cassiawalk.ingress.heartbeat import Heartbeat
-from cassiawalk.ingress.heartbeats import HeartbeatExchange
+from cassiawalk.fleet.heartbeat import Heartbeat
+from cassiawalk.fleet.heartbeats import HeartbeatExchange
 
 # With two of them, the holder and one more host may be lost before the next heartbeats.
 MIN_WITNESSES = 2
--- a/src/cassiawalk/ingress/codec.py
+++ b/src/cassiawalk/ingress/codec.py
@@ -2,23 +2,14 @@
 
 import abc
 import dataclasses
-import typing as t
 
 from cassiawalk.http1 import Headers
 from cassiawalk.ids import RequestId
 from cassiawalk.ids import UpstreamId
 from cassiawalk.ids import WorkspaceName
 from cassiawalk.results import Refusal
-
-PartId = t.NewType("PartId", str)
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class PromptPart:
-    """One part of a prompt; engines cache it under its id once it is prefilled."""
-
-    part_id: PartId
-    tokens: int
+from cassiawalk.routing.promptparts import PromptPart
+from cassiawalk.storeview.load import ReportedLoad
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -71,15 +62,6 @@
     holder_address: str | None = None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class ReportedLoad:
-    """An upstream's own count of its requests, from the head of an answer."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class AnswerMetadata:
     """What the head of an answer states.
--- a/src/cassiawalk/ingress/crashparts.py
+++ b/src/cassiawalk/ingress/crashparts.py
@@ -9,21 +9,21 @@
 from cassiawalk.crashes import IsolationLeaseCall
 from cassiawalk.crashes import IsolationLeases
 from cassiawalk.crashes import SharedNotesOnly
+from cassiawalk.fleet.correctedtime import CorrectedClock
+from cassiawalk.fleet.correctedtime import CorrectedTime
+from cassiawalk.fleet.heartbeats import HeartbeatExchange
+from cassiawalk.fleet.notes import NoteExchange
+from cassiawalk.fleet.notes import NotesCall
 from cassiawalk.ids import HostId
-from cassiawalk.ingress.correctedtime import CorrectedClock
-from cassiawalk.ingress.correctedtime import CorrectedTime
-from cassiawalk.ingress.directory import Directory
-from cassiawalk.ingress.follow import ReadOptions
-from cassiawalk.ingress.heartbeats import HeartbeatExchange
-from cassiawalk.ingress.notes import NoteExchange
-from cassiawalk.ingress.notes import NotesCall
 from cassiawalk.ingress.screening import ISOLATE_AFTER_DEATHS
 from cassiawalk.ingress.screening import Screening
-from cassiawalk.ingress.suspects import SuspectFollower
 from cassiawalk.membership import Membership
 from cassiawalk.peer import NoteStore
 from cassiawalk.peer import PeerLinks
 from cassiawalk.peer import PeerServer
+from cassiawalk.storeview.directory import Directory
+from cassiawalk.storeview.follow import ReadOptions
+from cassiawalk.storeview.suspects import SuspectFollower
 
 LEASE_TIMEOUT_S = 0.3  # a request waits for it
 
--- a/src/cassiawalk/ingress/dutyparts.py
+++ b/src/cassiawalk/ingress/dutyparts.py
@@ -13,19 +13,19 @@
 from cassiawalk.duties.reporter import UsageReporter
 from cassiawalk.duties.scaler import Scaler
 from cassiawalk.duties.usage import UsageCounts
+from cassiawalk.fleet.correctedtime import CorrectedTime
+from cassiawalk.fleet.heartbeats import HeartbeatExchange
+from cassiawalk.fleet.sharedprogress import SharedProgress
 from cassiawalk.ids import HostId
 from cassiawalk.ids import ServiceName
-from cassiawalk.ingress.config import ConfigView
-from cassiawalk.ingress.correctedtime import CorrectedTime
 from cassiawalk.ingress.demandmeter import DemandMeter
-from cassiawalk.ingress.directory import Directory
-from cassiawalk.ingress.heartbeats import HeartbeatExchange
 from cassiawalk.ingress.profile import HostProfile
 from cassiawalk.ingress.scaling import ScalingView
-from cassiawalk.ingress.sharedprogress import SharedProgress
-from cassiawalk.ingress.source import PlatformSource
 from cassiawalk.leases import LeaseManager
 from cassiawalk.routing.prefillspeed import PrefillSpeeds
+from cassiawalk.storeview.config import ConfigView
+from cassiawalk.storeview.directory import Directory
+from cassiawalk.storeview.source import PlatformSource
 
 
 class DutyParts:
--- a/src/cassiawalk/ingress/forwarder.py
+++ b/src/cassiawalk/ingress/forwarder.py
@@ -15,7 +15,6 @@
 from cassiawalk.ingress.codec import Demand
 from cassiawalk.ingress.codec import HeadCodec
 from cassiawalk.ingress.demandmeter import DemandMeter
-from cassiawalk.ingress.directory import Upstream
 from cassiawalk.ingress.intake import Intake
 from cassiawalk.ingress.intake import RefusedError
 from cassiawalk.ingress.job import Job
@@ -29,6 +28,7 @@
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
 from cassiawalk.routing.prefillspeed import PrefillSpeeds
+from cassiawalk.storeview.directory import Upstream
 
 NO_UPSTREAM_RETRY_S = 0.4
 FULL_RETRY_S = 0.3
--- a/src/cassiawalk/ingress/holders.py
+++ b/src/cassiawalk/ingress/holders.py
@@ -7,9 +7,9 @@
 import collections.abc as cabc
 
 from cassiawalk.ids import UpstreamId
-from cassiawalk.ingress.codec import PromptPart
-from cassiawalk.ingress.directory import Upstream
 from cassiawalk.membership.rendezvous import rank
+from cassiawalk.routing.promptparts import PromptPart
+from cassiawalk.storeview.directory import Upstream
 
 MIN_FETCH_TOKENS = 1000  # prefilling fewer tokens is faster than fetching them
 # A former holder must have started at least this long before the chosen engine.
--- a/src/cassiawalk/ingress/intake.py
+++ b/src/cassiawalk/ingress/intake.py
@@ -8,14 +8,14 @@
 from cassiawalk.ids import ServiceName
 from cassiawalk.ingress.codec import Demand
 from cassiawalk.ingress.codec import HeadCodec
-from cassiawalk.ingress.config import ConfigView
-from cassiawalk.ingress.config import IngressConfig
-from cassiawalk.ingress.config import Route
-from cassiawalk.ingress.config import WorkspaceConfig
 from cassiawalk.ingress.job import Job
 from cassiawalk.ingress.quotas import Quotas
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
+from cassiawalk.storeview.config import ConfigView
+from cassiawalk.storeview.config import IngressConfig
+from cassiawalk.storeview.config import Route
+from cassiawalk.storeview.config import WorkspaceConfig
 
 STALE_CONFIG_S = 2.6  # a configuration unconfirmed for longer may lack routes and keys
 STALE_RETRY_S = 0.3
--- a/src/cassiawalk/ingress/job.py
+++ b/src/cassiawalk/ingress/job.py
@@ -13,9 +13,9 @@
 from cassiawalk.ids import UpstreamId
 from cassiawalk.ids import WorkspaceName
 from cassiawalk.ingress.codec import Demand
-from cassiawalk.ingress.config import Route
-from cassiawalk.ingress.config import WorkspaceConfig
 from cassiawalk.ingress.events import EventSplitter
+from cassiawalk.storeview.config import Route
+from cassiawalk.storeview.config import WorkspaceConfig
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/cassiawalk/ingress/node.py
+++ b/src/cassiawalk/ingress/node.py
@@ -11,25 +11,23 @@
 from cassiawalk.app import Component
 from cassiawalk.clock import Clock
 from cassiawalk.duties.usage import UsageCounts
+from cassiawalk.fleet.aggregates import UpstreamUse
+from cassiawalk.fleet.census import HostCensus
+from cassiawalk.fleet.correctedtime import CorrectedTime
+from cassiawalk.fleet.heartbeat import Heartbeat
+from cassiawalk.fleet.heartbeats import HeartbeatExchange
+from cassiawalk.fleet.hosts import HostRegistry
+from cassiawalk.fleet.hosts import entry_of
 from cassiawalk.http1 import Exchange
 from cassiawalk.http1 import ExchangeHandler
 from cassiawalk.http1 import HttpListener
 from cassiawalk.ids import new_uuid7
-from cassiawalk.ingress.aggregates import UpstreamUse
 from cassiawalk.ingress.budgets import RetryBudgets
-from cassiawalk.ingress.census import HostCensus
 from cassiawalk.ingress.codec import HeadCodec
-from cassiawalk.ingress.config import ConfigView
-from cassiawalk.ingress.correctedtime import CorrectedTime
 from cassiawalk.ingress.crashparts import CrashParts
 from cassiawalk.ingress.demandmeter import DemandMeter
-from cassiawalk.ingress.directory import Directory
 from cassiawalk.ingress.dutyparts import DutyParts
 from cassiawalk.ingress.forwarder import Forwarder
-from cassiawalk.ingress.heartbeat import Heartbeat
-from cassiawalk.ingress.heartbeats import HeartbeatExchange
-from cassiawalk.ingress.hosts import HostRegistry
-from cassiawalk.ingress.hosts import entry_of
 from cassiawalk.ingress.intake import Intake
 from cassiawalk.ingress.placement import Placer
 from cassiawalk.ingress.profile import FleetBounds
@@ -37,14 +35,16 @@
 from cassiawalk.ingress.quotas import Quotas
 from cassiawalk.ingress.receiver import HeartbeatReceiver
 from cassiawalk.ingress.report import IngressReport
-from cassiawalk.ingress.source import PlatformSource
-from cassiawalk.ingress.storeparts import StoreParts
 from cassiawalk.membership import Membership
 from cassiawalk.peer import PeerLinks
 from cassiawalk.peer import PeerServer
 from cassiawalk.routing.prefillspeed import PrefillSpeeds
 from cassiawalk.settings import Address
 from cassiawalk.sockets import listen
+from cassiawalk.storeview.config import ConfigView
+from cassiawalk.storeview.directory import Directory
+from cassiawalk.storeview.source import PlatformSource
+from cassiawalk.storeview.storeparts import StoreParts
 
 # Heartbeats announce new hosts, and the heartbeat exchange reads the list when hosts are missing.
 MEMBERSHIP_POLL_S = 600.0
--- a/src/cassiawalk/ingress/placement.py
+++ b/src/cassiawalk/ingress/placement.py
@@ -10,11 +10,11 @@
 from cassiawalk.ids import FailureDomain
 from cassiawalk.ids import ServiceName
 from cassiawalk.ids import UpstreamId
-from cassiawalk.ingress.directory import Directory
-from cassiawalk.ingress.directory import Upstream
 from cassiawalk.ingress.holders import likely_cache_holder
 from cassiawalk.ingress.holders import rendezvous_order
 from cassiawalk.ingress.job import Job
+from cassiawalk.storeview.directory import Directory
+from cassiawalk.storeview.directory import Upstream
 
 PREFILL_TOKENS_PER_S = 50_000.0
 # Prefilling a shared part again also delays the requests behind it and evicts other cached parts.
--- a/src/cassiawalk/ingress/quotas.py
+++ b/src/cassiawalk/ingress/quotas.py
@@ -15,7 +15,7 @@
 
 from cassiawalk.clock import Clock
 from cassiawalk.ids import WorkspaceName
-from cassiawalk.ingress.config import WorkspaceConfig
+from cassiawalk.storeview.config import WorkspaceConfig
 
 FULL_BURST_AFTER_S = 5.0  # from its start; a process doesn't know what was consumed before
 MIN_BURST_FRACTION = 0.01
--- a/src/cassiawalk/ingress/receiver.py
+++ b/src/cassiawalk/ingress/receiver.py
@@ -3,15 +3,15 @@
 import collections.abc as cabc
 
 from cassiawalk.duties.usage import UsageCounts
+from cassiawalk.fleet.aggregates import UpstreamUse
+from cassiawalk.fleet.census import HostCensus
+from cassiawalk.fleet.correctedtime import CorrectedTime
+from cassiawalk.fleet.heartbeat import Heartbeat
+from cassiawalk.fleet.heartbeats import HeartbeatExchange
 from cassiawalk.ids import HostId
 from cassiawalk.ids import WorkspaceName
-from cassiawalk.ingress.aggregates import UpstreamUse
-from cassiawalk.ingress.census import HostCensus
-from cassiawalk.ingress.correctedtime import CorrectedTime
-from cassiawalk.ingress.directory import Directory
-from cassiawalk.ingress.heartbeat import Heartbeat
-from cassiawalk.ingress.heartbeats import HeartbeatExchange
 from cassiawalk.ingress.quotas import Quotas
+from cassiawalk.storeview.directory import Directory
 
 _OTHER_HOSTS = HostId("rest")  # stands for all other hosts, as a hub aggregates them
 
--- a/src/cassiawalk/ingress/scaling.py
+++ b/src/cassiawalk/ingress/scaling.py
@@ -7,12 +7,12 @@
 from cassiawalk.duties.scaler import ServiceState
 from cassiawalk.ids import FailureDomain
 from cassiawalk.ids import ServiceName
-from cassiawalk.ingress.config import ConfigView
-from cassiawalk.ingress.config import ScalingBounds
-from cassiawalk.ingress.config import ServiceConfig
-from cassiawalk.ingress.directory import Directory
-from cassiawalk.ingress.directory import Upstream
 from cassiawalk.routing.prefillspeed import PrefillSpeeds
+from cassiawalk.storeview.config import ConfigView
+from cassiawalk.storeview.config import ScalingBounds
+from cassiawalk.storeview.config import ServiceConfig
+from cassiawalk.storeview.directory import Directory
+from cassiawalk.storeview.directory import Upstream
 
 DEFAULT_SLOTS = 64
 DIRECTORY_SETTLE_S = 5.0  # by then, all live upstreams have written their entries
--- a/src/cassiawalk/ingress/screening.py
+++ b/src/cassiawalk/ingress/screening.py
@@ -11,12 +11,12 @@
 from cassiawalk.crashes.evidence import RecordedDeath
 from cassiawalk.ids import FailureDomain
 from cassiawalk.ids import UpstreamId
-from cassiawalk.ingress.directory import Directory
-from cassiawalk.ingress.directory import Upstream
 from cassiawalk.ingress.job import Job
 from cassiawalk.results import Execution
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
+from cassiawalk.storeview.directory import Directory
+from cassiawalk.storeview.directory import Upstream
 
 # Deaths after which a request runs only in isolation; the next one then convicts it. It has to be
 # refused after its third, and each earlier one may have another cause.
--- a/src/cassiawalk/platform/codec.py
+++ b/src/cassiawalk/platform/codec.py
@@ -10,14 +10,14 @@
 from cassiawalk.ingress.codec import AttemptHeaders
 from cassiawalk.ingress.codec import Demand
 from cassiawalk.ingress.codec import HeadCodec
-from cassiawalk.ingress.codec import PartId
-from cassiawalk.ingress.codec import PromptPart
-from cassiawalk.ingress.codec import ReportedLoad
 from cassiawalk.platform import names
 from cassiawalk.results import CODES
 from cassiawalk.results import Execution
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
+from cassiawalk.routing.promptparts import PartId
+from cassiawalk.routing.promptparts import PromptPart
+from cassiawalk.storeview.load import ReportedLoad
 
 # On this platform, each of these statuses promises that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
--- a/src/cassiawalk/platform/config.py
+++ b/src/cassiawalk/platform/config.py
@@ -5,15 +5,15 @@
 from cassiawalk.ids import Revision
 from cassiawalk.ids import ServiceName
 from cassiawalk.ids import WorkspaceName
-from cassiawalk.ingress.config import EngineTraits
-from cassiawalk.ingress.config import IngressConfig
-from cassiawalk.ingress.config import RetryRule
-from cassiawalk.ingress.config import Route
-from cassiawalk.ingress.config import ScalingBounds
-from cassiawalk.ingress.config import ServiceConfig
-from cassiawalk.ingress.config import Split
-from cassiawalk.ingress.config import WorkspaceConfig
 from cassiawalk.platform import _fields as fields
+from cassiawalk.storeview.config import EngineTraits
+from cassiawalk.storeview.config import IngressConfig
+from cassiawalk.storeview.config import RetryRule
+from cassiawalk.storeview.config import Route
+from cassiawalk.storeview.config import ScalingBounds
+from cassiawalk.storeview.config import ServiceConfig
+from cassiawalk.storeview.config import Split
+from cassiawalk.storeview.config import WorkspaceConfig
 
 
 def decode_config(data: bytes) -> IngressConfig:
--- a/src/cassiawalk/platform/health.py
+++ b/src/cassiawalk/platform/health.py
@@ -2,10 +2,10 @@
 
 from cassiawalk.http1 import CallError
 from cassiawalk.http1 import HttpClient
-from cassiawalk.ingress.directory import Registration
-from cassiawalk.ingress.lapses import UpstreamInquiry
-from cassiawalk.ingress.lapses import UpstreamState
 from cassiawalk.platform import names
+from cassiawalk.storeview.directory import Registration
+from cassiawalk.storeview.lapses import UpstreamInquiry
+from cassiawalk.storeview.lapses import UpstreamState
 
 CALL_TIMEOUT_S = 0.6
 
--- a/src/cassiawalk/platform/host.py
+++ b/src/cassiawalk/platform/host.py
@@ -18,7 +18,6 @@
 from cassiawalk.errors import CassiawalkError
 from cassiawalk.errors import WireError
 from cassiawalk.ingress.node import IngressNode
-from cassiawalk.ingress.source import PlatformSource
 from cassiawalk.linelog import LineLog
 from cassiawalk.platform import names
 from cassiawalk.platform.codec import PlatformHeadCodec
@@ -32,6 +31,7 @@
 from cassiawalk.platform.settings import parse_address
 from cassiawalk.platform.store import PlatformStore
 from cassiawalk.settings import Address
+from cassiawalk.storeview.source import PlatformSource
 
 METRICS_PORT = 9464
 EXIT_OK = 0
--- a/src/cassiawalk/platform/registrations.py
+++ b/src/cassiawalk/platform/registrations.py
@@ -6,9 +6,9 @@
 from cassiawalk.ids import FailureDomain
 from cassiawalk.ids import ServiceName
 from cassiawalk.ids import UpstreamId
-from cassiawalk.ingress.directory import Presence
-from cassiawalk.ingress.directory import Registration
 from cassiawalk.platform import _fields as fields
+from cassiawalk.storeview.directory import Presence
+from cassiawalk.storeview.directory import Registration
 
 _PRESENCE_OF_STATE = {"ready": Presence.READY, "draining": Presence.LEAVING}
 
--- a/src/cassiawalk/ingress/copying.py
+++ b/src/cassiawalk/storeview/copying.py
@@ -11,20 +11,20 @@
 from cassiawalk.app import Component
 from cassiawalk.clients import KeyedRecord
 from cassiawalk.clock import Clock
+from cassiawalk.fleet.heartbeat import Heartbeat
+from cassiawalk.fleet.heartbeat import PeerView
+from cassiawalk.fleet.heartbeats import HeartbeatExchange
 from cassiawalk.ids import HostId
 from cassiawalk.ids import Offset
-from cassiawalk.ingress.config import ConfigView
-from cassiawalk.ingress.directory import Directory
-from cassiawalk.ingress.follow import ConfigFollower
-from cassiawalk.ingress.follow import DirectoryFollower
-from cassiawalk.ingress.freshness import Claims
-from cassiawalk.ingress.freshness import Freshness
-from cassiawalk.ingress.heartbeat import Heartbeat
-from cassiawalk.ingress.heartbeat import PeerView
-from cassiawalk.ingress.heartbeats import HeartbeatExchange
 from cassiawalk.peer import PeerFailure
 from cassiawalk.peer import PeerLinks
 from cassiawalk.peer.messages import messages
+from cassiawalk.storeview.config import ConfigView
+from cassiawalk.storeview.directory import Directory
+from cassiawalk.storeview.follow import ConfigFollower
+from cassiawalk.storeview.follow import DirectoryFollower
+from cassiawalk.storeview.freshness import Claims
+from cassiawalk.storeview.freshness import Freshness
 
 READER_COUNT = 2
 READER_TIMEOUT_S = 1.0  # two heartbeat intervals; a reader that is silent for longer is replaced
--- a/src/cassiawalk/ingress/directory.py
+++ b/src/cassiawalk/storeview/directory.py
@@ -14,8 +14,8 @@
 from cassiawalk.ids import RequestId
 from cassiawalk.ids import ServiceName
 from cassiawalk.ids import UpstreamId
-from cassiawalk.ingress.health import UpstreamHealth
-from cassiawalk.ingress.load import EngineLoad
+from cassiawalk.storeview.health import UpstreamHealth
+from cassiawalk.storeview.load import EngineLoad
 
 # Upstreams renew their entries. In an outage of the source they cannot, and entries of upstreams
 # that still run expire. Both times count from the source's recovery.
--- a/src/cassiawalk/ingress/follow.py
+++ b/src/cassiawalk/storeview/follow.py
@@ -18,12 +18,12 @@
 from cassiawalk.errors import WireError
 from cassiawalk.ids import Offset
 from cassiawalk.ids import UpstreamId
-from cassiawalk.ingress.config import ConfigView
-from cassiawalk.ingress.config import IngressConfig
-from cassiawalk.ingress.directory import MIN_LAPSE_GAP_S
-from cassiawalk.ingress.directory import Directory
-from cassiawalk.ingress.directory import Registration
-from cassiawalk.ingress.freshness import Freshness
+from cassiawalk.storeview.config import ConfigView
+from cassiawalk.storeview.config import IngressConfig
+from cassiawalk.storeview.directory import MIN_LAPSE_GAP_S
+from cassiawalk.storeview.directory import Directory
+from cassiawalk.storeview.directory import Registration
+from cassiawalk.storeview.freshness import Freshness
 
 RETRY_PAUSE_S = 0.25
 MAX_RETRY_PAUSE_S = 1.0
--- a/src/cassiawalk/ingress/lapses.py
+++ b/src/cassiawalk/storeview/lapses.py
@@ -12,10 +12,10 @@
 
 from cassiawalk.app import Component
 from cassiawalk.clock import Clock
-from cassiawalk.ingress.config import ConfigView
-from cassiawalk.ingress.directory import Directory
-from cassiawalk.ingress.directory import Registration
-from cassiawalk.ingress.directory import Upstream
+from cassiawalk.storeview.config import ConfigView
+from cassiawalk.storeview.directory import Directory
+from cassiawalk.storeview.directory import Registration
+from cassiawalk.storeview.directory import Upstream
 
 KEPT_S = 1.0  # half of the time in which no request may reach an upstream that leaves
 ASK_INTERVAL_S = 0.4
--- a/src/cassiawalk/ingress/load.py
+++ b/src/cassiawalk/storeview/load.py
@@ -1,19 +1,28 @@
 """Estimates the load of one upstream, as the counts that it reports itself lag behind."""
 
 import collections.abc as cabc
+import dataclasses
 
 from cassiawalk.clock import Clock
 from cassiawalk.ids import HostId
 from cassiawalk.ids import RequestId
-from cassiawalk.ingress.codec import PartId
-from cassiawalk.ingress.codec import PromptPart
-from cassiawalk.ingress.codec import ReportedLoad
+from cassiawalk.routing.promptparts import PartId
+from cassiawalk.routing.promptparts import PromptPart
 
 PEER_REPORT_MAX_AGE_S = 2.0
 CACHED_PART_TTL_S = 120.0
 MAX_CACHED_PARTS = 4096
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ReportedLoad:
+    """An upstream's own count of its requests, from the head of an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
 class EngineLoad:
     """The load of one upstream, as far as this host knows it.
 
--- a/src/cassiawalk/ingress/source.py
+++ b/src/cassiawalk/storeview/source.py
@@ -5,9 +5,9 @@
 from cassiawalk.clients import KeyedLog
 from cassiawalk.clients import LogService
 from cassiawalk.duties import DutyApi
-from cassiawalk.ingress.follow import ConfigDecoder
-from cassiawalk.ingress.follow import RegistrationDecoder
-from cassiawalk.ingress.lapses import UpstreamInquiry
+from cassiawalk.storeview.follow import ConfigDecoder
+from cassiawalk.storeview.follow import RegistrationDecoder
+from cassiawalk.storeview.lapses import UpstreamInquiry
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/cassiawalk/ingress/storeparts.py
+++ b/src/cassiawalk/storeview/storeparts.py
@@ -5,20 +5,20 @@
 
 from cassiawalk.app import Component
 from cassiawalk.clock import Clock
+from cassiawalk.fleet.heartbeats import HeartbeatExchange
 from cassiawalk.ids import HostId
-from cassiawalk.ingress.config import ConfigView
-from cassiawalk.ingress.copying import CopyCall
-from cassiawalk.ingress.copying import PeerCopier
-from cassiawalk.ingress.directory import Directory
-from cassiawalk.ingress.follow import ConfigFollower
-from cassiawalk.ingress.follow import DirectoryFollower
-from cassiawalk.ingress.follow import ReadOptions
-from cassiawalk.ingress.freshness import Freshness
-from cassiawalk.ingress.heartbeats import HeartbeatExchange
-from cassiawalk.ingress.lapses import LapseChecker
-from cassiawalk.ingress.source import PlatformSource
 from cassiawalk.peer import PeerLinks
 from cassiawalk.peer import PeerServer
+from cassiawalk.storeview.config import ConfigView
+from cassiawalk.storeview.copying import CopyCall
+from cassiawalk.storeview.copying import PeerCopier
+from cassiawalk.storeview.directory import Directory
+from cassiawalk.storeview.follow import ConfigFollower
+from cassiawalk.storeview.follow import DirectoryFollower
+from cassiawalk.storeview.follow import ReadOptions
+from cassiawalk.storeview.freshness import Freshness
+from cassiawalk.storeview.lapses import LapseChecker
+from cassiawalk.storeview.source import PlatformSource
 
 # With a heartbeat interval it stays under the age at which other hosts read the store themselves.
 CONFIG_WAIT_S = 0.5
--- a/src/cassiawalk/ingress/suspects.py
+++ b/src/cassiawalk/storeview/suspects.py
@@ -13,13 +13,13 @@
 from cassiawalk.clock import Clock
 from cassiawalk.crashes.evidence import fingerprint_in
 from cassiawalk.errors import WireError
+from cassiawalk.fleet.notes import NoteExchange
 from cassiawalk.ids import Fingerprint
-from cassiawalk.ingress.follow import ReadOptions
-from cassiawalk.ingress.follow import StreamFollower
-from cassiawalk.ingress.notes import NoteExchange
 from cassiawalk.peer import Note
 from cassiawalk.peer import NoteStore
 from cassiawalk.peer import NoteTopic
+from cassiawalk.storeview.follow import ReadOptions
+from cassiawalk.storeview.follow import StreamFollower
 from cassiawalk.wire import from_plain
 from cassiawalk.wire import load
 from cassiawalk.wire import to_plain
--- a/tests/ingress_bed.py
+++ b/tests/ingress_bed.py
@@ -12,6 +12,7 @@
 from cassiawalk.crashes import CrashGuard
 from cassiawalk.crashes import IsolationLeases
 from cassiawalk.crashes import SharedNotesOnly
+from cassiawalk.fleet.hosts import entry_of
 from cassiawalk.http1 import CallerLimits
 from cassiawalk.http1 import HttpListener
 from cassiawalk.ids import FailureDomain
@@ -22,19 +23,8 @@
 from cassiawalk.ids import UpstreamId
 from cassiawalk.ids import WorkspaceName
 from cassiawalk.ingress.budgets import RetryBudgets
-from cassiawalk.ingress.config import ConfigView
-from cassiawalk.ingress.config import IngressConfig
-from cassiawalk.ingress.config import RetryRule
-from cassiawalk.ingress.config import Route
-from cassiawalk.ingress.config import ServiceConfig
-from cassiawalk.ingress.config import Split
-from cassiawalk.ingress.config import WorkspaceConfig
 from cassiawalk.ingress.demandmeter import DemandMeter
-from cassiawalk.ingress.directory import Directory
-from cassiawalk.ingress.directory import Presence
-from cassiawalk.ingress.directory import Registration
 from cassiawalk.ingress.forwarder import Forwarder
-from cassiawalk.ingress.hosts import entry_of
 from cassiawalk.ingress.intake import Intake
 from cassiawalk.ingress.placement import Placer
 from cassiawalk.ingress.quotas import Quotas
@@ -53,6 +43,16 @@
 from cassiawalk.sockets import bound_address
 from cassiawalk.sockets import listen
 from cassiawalk.sockets import set_reset_on_close
+from cassiawalk.storeview.config import ConfigView
+from cassiawalk.storeview.config import IngressConfig
+from cassiawalk.storeview.config import RetryRule
+from cassiawalk.storeview.config import Route
+from cassiawalk.storeview.config import ServiceConfig
+from cassiawalk.storeview.config import Split
+from cassiawalk.storeview.config import WorkspaceConfig
+from cassiawalk.storeview.directory import Directory
+from cassiawalk.storeview.directory import Presence
+from cassiawalk.storeview.directory import Registration
 from standins.raw_caller import Answer as Answer
 from standins.raw_caller import Caller as Caller
 from standins.raw_caller import find_header
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -8,7 +8,7 @@
 from cassiawalk.http1 import Ending
 from cassiawalk.http1 import Framing
 from cassiawalk.ingress.attempt import MAX_BUFFERED_ANSWER_BYTES
-from cassiawalk.ingress.config import RetryRule
+from cassiawalk.storeview.config import RetryRule
 from tests.answer_ends import answering
 from tests.answer_ends import call
 from tests.ingress_bed import IngressBed
--- a/tests/test_answer_prefixes.py
+++ b/tests/test_answer_prefixes.py
@@ -8,7 +8,7 @@
 
 from cassiawalk.http1 import Ending
 from cassiawalk.http1 import Framing
-from cassiawalk.ingress.config import RetryRule
+from cassiawalk.storeview.config import RetryRule
 from tests.answer_ends import answer_head
 from tests.answer_ends import call
 from tests.answer_ends import ends_with_empty_line
--- a/tests/test_app.py
+++ b/tests/test_app.py
@@ -91,7 +91,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr("cassiawalk.app.RESTART_PAUSE_S", 0.01)
-    monkeypatch.setattr("cassiawalk.ingress.heartbeats.HEARTBEAT_INTERVAL_S", 0.01)
+    monkeypatch.setattr("cassiawalk.fleet.heartbeats.HEARTBEAT_INTERVAL_S", 0.01)
     fleet = Fleet(2)
     await fleet.join()
     first, _ = fleet.live()
--- a/tests/test_census.py
+++ b/tests/test_census.py
@@ -4,12 +4,12 @@
 
 import pytest
 
+from cassiawalk.fleet.census import CONTACT_LIMIT_S
+from cassiawalk.fleet.census import FORGET_AFTER_S
+from cassiawalk.fleet.census import HostCensus
 from cassiawalk.ids import HostId
 from cassiawalk.ids import ServiceName
 from cassiawalk.ingress.budgets import RetryBudgets
-from cassiawalk.ingress.census import CONTACT_LIMIT_S
-from cassiawalk.ingress.census import FORGET_AFTER_S
-from cassiawalk.ingress.census import HostCensus
 from tests.fakes import FakeClock
 
 SERVICE = ServiceName("models")
--- a/tests/test_copying.py
+++ b/tests/test_copying.py
@@ -13,23 +13,23 @@
 from cassiawalk.clients import KeyedLog
 from cassiawalk.clients import KeyedRecord
 from cassiawalk.clients import ReadFailed
+from cassiawalk.fleet.heartbeat import Heartbeat
+from cassiawalk.fleet.heartbeat import PeerView
+from cassiawalk.fleet.heartbeats import HeartbeatExchange
 from cassiawalk.ids import HostId
 from cassiawalk.ids import Offset
 from cassiawalk.ids import ServiceName
 from cassiawalk.ingress import copying
-from cassiawalk.ingress.config import ConfigView
-from cassiawalk.ingress.copying import CopyCall
-from cassiawalk.ingress.copying import PeerCopier
-from cassiawalk.ingress.directory import Directory
-from cassiawalk.ingress.follow import OVERDUE_AFTER_S
-from cassiawalk.ingress.follow import DirectoryFollower
-from cassiawalk.ingress.follow import ReadOptions
-from cassiawalk.ingress.freshness import Freshness
-from cassiawalk.ingress.heartbeat import Heartbeat
-from cassiawalk.ingress.heartbeat import PeerView
-from cassiawalk.ingress.heartbeats import HeartbeatExchange
 from cassiawalk.peer import PeerLinks
 from cassiawalk.platform.registrations import decode_registration
+from cassiawalk.storeview.config import ConfigView
+from cassiawalk.storeview.copying import CopyCall
+from cassiawalk.storeview.copying import PeerCopier
+from cassiawalk.storeview.directory import Directory
+from cassiawalk.storeview.follow import OVERDUE_AFTER_S
+from cassiawalk.storeview.follow import DirectoryFollower
+from cassiawalk.storeview.follow import ReadOptions
+from cassiawalk.storeview.freshness import Freshness
 from tests.fakes import FakeClock
 
 SERVICE = ServiceName("models")
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -6,11 +6,11 @@
 from cassiawalk.ids import Offset
 from cassiawalk.ids import ServiceName
 from cassiawalk.ids import UpstreamId
-from cassiawalk.ingress.directory import EXPIRY_WINDOW_S
-from cassiawalk.ingress.directory import STALE_GRACE_S
-from cassiawalk.ingress.directory import Directory
-from cassiawalk.ingress.directory import Presence
-from cassiawalk.ingress.directory import Registration
+from cassiawalk.storeview.directory import EXPIRY_WINDOW_S
+from cassiawalk.storeview.directory import STALE_GRACE_S
+from cassiawalk.storeview.directory import Directory
+from cassiawalk.storeview.directory import Presence
+from cassiawalk.storeview.directory import Registration
 from tests.fakes import FakeClock
 
 SERVICE = ServiceName("models")
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -12,8 +12,8 @@
 from cassiawalk.http1 import CallError
 from cassiawalk.http1 import HttpClient
 from cassiawalk.ids import ServiceName
-from cassiawalk.ingress.config import RetryRule
-from cassiawalk.ingress.config import Split
+from cassiawalk.storeview.config import RetryRule
+from cassiawalk.storeview.config import Split
 from standins.raw_caller import Caller
 from tests.ingress_bed import IngressBed
 from tests.ingress_bed import Script
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cassiawalk.ingress.config import RetryRule
+from cassiawalk.storeview.config import RetryRule
 from tests.ingress_bed import IngressBed
 from tests.ingress_bed import UpstreamSide
 from tests.ingress_bed import answer
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -11,11 +11,11 @@
 
 from cassiawalk.clients import KeyedRecord
 from cassiawalk.errors import WireError
+from cassiawalk.fleet.hosts import _decode
 from cassiawalk.http1 import HeadError
 from cassiawalk.http1.heads import check_raw_head
 from cassiawalk.ids import Offset
 from cassiawalk.ingress.events import EventSplitter
-from cassiawalk.ingress.hosts import _decode
 from cassiawalk.platform import names
 from cassiawalk.platform._fields import parse_object
 from cassiawalk.platform.codec import PlatformHeadCodec
--- a/tests/test_holders.py
+++ b/tests/test_holders.py
@@ -5,15 +5,15 @@
 from cassiawalk.ids import FailureDomain
 from cassiawalk.ids import ServiceName
 from cassiawalk.ids import UpstreamId
-from cassiawalk.ingress.codec import PartId
-from cassiawalk.ingress.codec import PromptPart
-from cassiawalk.ingress.directory import Presence
-from cassiawalk.ingress.directory import Registration
-from cassiawalk.ingress.directory import Upstream
 from cassiawalk.ingress.holders import MIN_FETCH_TOKENS
 from cassiawalk.ingress.holders import WARMUP_S
 from cassiawalk.ingress.holders import likely_cache_holder
 from cassiawalk.ingress.holders import rendezvous_order
+from cassiawalk.routing.promptparts import PartId
+from cassiawalk.routing.promptparts import PromptPart
+from cassiawalk.storeview.directory import Presence
+from cassiawalk.storeview.directory import Registration
+from cassiawalk.storeview.directory import Upstream
 from tests.fakes import FakeClock
 
 NAMES = ("u-1", "u-2", "u-3", "u-4")
--- a/tests/test_http1_server.py
+++ b/tests/test_http1_server.py
@@ -5,8 +5,8 @@
 import pytest
 
 from cassiawalk.http1 import CallerLimits
-from cassiawalk.ingress.config import RetryRule
 from cassiawalk.sockets import set_reset_on_close
+from cassiawalk.storeview.config import RetryRule
 from tests.ingress_bed import HOST
 from tests.ingress_bed import KEY
 from tests.ingress_bed import IngressBed
--- a/tests/test_partial_outage.py
+++ b/tests/test_partial_outage.py
@@ -14,11 +14,11 @@
 from cassiawalk.ids import Offset
 from cassiawalk.ids import ServiceName
 from cassiawalk.ids import UpstreamId
-from cassiawalk.ingress.directory import Directory
-from cassiawalk.ingress.directory import Presence
-from cassiawalk.ingress.directory import Registration
-from cassiawalk.ingress.follow import DirectoryFollower
-from cassiawalk.ingress.follow import ReadOptions
+from cassiawalk.storeview.directory import Directory
+from cassiawalk.storeview.directory import Presence
+from cassiawalk.storeview.directory import Registration
+from cassiawalk.storeview.follow import DirectoryFollower
+from cassiawalk.storeview.follow import ReadOptions
 from tests.fakes import FakeClock
 
 SERVICE = ServiceName("models")
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -11,11 +11,11 @@
 from cassiawalk.clients import HostEntry
 from cassiawalk.clients import HostRole
 from cassiawalk.clock import LoopClock
+from cassiawalk.fleet.hosts import entry_of
 from cassiawalk.ids import FailureDomain
 from cassiawalk.ids import HostId
 from cassiawalk.ids import RequestId
 from cassiawalk.ids import WorkspaceName
-from cassiawalk.ingress.hosts import entry_of
 from cassiawalk.membership import Membership
 from cassiawalk.peer import AttachCall
 from cassiawalk.peer import LocateCall
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -18,9 +18,6 @@
 from cassiawalk.ids import WorkspaceName
 from cassiawalk.ingress.codec import AttemptHeaders
 from cassiawalk.ingress.codec import Demand
-from cassiawalk.ingress.codec import ReportedLoad
-from cassiawalk.ingress.config import RetryRule
-from cassiawalk.ingress.directory import Presence
 from cassiawalk.platform.codec import NOT_RUN_STATUSES
 from cassiawalk.platform.codec import PlatformHeadCodec
 from cassiawalk.platform.config import decode_config
@@ -30,6 +27,9 @@
 from cassiawalk.results import Execution
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
+from cassiawalk.storeview.config import RetryRule
+from cassiawalk.storeview.directory import Presence
+from cassiawalk.storeview.load import ReportedLoad
 
 ROUTE = {
     "name": "r-1",
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -5,9 +5,9 @@
 import pytest
 
 from cassiawalk.ids import WorkspaceName
-from cassiawalk.ingress.config import WorkspaceConfig
 from cassiawalk.ingress.quotas import Quotas
 from cassiawalk.ingress.quotas import QuotaTolerance
+from cassiawalk.storeview.config import WorkspaceConfig
 from tests.fakes import FakeClock
 
 RATE = 1000.0
--- a/tests/test_sharedprogress.py
+++ b/tests/test_sharedprogress.py
@@ -5,9 +5,9 @@
 import pytest
 
 from cassiawalk.duties.progress import NO_WINDOW
+from cassiawalk.fleet.heartbeat import Heartbeat
+from cassiawalk.fleet.sharedprogress import SharedProgress
 from cassiawalk.ids import HostId
-from cassiawalk.ingress.heartbeat import Heartbeat
-from cassiawalk.ingress.sharedprogress import SharedProgress
 from tests.test_heartbeats import Fleet
 
 WINDOW = 7
--- a/tests/test_upstream_ends.py
+++ b/tests/test_upstream_ends.py
@@ -9,8 +9,8 @@
 from cassiawalk.http1 import Framing
 from cassiawalk.ids import Offset
 from cassiawalk.ids import UpstreamId
-from cassiawalk.ingress.config import RetryRule
-from cassiawalk.ingress.directory import Presence
+from cassiawalk.storeview.config import RetryRule
+from cassiawalk.storeview.directory import Presence
 from tests.answer_ends import answering
 from tests.answer_ends import call
 from tests.ingress_bed import IngressBed
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -21,10 +21,10 @@
 from cassiawalk.duties.reporter import UsageReporter
 from cassiawalk.duties.usage import UsageCounts
 from cassiawalk.duties.usage import WindowCounts
+from cassiawalk.fleet.correctedtime import CorrectedTime
 from cassiawalk.ids import HostId
 from cassiawalk.ids import Offset
 from cassiawalk.ids import WorkspaceName
-from cassiawalk.ingress.correctedtime import CorrectedTime
 from tests.fakes import FakeClock
 
 FAMILY = WorkspaceName("family")
