--- a/tests/test_copying.py
+++ b/tests/test_copying.py
@@ -19,9 +19,9 @@
 from cassiawalk.ids import HostId
 from cassiawalk.ids import Offset
 from cassiawalk.ids import ServiceName
-from cassiawalk.ingress import copying
 from cassiawalk.peer import PeerLinks
 from cassiawalk.platform.registrations import decode_registration
+from cassiawalk.storeview import copying
 from cassiawalk.storeview.config import ConfigView
 from cassiawalk.storeview.copying import CopyCall
 from cassiawalk.storeview.copying import PeerCopier
