Replace a silent link between hosts soon after a call without reply

Now a call that times out has its link asked by a ping, which needs no handler of the peer; without an answer in 1 s the link is dropped and the next call opens another. Ruled out: dropping a link at the first call without reply (a peer that is slow to reply keeps its link, tested).

Also the test that was missing of the limit of a frame (64 MiB; the test lowers it): the link ends with code 1009, others go on.

--- a/src/cassiawalk/peer/links.py
+++ b/src/cassiawalk/peer/links.py
@@ -25,6 +25,7 @@
 from cassiawalk.peer.messages import StreamPart
 
 CONNECT_TIMEOUT_S = 2.0
+PROBE_TIMEOUT_S = 1.0  # for the answer to a ping, which needs no handler of the peer
 MAX_QUEUED_REPLIES = 64
 OVERRUN_REASON = "stream reader too slow: reply queue full"
 _R = t.TypeVar("_R")
@@ -63,13 +64,17 @@
 
 
 class _Link:
-    """One open connection and the reply queues of its pending calls."""
+    """One open connection and the reply queues of its pending calls.
+
+    ``probed`` tells whether an answer to a ping is awaited, after a call without a reply.
+    """
 
     def __init__(self, *, conn: ClientConnection, traffic: Meter) -> None:
         self.conn = conn
         self._traffic = traffic
         self.replies: dict[int, _ReplyQueue] = {}
         self.closed = False
+        self.probed = False
 
     async def receive(self) -> None:
         """Queue incoming replies for their calls until the connection ends."""
@@ -129,6 +134,7 @@
                 async with contextlib.aclosing(self._exchange(host, message)) as replies:
                     answer = await anext(replies)
         except TimeoutError:
+            self._probe_link(host)
             return PeerFailure(reason=f"no reply from {host} within {timeout_s} s", sent=True)
         if isinstance(answer, reply):
             return answer
@@ -163,6 +169,26 @@
             eliot.log_message(message_type="peer:link-dropped", peer=host)
             link.conn.transport.abort()
 
+    def _probe_link(self, host: HostId) -> None:
+        """Find out whether the link or only a call is silent; a silent link is dropped."""
+        link = self._links.get(host)
+        if link is None or link.closed or link.probed:
+            return
+        link.probed = True
+        self.spawn(self._drop_if_silent(host, link), name=f"peer-probe-{host}")
+
+    async def _drop_if_silent(self, host: HostId, link: _Link) -> None:
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                await (await link.conn.ping())
+        except TimeoutError:
+            if self._links.get(host) is link:
+                self.drop(host)
+        except ConnectionClosed:
+            return
+        finally:
+            link.probed = False
+
     async def stop(self) -> None:
         """Close all connections."""
         await asyncio.gather(*(link.conn.close() for link in self._links.values()))
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -2,11 +2,13 @@
 import collections.abc as cabc
 import contextlib
 import socket
+import time
 import typing as t
 
 import cbor2
 import pytest
 from websockets.asyncio.client import connect
+from websockets.exceptions import ConnectionClosed
 
 from cassiawalk.clients import HostEntry
 from cassiawalk.clients import HostRole
@@ -33,6 +35,8 @@
 
 SECRET = "peer-secret"
 CALL_LIMIT_S = 2.0
+BRIEF_S = 0.5
+SILENT_LINK_LIMIT_S = 2.5  # a call, a probe, and the next call
 MAX_TAKEN_BYTES = 16 * 1024 * 1024  # buffers of the kernel included
 STOP_LIMIT_S = 0.6  # what a host keeps between the end of its drain and the kill
 PEER = HostId("peer")
@@ -61,6 +65,7 @@
         self.membership = Membership(host=HostId("own"), host_list=hosts, clock=LoopClock())
         self.links = PeerLinks(membership=self.membership, secret=SECRET)
         self.serving = 0
+        self.delay_s = 0.0
         self.ended = asyncio.Event()
 
     async def __aenter__(self) -> "Pair":
@@ -76,6 +81,7 @@
         await self.membership.stop()
 
     async def _locate(self, call: LocateCall) -> LocateReply:
+        await asyncio.sleep(self.delay_s)
         return LocateReply(host=PEER)
 
     async def _attach(self, call: AttachCall) -> cabc.AsyncIterator[object]:
@@ -110,6 +116,44 @@
         await proxy.stop()
 
 
+@pytest.mark.parametrize("direction", ["both", "up", "down"])
+async def test_silent_link_is_replaced_soon_after_a_call_without_reply(direction: str) -> None:
+    """Calls went into a silent link until its own pings timed out, 6 s later."""
+    async with Pair() as pair:
+        proxy = FaultProxy(target=pair.address)
+        await proxy.start()
+        pair.membership.add_entry(entry_of(PEER, "north", proxy.address))
+        await pair.links.call(PEER, LOCATE, LocateReply, timeout_s=2)
+        silence(proxy, direction)
+        began_at = time.monotonic()
+        while isinstance(await call_briefly(pair), PeerFailure):
+            assert time.monotonic() - began_at < SILENT_LINK_LIMIT_S
+        await proxy.stop()
+
+
+async def test_link_to_a_peer_that_is_slow_to_reply_is_kept() -> None:
+    async with Pair() as pair:
+        await pair.links.call(PEER, LOCATE, LocateReply, timeout_s=2)
+        link = pair.links._links[PEER]
+        pair.delay_s = 1.5
+        for _ in range(5):
+            assert isinstance(await call_briefly(pair), PeerFailure)
+        assert pair.links._links[PEER] is link and not link.closed
+
+
+async def call_briefly(pair: Pair) -> LocateReply | PeerFailure:
+    return await pair.links.call(PEER, LOCATE, LocateReply, timeout_s=BRIEF_S)
+
+
+def silence(proxy: FaultProxy, direction: str) -> None:
+    """Discard what is sent on the connections that are open now; new ones are sound."""
+    if direction == "both":
+        proxy.blackhole()
+        return
+    for conn in proxy._conns:
+        conn.dropped.add(direction)
+
+
 ENDLESS = {
     "header lines": (b"HTTP/1.1 101 Switching Protocols\r\n", b"X-More: 1\r\n"),
     "header": (b"HTTP/1.1 101 Switching Protocols\r\nX-More: ", b"x"),
@@ -160,6 +204,22 @@
         writer.close()
 
 
+async def test_frame_longer_than_the_limit_ends_its_link_and_no_other(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("cassiawalk.peer._frames.MAX_FRAME_BYTES", 65536)
+    async with Pair() as pair:
+        headers = {"x-cassiawalk-peer": SECRET}
+        async with connect(f"ws://{pair.address}", additional_headers=headers) as conn:
+            await conn.send(b"x" * 65537)
+            with pytest.raises(ConnectionClosed):
+                await conn.recv()
+            assert conn.close_code == 1009
+        assert isinstance(
+            await pair.links.call(PEER, LOCATE, LocateReply, timeout_s=2), LocateReply
+        )
+
+
 @pytest.mark.parametrize("side", ["caller", "server"])
 async def test_silent_link_does_not_delay_a_stop(side: str) -> None:
     async with Pair() as pair:
