Send fewer heartbeats in a large fleet, and keep to living hubs

Now lists are kept until a host is added or removed, an answer counts once, a host calls the hub that is not its primary one every second interval only, and a hub stands for 16 hosts, not 12.

Found by the tests of this change, older: when hosts tried a dead hub again, after 5 s each time, the hub that stood in for it did not take itself for one; its hosts then passed from one host that was no hub to the next, and up to 18% of the fleet was uncounted for some seconds, which costs quotas. Now a host that answers, but not as a hub, keeps its place and is called last; a dead hub stays out until a probe of it is answered; and the next hub is called at once.

The new test of dead hubs: red for 40 and 90 hosts before the probes. Tests of heartbeats, copies, crash notes and progress pass.

--- a/src/cassiawalk/fleet/heartbeats.py
+++ b/src/cassiawalk/fleet/heartbeats.py
@@ -15,6 +15,7 @@
 import eliot
 
 from cassiawalk.app import Component
+from cassiawalk.clients import HostEntry
 from cassiawalk.clock import Clock
 from cassiawalk.fleet.aggregates import ConsumptionTotals
 from cassiawalk.fleet.aggregates import HostAggregate
@@ -38,6 +39,7 @@
 HEARTBEAT_INTERVAL_S = 0.5
 MAX_FULL_MESH_HOSTS = 12  # including this host
 HUBS_PER_HOST = 2
+SPARE_HUB_INTERVALS = 2  # from one call of the hub that is not the primary one to the next
 CALL_TIMEOUT_S = 1.0
 LIVE_TIMEOUT_S = 2.0
 SHARE_MAX_AGE_S = 4.0  # how long the last share that a hub reported is used
@@ -81,6 +83,9 @@
         self._pending_calls: set[HostId] = set()
         self._send_requested = asyncio.Event()
         self._consumption = ConsumptionTotals()
+        self._entries: cabc.Mapping[HostId, HostEntry] = {}
+        self._other_hosts: list[HostId] = []
+        self._intervals = 0
         self.record_keeper = RecordKeeper(
             view=self, membership=membership, records=records, clock=clock, rng=rng
         )
@@ -151,7 +156,7 @@
     def known_share(self) -> float:
         """Return the fraction of all hosts whose quota consumption is known here."""
         if self.is_hub:
-            return min(1.0, (len(self._live_anywhere()) + 1) / self.host_count)
+            return self._share_of(self._live_anywhere())
         hub = self.primary_hub(within_s=SHARE_MAX_AGE_S)
         return 1.0 / self.host_count if hub is None else hub.share
 
@@ -191,31 +196,44 @@
         return self._with_aggregate_of_others(own, heartbeat)
 
     def _with_aggregate_of_others(self, own: Heartbeat, sender: Heartbeat) -> Heartbeat:
+        live = self._live_anywhere()
         return dataclasses.replace(
             own,
-            rest=self._aggregate_of_others(sender),
-            share=self.known_share,
-            hosts=len(self._live_anywhere()) + 1,
+            rest=self._aggregate_of_others(own, sender),
+            share=self._share_of(live),
+            hosts=len(live) + 1,
         )
 
+    def _share_of(self, live: set[HostId]) -> float:
+        """Return the fraction of all hosts that are among ``live`` or this host."""
+        return min(1.0, (len(live) + 1) / (len(self._may_be_among(live)) + 1))
+
     def _others(self) -> list[HostId]:
-        return [host for host in self._membership.all_entries() if host != self._host]
+        """Return the other hosts; the same list as long as the entries are the same."""
+        entries = self._membership.all_entries()
+        if entries is not self._entries:
+            self._entries = entries
+            self._other_hosts = [host for host in entries if host != self._host]
+        return self._other_hosts
 
     def _hubs(self) -> list[HostId]:
         """Return the other hosts that are hubs, in this host's own order of preference."""
         hubs = self._hub_ranking.hubs(self._others())
-        return rank(self._host, [host for host in hubs if host != self._host])
+        preferred = rank(self._host, [host for host in hubs if host != self._host])
+        return sorted(preferred, key=self._hub_ranking.has_declined)
 
     def _possibly_live(self) -> list[HostId]:
         """Return the other hosts that are live or may be live, see ``_may_be_live``.
 
         A host that is not a hub cannot tell, and returns all others.
         """
-        others = self._others()
         if not self.is_hub:
-            return others
-        live = self._live_anywhere()
-        return [host for host in others if host in live or self._may_be_live(host)]
+            return self._others()
+        return self._may_be_among(self._live_anywhere())
+
+    def _may_be_among(self, live: set[HostId]) -> list[HostId]:
+        """Return the other hosts that are in ``live`` or may be live all the same."""
+        return [host for host in self._others() if host in live or self._may_be_live(host)]
 
     def _live_anywhere(self) -> set[HostId]:
         """Return the other hosts that are live according to this host or to another hub."""
@@ -257,11 +275,11 @@
         ]
         return sum_of_spokes(spokes, self._consumption.total(without=without))
 
-    def _aggregate_of_others(self, sender: Heartbeat) -> HostAggregate:
+    def _aggregate_of_others(self, own: Heartbeat, sender: Heartbeat) -> HostAggregate:
         """Return the aggregate of all hosts except the sender."""
         live = [self.peers[host].heartbeat for host in self.live_hosts if host != sender.host]
         return sum_of_fleet(
-            own=self._compose(),
+            own=own,
             spokes=self._aggregate(without=sender.process),
             hubs=[heartbeat for heartbeat in live if heartbeat.counted is not None],
         )
@@ -297,10 +315,13 @@
         if self.is_hub:
             partners = [(host, False) for host in hubs if self._is_due(host)]
         else:
-            hubs = hubs[:HUBS_PER_HOST]
-            partners = [(host, index == 0) for index, host in enumerate(hubs)]
+            self._intervals += 1
+            count = HUBS_PER_HOST if self._intervals % SPARE_HUB_INTERVALS == 0 else 1
+            partners = [(host, index == 0) for index, host in enumerate(hubs[:count])]
+        partners += [(host, False) for host in self._hub_ranking.due_probes(self._others())]
         duty = self._compose().duty
-        if duty is not None and duty not in (self._host, *hubs) and self._is_due(duty):
+        called = {self._host, *(hubs if self.is_hub else (host for host, _ in partners))}
+        if duty is not None and duty not in called and self._is_due(duty):
             partners.append((duty, False))
         return partners
 
@@ -319,13 +340,24 @@
             self._pending_calls.discard(host)
         if isinstance(reply, PeerFailure):
             self._hub_ranking.note_failure(host)
+            if is_primary:
+                self._call_next_primary()
             return
         if is_primary and reply.rest is None:
-            self._hub_ranking.note_failure(host)
+            self._hub_ranking.note_decline(host)
+            self._call_next_primary()
         else:
             self._hub_ranking.note_success(host)
         self._receive(reply, is_reply=True)
 
+    def _call_next_primary(self) -> None:
+        """Call the hub that follows a primary one that failed, so that it counts this host."""
+        hubs = [] if self.is_hub else self._hubs()
+        if not hubs or hubs[0] in self._pending_calls or self._hub_ranking.has_declined(hubs[0]):
+            return
+        self._pending_calls.add(hubs[0])
+        self.spawn(self._call(hubs[0], True), name=f"beat-{hubs[0]}")
+
     def _add_aggregate_for(self, host: HostId, heartbeat: Heartbeat) -> Heartbeat:
         """Add the aggregate of all other hosts, if this is the receiver's primary hub."""
         view = self.peers.get(host)
--- a/src/cassiawalk/fleet/hubs.py
+++ b/src/cassiawalk/fleet/hubs.py
@@ -1,6 +1,7 @@
 """Chooses the hosts that aggregate the heartbeats of a large fleet."""
 
 import collections.abc as cabc
+import itertools
 
 from cassiawalk.clock import Clock
 from cassiawalk.fleet.hosts import HostRegistry
@@ -8,8 +9,9 @@
 from cassiawalk.membership.rendezvous import rank
 
 MIN_HUBS = 3
-HOSTS_PER_HUB = 12
-FAILED_HUB_EXCLUSION_S = 5.0
+HOSTS_PER_HUB = 16
+PROBE_INTERVAL_S = 5.0  # from one call of a hub that failed to the next
+DECLINE_S = 5.0
 _HUB_KEY = "hubs"
 
 
@@ -26,31 +28,68 @@
         self._records = records
         self._clock = clock
         self._failed_at: dict[HostId, float] = {}
-        self._key: tuple[frozenset[HostId], int] = (frozenset(), 0)
+        self._declined_at: dict[HostId, float] = {}
+        self._ranked: cabc.Sequence[HostId] | None = None
+        self._strengths_version = 0
         self._ranking: list[HostId] = []
 
     def note_failure(self, host: HostId) -> None:
-        """Leave a hub out for ``FAILED_HUB_EXCLUSION_S`` s, as it did not answer as one."""
+        """Leave a hub out until it answers, see ``due_probes``."""
         self._failed_at[host] = self._clock.monotonic()
 
+    def note_decline(self, host: HostId) -> None:
+        """Prefer other hubs for ``DECLINE_S`` s, as it answered, but not as a hub.
+
+        It keeps its place: hosts that follow in the order do not take themselves for hubs either.
+        """
+        self._declined_at[host] = self._clock.monotonic()
+
     def note_success(self, host: HostId) -> None:
         """Take a hub back in, as it has answered."""
         self._failed_at.pop(host, None)
+        self._declined_at.pop(host, None)
+
+    def has_declined(self, host: HostId) -> bool:
+        """Return whether a host has recently answered, but not as a hub."""
+        limit = self._clock.monotonic() - DECLINE_S
+        return self._declined_at.get(host, limit) > limit
 
-    def ranking(self, others: cabc.Iterable[HostId]) -> list[HostId]:
-        """Return this host and all others in order."""
-        known = frozenset((*others, self._host))
-        key = (known, self._records.strengths_version)
-        if key != self._key:
-            self._key = key
+    def ranking(self, others: cabc.Sequence[HostId]) -> list[HostId]:
+        """Return this host and all others in order.
+
+        :param others: the same object as before if no host was added or removed.
+        """
+        version = self._records.strengths_version
+        if others is not self._ranked or version != self._strengths_version:
+            self._ranked, self._strengths_version = others, version
             strengths = self._records.strengths
-            by_rendezvous = rank(_HUB_KEY, known)
+            by_rendezvous = rank(_HUB_KEY, (*others, self._host))
             self._ranking = sorted(by_rendezvous, key=lambda host: -strengths.get(host, 0.0))
         return self._ranking
 
-    def hubs(self, others: cabc.Iterable[HostId]) -> list[HostId]:
-        """Return the hosts that are hubs now, which may include this one."""
+    def hubs(self, others: cabc.Sequence[HostId]) -> list[HostId]:
+        """Return the hosts that are hubs now, which may include this one.
+
+        :param others: see ``ranking``.
+        """
         ranking = self.ranking(others)
-        limit = self._clock.monotonic() - FAILED_HUB_EXCLUSION_S
-        able = [host for host in ranking if self._failed_at.get(host, limit) <= limit]
-        return able[: max(MIN_HUBS, len(ranking) // HOSTS_PER_HUB)]
+        able = (host for host in ranking if host not in self._failed_at)
+        return list(itertools.islice(able, _hub_count(ranking)))
+
+    def due_probes(self, others: cabc.Sequence[HostId]) -> list[HostId]:
+        """Return the failed hosts to call now, of those that would be hubs if none had failed.
+
+        Each is due ``PROBE_INTERVAL_S`` s after its last call.
+
+        :param others: see ``ranking``.
+        """
+        if not self._failed_at:
+            return []
+        ranking = self.ranking(others)
+        limit = self._clock.monotonic() - PROBE_INTERVAL_S
+        first = ranking[: _hub_count(ranking)]
+        return [host for host in first if self._failed_at.get(host, limit + 1) <= limit]
+
+
+def _hub_count(ranking: cabc.Sized) -> int:
+    return max(MIN_HUBS, len(ranking) // HOSTS_PER_HUB)
--- a/src/cassiawalk/membership/hosts.py
+++ b/src/cassiawalk/membership/hosts.py
@@ -77,9 +77,12 @@
         """Return the entries of all listed hosts of a role, including leaving hosts."""
         return [entry for entry in self._entries.values() if entry.role is role]
 
-    def all_entries(self) -> dict[HostId, HostEntry]:
-        """Return the entries of all listed hosts by host id."""
-        return dict(self._entries)
+    def all_entries(self) -> cabc.Mapping[HostId, HostEntry]:
+        """Return the entries of all listed hosts by host id.
+
+        The mapping is the same object until an entry changes, and is never modified.
+        """
+        return self._entries
 
     def is_leaving(self, host: HostId) -> bool:
         """Return whether any source has reported that the host is leaving."""
--- a/src/cassiawalk/peer/feed.py
+++ b/src/cassiawalk/peer/feed.py
@@ -123,7 +123,7 @@
 
     async def serve(self, _: FeedCall) -> cabc.AsyncIterator[StreamPart]:
         """Yield updates for a follower, and a heartbeat after each interval without a change."""
-        sent_entries: dict[HostId, HostEntry] = {}
+        sent_entries: cabc.Mapping[HostId, HostEntry] = {}
         sent_marks: set[LeavingMark] = set()
         sent_notes: dict[NoteKey, Note] = {}
         while True:
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -247,6 +247,34 @@
         assert exchange.full_mesh or exchange.is_hub or exchange.primary_hub() is not None
 
 
+@pytest.mark.parametrize("count", [40, 90, 195])
+async def test_no_host_is_uncounted_while_a_dead_hub_is_tried_again(count: int) -> None:
+    """Hosts passed from one host that was no hub to the next, for 5 s each time, uncounted."""
+    fleet = Fleet(count, strong=count // 10)
+    await fleet.join()
+    await fleet.run(6)
+    fleet.dead = set(fleet.live()[0].ranking()[:1])
+    await fleet.run(int(DEPARTED_TIMEOUT_S / HEARTBEAT_INTERVAL_S) + 8)
+    for _ in range(24):
+        await fleet.run(1)
+        assert {exchange.known_share for exchange in fleet.live() if exchange.is_hub} == {1.0}
+
+
+async def test_hosts_that_all_decline_are_not_called_without_end() -> None:
+    fleet = Fleet(40)
+    await fleet.join()
+    await fleet.run(6)
+    spoke = next(found for found in fleet.live() if not found.is_hub)
+    for exchange in fleet.live():
+        if exchange is not spoke:
+            exchange._with_aggregate_of_others = lambda own, sender: own  # type: ignore
+    fleet.calls = 0
+    spoke.send_due()
+    for _ in range(50):
+        await asyncio.sleep(0)
+    assert 1 < fleet.calls <= 8
+
+
 async def test_partitioned_host_counts_only_its_own_share() -> None:
     fleet = Fleet(9)
     await fleet.join()
