Wake the readers of the store instead of letting them look ten times a second

Now the loop that copies asks for all of them, and they sleep until it is their turn: 10 a second. How soon a reader begins is unchanged (0.1 s).

--- a/src/cassiawalk/ingress/crashparts.py
+++ b/src/cassiawalk/ingress/crashparts.py
@@ -1,5 +1,6 @@
 """Assembles the parts of a host that find and refuse requests that crash upstreams."""
 
+import collections.abc as cabc
 import random
 
 from cassiawalk.app import Component
@@ -79,11 +80,17 @@
         server.handle(IsolationLeaseCall, self._leases.handle_call)
 
     def components(
-        self, *, log: KeyedLog, options: ReadOptions, rng: random.Random
+        self,
+        *,
+        log: KeyedLog,
+        options: ReadOptions,
+        add_check: cabc.Callable[[cabc.Callable[[], None]], None],
+        rng: random.Random,
     ) -> list[Component]:
         """Return the components to run, with one that keeps suspects in the store.
 
         :param options: how the stream of suspects is read.
+        :param add_check: registers what wakes the reader, see ``ReadOptions.is_woken``.
         """
         follower = SuspectFollower(
             log=log,
@@ -93,4 +100,5 @@
             clock=self._clock,
             rng=rng,
         )
+        add_check(follower.check_turn)
         return [self.exchange, follower, self._guard, self.screening]
--- a/src/cassiawalk/ingress/node.py
+++ b/src/cassiawalk/ingress/node.py
@@ -339,7 +339,10 @@
             handler=_MetricsHandler(report=self.report),
         )
         crashes = self.crashes.components(
-            log=self._source.records, options=self.store.suspect_options(), rng=self._rng
+            log=self._source.records,
+            options=self.store.suspect_options(),
+            add_check=self.store.copier.add_check,
+            rng=self._rng,
         )
         return [
             ready,
--- a/src/cassiawalk/storeview/copying.py
+++ b/src/cassiawalk/storeview/copying.py
@@ -112,11 +112,16 @@
         self._next_copy_at = 0.0
         self._asked: set[HostId] = set()
         self._failed_at: dict[HostId, float] = {}
+        self._checks: list[cabc.Callable[[], None]] = []
         self._deflated_source: bytes | None = None
         self._deflated_config: bytes | None = None
         self.config_follower: ConfigFollower
         self.directory_follower: DirectoryFollower
 
+    def add_check(self, check: cabc.Callable[[], None]) -> None:
+        """Call ``check`` every ``CHECK_INTERVAL_S`` s, as what it depends on is known here."""
+        self._checks.append(check)
+
     async def start(self) -> None:
         """Start checking for newer data on other hosts."""
         self.keep_running(self._run, name="copier")
@@ -222,6 +227,8 @@
         while True:
             await self._clock.sleep(CHECK_INTERVAL_S)
             self._confirm()
+            for check in self._checks:
+                check()
             newer = [
                 heartbeat.host for heartbeat in self._live_heartbeats() if self._is_newer(heartbeat)
             ]
--- a/src/cassiawalk/storeview/follow.py
+++ b/src/cassiawalk/storeview/follow.py
@@ -1,6 +1,7 @@
 """Followers of the platform's streams of configuration and upstream records."""
 
 import abc
+import asyncio
 import collections
 import collections.abc as cabc
 import dataclasses
@@ -54,6 +55,8 @@
     :param pause_s: the pause after each read, in which new records accumulate.
     :param should_read: returns whether this host reads for all; the first read ignores it.
     :param must_know: returns whether this host must read, though others read for all.
+    :param is_woken: whether ``check_turn`` is called often, so that the follower itself need not
+        look again and again whether it has to read.
     :param freshness: as of when this host knows the stream; by default only its reads tell.
     :param on_change: called after a read that changed something.
     :param on_read: called after each read that the source answered.
@@ -64,6 +67,7 @@
     pause_s: float
     should_read: cabc.Callable[[], bool] = lambda: True
     must_know: cabc.Callable[[], bool] = lambda: False
+    is_woken: bool = False
     freshness: Freshness | None = None
     on_change: cabc.Callable[[], None] = lambda: None
     on_read: cabc.Callable[[], None] = lambda: None
@@ -84,6 +88,8 @@
         self._failing_since: float | None = None
         self._failures = 0
         self._wait_s = 0.0
+        self._awaits_turn = False
+        self._turn = asyncio.Event()
         self.freshness = options.freshness or Freshness(clock=clock)
 
     poll_interval_s = 0.1
@@ -107,7 +113,7 @@
         while True:
             reads_for_all = self._options.should_read()
             if self._next is not None and not reads_for_all and not self._options.must_know():
-                await self._clock.sleep(self.poll_interval_s)
+                await self._wait_for_turn()
                 continue
             asked_at = self.freshness.now()
             started_at = self._clock.monotonic()
@@ -130,6 +136,20 @@
             self._confirm(batch, asked_at)
             await self._clock.sleep(self._options.pause_s)
 
+    def check_turn(self) -> None:
+        """Begin to read if this host has to and does not read yet."""
+        if self._awaits_turn and (self._options.should_read() or self._options.must_know()):
+            self._turn.set()
+
+    async def _wait_for_turn(self) -> None:
+        if not self._options.is_woken:
+            await self._clock.sleep(self.poll_interval_s)
+            return
+        self._awaits_turn = True
+        await self._turn.wait()
+        self._awaits_turn = False
+        self._turn.clear()
+
     async def _read(self) -> KeyedList | KeyedChanges | ReadFailed:
         if self._next is None:
             return await self._log.newest(stream=self._options.stream)
--- a/src/cassiawalk/storeview/storeparts.py
+++ b/src/cassiawalk/storeview/storeparts.py
@@ -73,6 +73,8 @@
         heartbeats.add_listener(self.copier.note_heartbeat)
         self.copier.config_follower = self._follow_config(config)
         self.copier.directory_follower = self._follow_directory(directory)
+        self.copier.add_check(self.copier.config_follower.check_turn)
+        self.copier.add_check(self.copier.directory_follower.check_turn)
         self._lapses = LapseChecker(
             directory=directory, config=config, inquiry=source.inquiry, clock=clock
         )
@@ -96,6 +98,7 @@
             wait_s=SUSPECT_WAIT_S,
             pause_s=0.0,
             should_read=lambda: self.copier.reads_store,
+            is_woken=True,
         )
 
     def _follow_config(self, view: ConfigView) -> ConfigFollower:
@@ -137,6 +140,7 @@
             pause_s=pause_s,
             should_read=lambda: self.copier.reads_store,
             must_know=lambda: self.copier.must_know(freshness),
+            is_woken=True,
             freshness=freshness,
             on_change=self._heartbeats.send_now,
             on_read=self._on_read,
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -88,7 +88,9 @@
         )
         self._components = [
             self.heartbeats,
-            *self.parts.components(log=self.log, options=options, rng=random.Random(host)),
+            *self.parts.components(
+                log=self.log, options=options, add_check=lambda _: None, rng=random.Random(host)
+            ),
         ]
 
     def handle(self, message: type, handler: t.Any) -> None:
