--- a/benchmarks/batch_engine.py
+++ b/benchmarks/batch_engine.py
@@ -7,8 +7,8 @@
 import dataclasses
 
 from cassiawalk.ids import RequestId
-from cassiawalk.routing.promptparts import PartId
-from cassiawalk.routing.promptparts import PromptPart
+from cassiawalk.storeview.promptparts import PartId
+from cassiawalk.storeview.promptparts import PromptPart
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/benchmarks/prompt_load.py
+++ b/benchmarks/prompt_load.py
@@ -31,12 +31,12 @@
 from cassiawalk.ingress.codec import Demand
 from cassiawalk.ingress.job import Job
 from cassiawalk.ingress.placement import Placer
-from cassiawalk.routing.promptparts import PartId
-from cassiawalk.routing.promptparts import PromptPart
 from cassiawalk.storeview.directory import Directory
 from cassiawalk.storeview.directory import Presence
 from cassiawalk.storeview.directory import Registration
 from cassiawalk.storeview.directory import Upstream
+from cassiawalk.storeview.promptparts import PartId
+from cassiawalk.storeview.promptparts import PromptPart
 
 SERVICE = ServiceName("models")
 FAILURE_DOMAIN = FailureDomain("here")
--- a/src/cassiawalk/ingress/codec.py
+++ b/src/cassiawalk/ingress/codec.py
@@ -8,8 +8,8 @@
 from cassiawalk.ids import UpstreamId
 from cassiawalk.ids import WorkspaceName
 from cassiawalk.results import Refusal
-from cassiawalk.routing.promptparts import PromptPart
 from cassiawalk.storeview.load import ReportedLoad
+from cassiawalk.storeview.promptparts import PromptPart
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/cassiawalk/ingress/dutyparts.py
+++ b/src/cassiawalk/ingress/dutyparts.py
@@ -20,10 +20,10 @@
 from cassiawalk.ids import HostId
 from cassiawalk.ids import ServiceName
 from cassiawalk.ingress.demandmeter import DemandMeter
+from cassiawalk.ingress.prefillspeed import PrefillSpeeds
 from cassiawalk.ingress.profile import HostProfile
 from cassiawalk.ingress.scaling import ScalingView
 from cassiawalk.leases import LeaseManager
-from cassiawalk.routing.prefillspeed import PrefillSpeeds
 from cassiawalk.storeview.config import ConfigView
 from cassiawalk.storeview.directory import Directory
 from cassiawalk.storeview.source import PlatformSource
--- a/src/cassiawalk/ingress/forwarder.py
+++ b/src/cassiawalk/ingress/forwarder.py
@@ -22,12 +22,12 @@
 from cassiawalk.ingress.outcome import AttemptEnd
 from cassiawalk.ingress.placement import Placement
 from cassiawalk.ingress.placement import Placer
+from cassiawalk.ingress.prefillspeed import PrefillSpeeds
 from cassiawalk.ingress.report import IngressReport
 from cassiawalk.ingress.screening import Screening
 from cassiawalk.results import Execution
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
-from cassiawalk.routing.prefillspeed import PrefillSpeeds
 from cassiawalk.storeview.directory import Upstream
 
 NO_UPSTREAM_RETRY_S = 0.4
--- a/src/cassiawalk/ingress/node.py
+++ b/src/cassiawalk/ingress/node.py
@@ -30,6 +30,7 @@
 from cassiawalk.ingress.forwarder import Forwarder
 from cassiawalk.ingress.intake import Intake
 from cassiawalk.ingress.placement import Placer
+from cassiawalk.ingress.prefillspeed import PrefillSpeeds
 from cassiawalk.ingress.profile import FleetBounds
 from cassiawalk.ingress.profile import HostProfile
 from cassiawalk.ingress.quotas import Quotas
@@ -38,7 +39,6 @@
 from cassiawalk.membership import Membership
 from cassiawalk.peer import PeerLinks
 from cassiawalk.peer import PeerServer
-from cassiawalk.routing.prefillspeed import PrefillSpeeds
 from cassiawalk.settings import Address
 from cassiawalk.sockets import listen
 from cassiawalk.storeview.config import ConfigView
--- a/src/cassiawalk/ingress/scaling.py
+++ b/src/cassiawalk/ingress/scaling.py
@@ -7,7 +7,7 @@
 from cassiawalk.duties.scaler import ServiceState
 from cassiawalk.ids import FailureDomain
 from cassiawalk.ids import ServiceName
-from cassiawalk.routing.prefillspeed import PrefillSpeeds
+from cassiawalk.ingress.prefillspeed import PrefillSpeeds
 from cassiawalk.storeview.config import ConfigView
 from cassiawalk.storeview.config import ScalingBounds
 from cassiawalk.storeview.config import ServiceConfig
--- a/src/cassiawalk/platform/codec.py
+++ b/src/cassiawalk/platform/codec.py
@@ -15,9 +15,9 @@
 from cassiawalk.results import Execution
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
-from cassiawalk.routing.promptparts import PartId
-from cassiawalk.routing.promptparts import PromptPart
 from cassiawalk.storeview.load import ReportedLoad
+from cassiawalk.storeview.promptparts import PartId
+from cassiawalk.storeview.promptparts import PromptPart
 
 # On this platform, each of these statuses promises that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
--- a/src/cassiawalk/storeview/load.py
+++ b/src/cassiawalk/storeview/load.py
@@ -6,8 +6,8 @@
 from cassiawalk.clock import Clock
 from cassiawalk.ids import HostId
 from cassiawalk.ids import RequestId
-from cassiawalk.routing.promptparts import PartId
-from cassiawalk.routing.promptparts import PromptPart
+from cassiawalk.storeview.promptparts import PartId
+from cassiawalk.storeview.promptparts import PromptPart
 
 PEER_REPORT_MAX_AGE_S = 2.0
 CACHED_PART_TTL_S = 120.0
--- a/tests/ingress_bed.py
+++ b/tests/ingress_bed.py
@@ -27,6 +27,7 @@
 from cassiawalk.ingress.forwarder import Forwarder
 from cassiawalk.ingress.intake import Intake
 from cassiawalk.ingress.placement import Placer
+from cassiawalk.ingress.prefillspeed import PrefillSpeeds
 from cassiawalk.ingress.quotas import Quotas
 from cassiawalk.ingress.quotas import QuotaTolerance
 from cassiawalk.ingress.report import IngressReport
@@ -38,7 +39,6 @@
 from cassiawalk.peer import NoteStore
 from cassiawalk.peer import PeerLinks
 from cassiawalk.platform.codec import PlatformHeadCodec
-from cassiawalk.routing.prefillspeed import PrefillSpeeds
 from cassiawalk.settings import Address
 from cassiawalk.sockets import bound_address
 from cassiawalk.sockets import listen
--- a/tests/test_app.py
+++ b/tests/test_app.py
@@ -8,13 +8,13 @@
 
 from cassiawalk.app import RESTART_PAUSE_S
 from cassiawalk.app import Component
+from cassiawalk.clock import LoopClock
 from cassiawalk.duties import DutyOutcome
 from cassiawalk.duties import FencingToken
 from cassiawalk.duties.holder import Duty
 from cassiawalk.duties.holder import DutyHolder
 from cassiawalk.ids import HostId
 from tests.test_duty_holder import manager
-from tests.test_duty_order import LoopClock
 from tests.test_heartbeats import Fleet
 from tests.test_usage import MemoryLog
 
--- a/tests/test_duty_order.py
+++ b/tests/test_duty_order.py
@@ -18,7 +18,7 @@
 from cassiawalk.clients import ReadBatch
 from cassiawalk.clients import ReadFailed
 from cassiawalk.clients import ReadOutcome
-from cassiawalk.clock import Clock
+from cassiawalk.clock import LoopClock
 from cassiawalk.duties import CALL_LIMIT_S
 from cassiawalk.duties import DutyOutcome
 from cassiawalk.duties import FencingToken
@@ -38,19 +38,6 @@
 RUN_S = 40.0
 
 
-class LoopClock(Clock):
-    """The time of the running loop."""
-
-    def monotonic(self) -> float:
-        return asyncio.get_running_loop().time()
-
-    def wall(self) -> float:
-        return self.monotonic()
-
-    async def sleep(self, delay_s: float) -> None:
-        await asyncio.sleep(delay_s)
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Arrival:
     """A call that reached the platform."""
--- a/tests/test_prefillspeed.py
+++ b/tests/test_prefillspeed.py
@@ -5,10 +5,10 @@
 import pytest
 
 from cassiawalk.ids import ServiceName
-from cassiawalk.routing.prefillspeed import MIN_TOKENS_PER_S
-from cassiawalk.routing.prefillspeed import SAMPLES_KEPT
-from cassiawalk.routing.prefillspeed import PrefillSpeed
-from cassiawalk.routing.prefillspeed import PrefillSpeeds
+from cassiawalk.ingress.prefillspeed import MIN_TOKENS_PER_S
+from cassiawalk.ingress.prefillspeed import SAMPLES_KEPT
+from cassiawalk.ingress.prefillspeed import PrefillSpeed
+from cassiawalk.ingress.prefillspeed import PrefillSpeeds
 
 SPEEDS = [60_000.0, 75_000.0, 150_000.0, 400_000.0]
 COMMON_S = 0.03
