--- a/src/cassiawalk/fleet/heartbeats.py
+++ b/src/cassiawalk/fleet/heartbeats.py
@@ -21,12 +21,13 @@
 from cassiawalk.fleet.aggregates import HostAggregate
 from cassiawalk.fleet.aggregates import sum_amounts
 from cassiawalk.fleet.heartbeat import Heartbeat
-from cassiawalk.fleet.heartbeat import PeerView
 from cassiawalk.fleet.hosts import HostRegistry
 from cassiawalk.fleet.hosts import entry_of
 from cassiawalk.fleet.hubs import HubRanking
 from cassiawalk.fleet.hubsums import sum_of_fleet
 from cassiawalk.fleet.hubsums import sum_of_spokes
+from cassiawalk.fleet.livehosts import LIVE_TIMEOUT_S
+from cassiawalk.fleet.livehosts import LiveHosts
 from cassiawalk.fleet.recordkeeper import FleetView
 from cassiawalk.fleet.recordkeeper import RecordKeeper
 from cassiawalk.ids import HostId
@@ -41,12 +42,10 @@
 HUBS_PER_HOST = 2
 SPARE_HUB_INTERVALS = 2  # from one call of the hub that is not the primary one to the next
 CALL_TIMEOUT_S = 1.0
-LIVE_TIMEOUT_S = 2.0
 SHARE_MAX_AGE_S = 4.0  # how long the last share that a hub reported is used
 # One call exchanges the heartbeats of both hosts, so only the host with the lower id calls. The
 # other one calls if it has received no heartbeat for this long.
 CALL_BACK_AFTER_S = 1.2
-DEPARTED_TIMEOUT_S = 8.0
 
 HeartbeatListener = cabc.Callable[[Heartbeat], None]
 
@@ -78,7 +77,6 @@
         self._clock = clock
         self._rng = rng
         self._listeners: list[HeartbeatListener] = []
-        self._seen_at: dict[HostId, float] = {}
         self._hub_ranking = HubRanking(host=host, records=records, clock=clock)
         self._pending_calls: set[HostId] = set()
         self._send_requested = asyncio.Event()
@@ -89,7 +87,10 @@
         self.record_keeper = RecordKeeper(
             view=self, membership=membership, records=records, clock=clock, rng=rng
         )
-        self.peers: dict[HostId, PeerView] = {}
+        self._live = LiveHosts(
+            host=host, records=records, now_s=lambda: self._compose().now_s, clock=clock
+        )
+        self.peers = self._live.peers
 
     def add_listener(self, listener: HeartbeatListener) -> None:
         """Call ``listener`` with each heartbeat of another host."""
@@ -120,13 +121,8 @@
 
     @property
     def live_hosts(self) -> list[HostId]:
-        """Return the other hosts with a heartbeat in the last ``LIVE_TIMEOUT_S`` s, not leaving."""
-        limit = self._clock.monotonic() - LIVE_TIMEOUT_S
-        return [
-            host
-            for host, view in self.peers.items()
-            if view.received_at > limit and not view.heartbeat.leaving
-        ]
+        """Return the other hosts with a recent heartbeat that are not leaving."""
+        return self._live.hosts
 
     def partners(self) -> list[HostId]:
         """Return the live hosts that this one exchanges heartbeats with."""
@@ -156,7 +152,7 @@
     def known_share(self) -> float:
         """Return the fraction of all hosts whose quota consumption is known here."""
         if self.is_hub:
-            return self._share_of(self._live_anywhere())
+            return self._share_of(self._live.anywhere())
         hub = self.primary_hub(within_s=SHARE_MAX_AGE_S)
         return 1.0 / self.host_count if hub is None else hub.share
 
@@ -196,7 +192,7 @@
         return self._with_aggregate_of_others(own, heartbeat)
 
     def _with_aggregate_of_others(self, own: Heartbeat, sender: Heartbeat) -> Heartbeat:
-        live = self._live_anywhere()
+        live = self._live.anywhere()
         return dataclasses.replace(
             own,
             rest=self._aggregate_of_others(own, sender),
@@ -206,7 +202,7 @@
 
     def _share_of(self, live: set[HostId]) -> float:
         """Return the fraction of all hosts that are among ``live`` or this host."""
-        return min(1.0, (len(live) + 1) / (len(self._may_be_among(live)) + 1))
+        return min(1.0, (len(live) + 1) / (len(self._live.possible(self._others(), live)) + 1))
 
     def _others(self) -> list[HostId]:
         """Return the other hosts; the same list as long as the entries are the same."""
@@ -223,40 +219,13 @@
         return sorted(preferred, key=self._hub_ranking.has_declined)
 
     def _possibly_live(self) -> list[HostId]:
-        """Return the other hosts that are live or may be live, see ``_may_be_live``.
+        """Return the other hosts that are live or may be live, see ``LiveHosts``.
 
         A host that is not a hub cannot tell, and returns all others.
         """
         if not self.is_hub:
             return self._others()
-        return self._may_be_among(self._live_anywhere())
-
-    def _may_be_among(self, live: set[HostId]) -> list[HostId]:
-        """Return the other hosts that are in ``live`` or may be live all the same."""
-        return [host for host in self._others() if host in live or self._may_be_live(host)]
-
-    def _live_anywhere(self) -> set[HostId]:
-        """Return the other hosts that are live according to this host or to another hub."""
-        found = set(self.live_hosts)
-        if not self.full_mesh:
-            for host in self.live_hosts:
-                counted = self.peers[host].heartbeat.counted
-                found.update(() if counted is None else counted.hosts)
-        return found - {self._host}
-
-    def _may_be_live(self, host: HostId) -> bool:
-        """Return whether a host has been seen, or has written its record, recently enough.
-
-        A host that was never seen counts as seen when this is first called for it.
-        """
-        view = self.peers.get(host)
-        if view is not None and view.heartbeat.leaving:
-            return False
-        now = self._clock.monotonic()
-        if now - self._seen_at.setdefault(host, now) < DEPARTED_TIMEOUT_S:
-            return True
-        written_s = self._records.written_s.get(host)
-        return written_s is not None and self._compose().now_s - written_s < DEPARTED_TIMEOUT_S
+        return self._live.possible(self._others(), self._live.anywhere())
 
     def _compose_with_aggregate(self) -> Heartbeat:
         own = self._compose()
@@ -377,11 +346,7 @@
         self._membership.add_entry(
             entry_of(heartbeat.host, heartbeat.failure_domain, heartbeat.peer_address)
         )
-        now = self._clock.monotonic()
-        self.peers[heartbeat.host] = PeerView(heartbeat=heartbeat, received_at=now)
-        below = () if heartbeat.counted is None else heartbeat.counted.hosts
-        for host in (heartbeat.host, *below):
-            self._seen_at[host] = now
+        self._live.note(heartbeat)
         if heartbeat.first:
             self._consumption.note(heartbeat.process, heartbeat.drawn)
         for listener in self._listeners:
@@ -406,7 +371,7 @@
         """
         if not self.is_hub:
             return self.primary_hub() is None
-        return len(self._live_anywhere()) + 1 < self.host_count
+        return len(self._live.anywhere()) + 1 < self.host_count
 
     @property
     def lacks_hosts(self) -> bool:
@@ -414,18 +379,11 @@
         known = {*self._others(), self._host}
         reported = max((self.peers[host].heartbeat.hosts for host in self.live_hosts), default=0)
         return not (
-            self._live_anywhere() <= known
+            self._live.anywhere() <= known
             and reported <= len(known)
             and self._compose().duty in (None, *known)
         )
 
     def _remove_departed(self) -> None:
-        live = self._live_anywhere()
-        for host, view in list(self.peers.items()):
-            if host not in live and not self._may_be_live(host):
-                eliot.log_message(
-                    message_type="peer:gone",
-                    peer=host,
-                    unheard_s=round(self._clock.monotonic() - view.received_at, 1),
-                )
-                del self.peers[host]
+        for host, unheard_s in self._live.departed():
+            eliot.log_message(message_type="peer:gone", peer=host, unheard_s=round(unheard_s, 1))
--- a/src/cassiawalk/storeview/copying.py
+++ b/src/cassiawalk/storeview/copying.py
@@ -21,8 +21,8 @@
 from cassiawalk.peer.messages import messages
 from cassiawalk.storeview.config import ConfigView
 from cassiawalk.storeview.directory import Directory
-from cassiawalk.storeview.follow import ConfigFollower
-from cassiawalk.storeview.follow import DirectoryFollower
+from cassiawalk.storeview.followers import ConfigFollower
+from cassiawalk.storeview.followers import DirectoryFollower
 from cassiawalk.storeview.freshness import Claims
 from cassiawalk.storeview.freshness import Freshness
 
--- a/src/cassiawalk/storeview/follow.py
+++ b/src/cassiawalk/storeview/follow.py
@@ -1,8 +1,7 @@
-"""Followers of the platform's streams of configuration and upstream records."""
+"""Reads a keyed stream of the store: its complete list once, from then on its changes."""
 
 import abc
 import asyncio
-import collections
 import collections.abc as cabc
 import dataclasses
 import random
@@ -16,32 +15,17 @@
 from cassiawalk.clients import KeyedRecord
 from cassiawalk.clients import ReadFailed
 from cassiawalk.clock import Clock
-from cassiawalk.errors import WireError
 from cassiawalk.ids import Offset
-from cassiawalk.ids import UpstreamId
-from cassiawalk.storeview.config import ConfigView
-from cassiawalk.storeview.config import IngressConfig
-from cassiawalk.storeview.directory import MIN_LAPSE_GAP_S
-from cassiawalk.storeview.directory import Directory
-from cassiawalk.storeview.directory import Registration
 from cassiawalk.storeview.freshness import Freshness
 
 RETRY_PAUSE_S = 0.25
 MAX_RETRY_PAUSE_S = 1.0
-MAX_REMOVALS_KEPT = 256
 # A read that has no answer this long after ``wait_s`` counts as an outage. So hosts that copy from
 # this one stop relying on it before the read itself fails.
 OVERDUE_AFTER_S = 0.35
 MIN_WAIT_RATIO = 0.6  # the shortest wait of a read, as a ratio of ``wait_s``
-# Renewals of one entry in the first read after an outage, from which on the outage was this host's
-# alone. After one of the source there are fewer: one before it, and those since its end.
-MIN_RENEWALS = 4
-MIN_OWN_RENEWALS = 2  # an entry renewed this often in one read has not expired by the end of it
 OUTAGE_AFTER_S = 0.8  # reads that fail for longer count as an outage of the source
 
-ConfigDecoder = cabc.Callable[[bytes], IngressConfig]
-RegistrationDecoder = cabc.Callable[[str, bytes], Registration | None]
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ReadOptions:
@@ -250,168 +234,3 @@
 
     def on_source_recovered(self, batch: KeyedList | KeyedChanges) -> None:
         """Called when the source answers again after an outage, before ``batch`` is applied."""
-
-
-class ConfigFollower(StreamFollower):
-    """Follows the configuration and puts new revisions in force.
-
-    ``raw`` is the encoded revision in force, for hosts that copy it from this one.
-
-    :param key: the key of the configuration's record.
-    """
-
-    def __init__(
-        self,
-        *,
-        log: KeyedLog,
-        options: ReadOptions,
-        key: str,
-        decode: ConfigDecoder,
-        view: ConfigView,
-        clock: Clock,
-        rng: random.Random,
-    ) -> None:
-        super().__init__(log=log, options=options, clock=clock, rng=rng)
-        self._key = key
-        self._decode = decode
-        self._view = view
-        self.raw: bytes | None = None
-
-    def apply_record(self, record: KeyedRecord) -> None:
-        """Put a revision in force if it is newer."""
-        if record.key != self._key or record.value is None:
-            return
-        self.apply_value(record.value, source="record")
-
-    def apply_value(self, value: bytes, *, source: str) -> None:
-        """Put an encoded revision in force if it is newer.
-
-        If it cannot be decoded, that is logged and the current revision stays in force.
-        """
-        try:
-            config = self._decode(value)
-        except WireError as exc:
-            eliot.log_message(message_type="config:unreadable", reason=exc.message, source=source)
-            return
-        if self._view.offer(config):
-            eliot.log_message(
-                message_type="config:in-force",
-                revision=config.revision,
-                routes=len(config.routes),
-                quotas={space.name: space.rate_per_s for space in config.workspaces},
-                source=source,
-            )
-            self.raw = value
-
-    def version(self) -> int:
-        """Return the revision in force, -1 if there is none."""
-        return -1 if self._view.current is None else self._view.current.revision
-
-    def on_caught_up(self) -> None:
-        """Record that there is no newer revision."""
-        self._view.checked_at = self._clock.monotonic()
-
-
-class DirectoryFollower(StreamFollower):
-    """Follows the upstreams' registrations and updates the directory."""
-
-    def __init__(
-        self,
-        *,
-        log: KeyedLog,
-        options: ReadOptions,
-        decode: RegistrationDecoder,
-        directory: Directory,
-        clock: Clock,
-        rng: random.Random,
-    ) -> None:
-        super().__init__(log=log, options=options, clock=clock, rng=rng)
-        self._decode = decode
-        self._directory = directory
-        self._raw: dict[str, KeyedRecord] = {}
-        self._removed: dict[str, Offset] = {}
-        self._renewals: collections.Counter[str] = collections.Counter()  # in the current batch
-
-    def changes_since(self, offset: Offset) -> tuple[KeyedRecord, ...]:
-        """Return the records of entries that changed after ``offset``, and of removals."""
-        removed = [KeyedRecord(key=key, value=None, offset=at) for key, at in self._removed.items()]
-        return tuple(record for record in [*self._raw.values(), *removed] if record.offset > offset)
-
-    def apply_copy(self, records: cabc.Iterable[KeyedRecord]) -> None:
-        """Apply records that another host has read, except those older than known ones."""
-        if self.freshness.gap_s >= MIN_LAPSE_GAP_S:
-            self._directory.note_source_recovered()
-        self.on_batch()
-        for record in sorted(records, key=lambda record: record.offset):
-            newer = record.offset > self._directory.offset_of(UpstreamId(record.key))
-            self.apply_record(record)
-            # Only the newest record of each entry is copied, without those in between. So a record
-            # that was a change at the other host may change nothing here. It is kept with its
-            # offset all the same, for hosts that copy from this one.
-            if newer and record.value is not None:
-                self._raw[record.key] = record
-                self._directory.advance_to(record.offset)
-        self._directory.note_loaded()
-        self._directory.remove_stale()
-
-    def on_batch(self) -> None:
-        """Count renewals anew."""
-        self._renewals.clear()
-
-    def apply_record(self, record: KeyedRecord) -> None:
-        """Apply an upstream's entry or its removal."""
-        upstream_id = UpstreamId(record.key)
-        if record.value is None:
-            if record.offset > self._directory.offset_of(upstream_id):
-                self._record_removal(record.key, record.offset)
-            may_have_expired = self._renewals[record.key] < MIN_OWN_RENEWALS
-            self._directory.remove(upstream_id, record.offset, may_have_expired=may_have_expired)
-            return
-        self._renewals[record.key] += 1
-        registration = self._decode(record.key, record.value)
-        if registration is None:
-            return
-        if self._directory.put(registration, record.offset):
-            self._raw[record.key] = record
-            self._removed.pop(record.key, None)
-
-    def _record_removal(self, key: str, offset: Offset) -> None:
-        self._raw.pop(key, None)
-        self._removed[key] = offset
-        while len(self._removed) > MAX_REMOVALS_KEPT:
-            del self._removed[next(iter(self._removed))]
-
-    def apply_list(self, batch: KeyedList) -> None:
-        """Remove upstreams that are not in a complete list."""
-        present = {UpstreamId(record.key) for record in batch.records if record.value is not None}
-        for key in [key for key in self._raw if key not in present]:
-            self._record_removal(key, Offset(batch.end - 1))
-        self._directory.reconcile(present, Offset(batch.end - 1))
-        self._directory.note_loaded()
-        self._directory.end_restoration()
-
-    def version(self) -> int:
-        """Return the offset of the directory's last change."""
-        return self._directory.changed
-
-    def on_caught_up(self) -> None:
-        """Remove stale entries that were not renewed in time."""
-        self._directory.remove_stale()
-
-    def on_restored(self) -> None:
-        """Expect an older copy of the list, in which upstreams may be missing or be back."""
-        self._directory.note_restored()
-
-    def on_source_recovered(self, batch: KeyedList | KeyedChanges) -> None:
-        """Treat removals that follow as entries that may only have expired in the outage.
-
-        If upstreams went on to renew their entries, or other hosts could read, only this host was
-        turned away, and no entry has expired for that reason.
-        """
-        if self.freshness.gap_s < MIN_LAPSE_GAP_S:
-            return
-        renewals = collections.Counter(
-            record.key for record in batch.records if record.value is not None
-        )
-        if isinstance(batch, KeyedList) or max(renewals.values(), default=0) < MIN_RENEWALS:
-            self._directory.note_source_recovered()
--- a/src/cassiawalk/storeview/source.py
+++ b/src/cassiawalk/storeview/source.py
@@ -5,8 +5,8 @@
 from cassiawalk.clients import KeyedLog
 from cassiawalk.clients import LogService
 from cassiawalk.duties import DutyApi
-from cassiawalk.storeview.follow import ConfigDecoder
-from cassiawalk.storeview.follow import RegistrationDecoder
+from cassiawalk.storeview.followers import ConfigDecoder
+from cassiawalk.storeview.followers import RegistrationDecoder
 from cassiawalk.storeview.lapses import UpstreamInquiry
 
 
--- a/src/cassiawalk/storeview/storeparts.py
+++ b/src/cassiawalk/storeview/storeparts.py
@@ -13,9 +13,9 @@
 from cassiawalk.storeview.copying import CopyCall
 from cassiawalk.storeview.copying import PeerCopier
 from cassiawalk.storeview.directory import Directory
-from cassiawalk.storeview.follow import ConfigFollower
-from cassiawalk.storeview.follow import DirectoryFollower
 from cassiawalk.storeview.follow import ReadOptions
+from cassiawalk.storeview.followers import ConfigFollower
+from cassiawalk.storeview.followers import DirectoryFollower
 from cassiawalk.storeview.freshness import Freshness
 from cassiawalk.storeview.lapses import LapseChecker
 from cassiawalk.storeview.source import PlatformSource
--- a/tests/test_copying.py
+++ b/tests/test_copying.py
@@ -27,8 +27,8 @@
 from cassiawalk.storeview.copying import PeerCopier
 from cassiawalk.storeview.directory import Directory
 from cassiawalk.storeview.follow import OVERDUE_AFTER_S
-from cassiawalk.storeview.follow import DirectoryFollower
 from cassiawalk.storeview.follow import ReadOptions
+from cassiawalk.storeview.followers import DirectoryFollower
 from cassiawalk.storeview.freshness import Freshness
 from tests.fakes import FakeClock
 
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -14,8 +14,8 @@
 from cassiawalk.storeview.config import ConfigView
 from cassiawalk.storeview.config import IngressConfig
 from cassiawalk.storeview.copying import READER_COPY_DELAY_S
-from cassiawalk.storeview.follow import ConfigFollower
 from cassiawalk.storeview.follow import ReadOptions
+from cassiawalk.storeview.followers import ConfigFollower
 from cassiawalk.storeview.storeparts import CONFIG_PAUSE_S
 from cassiawalk.storeview.storeparts import CONFIG_WAIT_S
 from tests.fakes import FakeClock
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -24,8 +24,8 @@
 from cassiawalk.storeview.copying import CopyReply
 from cassiawalk.storeview.copying import PeerCopier
 from cassiawalk.storeview.directory import Directory
-from cassiawalk.storeview.follow import DirectoryFollower
 from cassiawalk.storeview.follow import ReadOptions
+from cassiawalk.storeview.followers import DirectoryFollower
 from cassiawalk.storeview.freshness import NEWS_MARGIN_S
 from cassiawalk.storeview.freshness import Claims
 from cassiawalk.storeview.freshness import Freshness
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -15,11 +15,11 @@
 from cassiawalk.fleet.aggregates import UpstreamUse
 from cassiawalk.fleet.correctedtime import CorrectedTime
 from cassiawalk.fleet.heartbeat import Heartbeat
-from cassiawalk.fleet.heartbeats import DEPARTED_TIMEOUT_S
 from cassiawalk.fleet.heartbeats import HEARTBEAT_INTERVAL_S
 from cassiawalk.fleet.heartbeats import HeartbeatExchange
 from cassiawalk.fleet.hosts import HostRegistry
 from cassiawalk.fleet.hosts import entry_of
+from cassiawalk.fleet.livehosts import DEPARTED_TIMEOUT_S
 from cassiawalk.ids import HostId
 from cassiawalk.ids import Offset
 from cassiawalk.ids import ServiceName
--- a/tests/test_partial_outage.py
+++ b/tests/test_partial_outage.py
@@ -17,8 +17,8 @@
 from cassiawalk.storeview.directory import Directory
 from cassiawalk.storeview.directory import Presence
 from cassiawalk.storeview.directory import Registration
-from cassiawalk.storeview.follow import DirectoryFollower
 from cassiawalk.storeview.follow import ReadOptions
+from cassiawalk.storeview.followers import DirectoryFollower
 from tests.fakes import FakeClock
 
 SERVICE = ServiceName("models")
