--- a/src/cassiawalk/ingress/node.py
+++ b/src/cassiawalk/ingress/node.py
@@ -252,7 +252,6 @@
             directory=self.directory,
             heartbeats=self.heartbeats,
             links=self.links,
-            news_limit_s=self._profile.bounds.news_limit_s,
             on_read=self.census.note_store,
             now_s=self.time.now,
             clock=self._clock,
--- a/src/cassiawalk/ingress/profile.py
+++ b/src/cassiawalk/ingress/profile.py
@@ -7,7 +7,6 @@
 from cassiawalk.ids import HostId
 from cassiawalk.ingress.quotas import QuotaTolerance
 from cassiawalk.settings import Address
-from cassiawalk.storeview.freshness import NEWS_LIMIT_S
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -23,8 +22,6 @@
     :param lease_s: how long the holder of a duty may be unreachable before another host takes over.
     :param checks_fencing: whether the platform refuses calls of duties with a lower fencing number
         than it has seen.
-    :param news_limit_s: how long after the store has taken a change of the configuration or of an
-        upstream it has to be in force on every host.
     :param quota_ratio: what workspaces may use beyond their quotas within ``quota_window_s``, as a
         ratio of the quota.
     :param quota_amount: what they may use in addition to ``quota_ratio``, in requests or tokens.
@@ -43,7 +40,6 @@
     usage_late_s: float = 10.0
     lease_s: float = 3.0
     checks_fencing: bool = True
-    news_limit_s: float = NEWS_LIMIT_S
     quota_window_s: float = 8.0
     quota_ratio: float = 0.0
     quota_amount: float = 0.0
--- a/src/cassiawalk/platform/settings.py
+++ b/src/cassiawalk/platform/settings.py
@@ -91,18 +91,11 @@
         quota_window_s=fields.number_field(bounds, "quota_window_s", defaults.quota_window_s),
         quota_ratio=fields.number_field(bounds, "quota_overage", defaults.quota_ratio),
         quota_amount=fields.number_field(bounds, "quota_slack", defaults.quota_amount),
-        news_limit_s=_news_limit_s(bounds, defaults.news_limit_s),
         checks_fencing=fields.boolean_field(bounds, "require_fencing", defaults.checks_fencing),
         lease_s=fields.number_field(bounds, "lease_ms", defaults.lease_s * 1000) / 1000,
     )
 
 
-def _news_limit_s(bounds: fields.JsonObject, default_s: float) -> float:
-    # Bounds may be missing where they are not in force.
-    names = ("config_apply_ms", "drain_ms")
-    return min(fields.number_field(bounds, name, default_s * 1000) for name in names) / 1000
-
-
 def parse_address(text: str) -> Address:
     """Return the address in a text.
 
--- a/src/cassiawalk/storeview/freshness.py
+++ b/src/cassiawalk/storeview/freshness.py
@@ -4,10 +4,7 @@
 the store is known to have held no more than this host has. That age counts across all hosts in
 between, whatever makes them silent, so one limit on it bounds how late a change can be here:
 
-    stale_after_s + the interval of checks + one read of the store
-
-``stale_after_s`` is what the fleet's bound on late changes leaves for it, so that a large fleet
-with a wide bound is not read for by each of its hosts.
+    STALE_AFTER_S + the interval of checks + one read of the store
 """
 
 import dataclasses
@@ -16,20 +13,17 @@
 from cassiawalk.clock import Clock
 from cassiawalk.ids import HostId
 
-NEWS_LIMIT_S = 2.0  # by default, when changes have to be in force after the store has taken them
-NEWS_MARGIN_S = 0.7  # of it, for the check, a read of the store, putting in force, and reserve
+STALE_AFTER_S = 1.3  # changes have to be in force 2 s after the store has acknowledged them
 
 
 class Freshness:
     """As of when this host is known to hold all changes of one stream.
 
     :param clock: its monotonic time must include time for which the host was suspended.
-    :param news_limit_s: when a change has to be in force after the store has taken it, in seconds.
     """
 
-    def __init__(self, *, clock: Clock, news_limit_s: float = NEWS_LIMIT_S) -> None:
+    def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
-        self._stale_after_s = news_limit_s - NEWS_MARGIN_S
         self._as_of = -math.inf
 
     def confirm(self, as_of: float) -> None:
@@ -53,7 +47,7 @@
     @property
     def is_stale(self) -> bool:
         """Return whether this host must read the store itself."""
-        return self.age_s > self._stale_after_s
+        return self.age_s > STALE_AFTER_S
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/cassiawalk/storeview/storeparts.py
+++ b/src/cassiawalk/storeview/storeparts.py
@@ -31,7 +31,6 @@
 class StoreParts:
     """The followers of the store's streams, and what replaces them while other hosts read.
 
-    :param news_limit_s: when a change has to be in force after the store has taken it, in seconds.
     :param on_read: called after each read that the store answered.
     :param now_s: returns the corrected time in seconds since the epoch.
     :param boot_clock: its monotonic time includes time for which the host was suspended.
@@ -46,7 +45,6 @@
         directory: Directory,
         heartbeats: HeartbeatExchange,
         links: PeerLinks,
-        news_limit_s: float,
         on_read: cabc.Callable[[], None],
         now_s: cabc.Callable[[], float],
         clock: Clock,
@@ -58,8 +56,8 @@
         self._on_read = on_read
         self._clock = clock
         self._rng = rng
-        self.config_freshness = Freshness(clock=boot_clock, news_limit_s=news_limit_s)
-        self.directory_freshness = Freshness(clock=boot_clock, news_limit_s=news_limit_s)
+        self.config_freshness = Freshness(clock=boot_clock)
+        self.directory_freshness = Freshness(clock=boot_clock)
         self.copier = PeerCopier(
             host=host,
             view=config,
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -26,7 +26,7 @@
 from cassiawalk.storeview.directory import Directory
 from cassiawalk.storeview.follow import ReadOptions
 from cassiawalk.storeview.followers import DirectoryFollower
-from cassiawalk.storeview.freshness import NEWS_MARGIN_S
+from cassiawalk.storeview.freshness import STALE_AFTER_S
 from cassiawalk.storeview.freshness import Claims
 from cassiawalk.storeview.freshness import Freshness
 from tests.fakes import FakeClock
@@ -105,10 +105,10 @@
 
 
 async def _follow(
-    log: _Records, *, reads_for_all: bool, for_s: float, news_limit_s: float = NEWS_LIMIT_S
+    log: _Records, *, reads_for_all: bool, for_s: float
 ) -> tuple[DirectoryFollower, Freshness]:
     clock = LoopClock()
-    freshness = Freshness(clock=clock, news_limit_s=news_limit_s)
+    freshness = Freshness(clock=clock)
     follower = DirectoryFollower(
         log=log,
         options=ReadOptions(
@@ -130,20 +130,16 @@
 
 
 @pytest.mark.looptime
-@pytest.mark.parametrize("limit_s", [NEWS_LIMIT_S, 3.0, 4.0])
-async def test_host_that_nobody_tells_reads_before_its_knowledge_is_too_old(
-    limit_s: float,
-) -> None:
-    """The fewer reads, the wider the bound: they add up over hundreds of hosts."""
+async def test_host_that_nobody_tells_reads_before_its_knowledge_is_too_old() -> None:
     log = _Records()
-    follower, freshness = await _follow(log, reads_for_all=False, for_s=0.1, news_limit_s=limit_s)
+    follower, freshness = await _follow(log, reads_for_all=False, for_s=0.1)
     oldest = 0.0
     for _ in range(200):
         await asyncio.sleep(0.05)
         oldest = max(oldest, freshness.age_s)
     await follower.stop()
-    assert oldest < limit_s - BUSY_MARGIN_S
-    assert log.reads <= 10 / (limit_s - NEWS_MARGIN_S) + 1
+    assert oldest < NEWS_LIMIT_S - BUSY_MARGIN_S
+    assert log.reads <= 10 / STALE_AFTER_S + 1
 
 
 @pytest.mark.looptime
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -310,20 +310,3 @@
     if execution is Execution.NOT_RUN and status >= 500:
         assert status == 503
     assert orjson.loads(body)["ran"] == execution.value
-
-
-@pytest.mark.parametrize(
-    ("bounds", "limit_s"),
-    [
-        ({}, 2.0),
-        ({"config_apply_ms": 4000, "drain_ms": 4000}, 4.0),
-        ({"config_apply_ms": 4000, "drain_ms": 3000}, 3.0),
-        ({"config_apply_ms": 1500}, 1.5),
-    ],
-)
-def test_shorter_bound_on_news_counts(
-    bounds: dict[str, int], limit_s: float, tmp_path: pathlib.Path
-) -> None:
-    path = tmp_path / "settings.json"
-    path.write_bytes(orjson.dumps({**SETTINGS, "bounds": bounds}))
-    assert load_settings(path).profile.bounds.news_limit_s == limit_s
