Take no late copy of the store's answers for the next one

Operators of similar systems reported a second copy of an answer, sent late on a connection in use again. Cause: one pool of kept connections for all calls. Seen on it: a record took the next offset, so that the true one there would have been passed over; records of one stream were those of another; an empty answer counted as news; a refused report of a duty (429, 409) counted as done.

Change: one connection a call, but for reads that wait. These keep theirs, one for each stream: an answer with records must end where the store's records end, one without must come after the wait, and after a part of the records the connection is left.

--- a/src/cassiawalk/http1/client.py
+++ b/src/cassiawalk/http1/client.py
@@ -47,7 +47,8 @@
     """Calls one address over pooled connections; a connection on which a call failed is closed.
 
     :param address: ``ip:port``, also sent as the Host header.
-    :param max_idle_s: see ``ConnectionPool``.
+    :param max_idle_s: see ``ConnectionPool``; 0 where an answer can't be told from a late copy of
+        the one before.
     """
 
     def __init__(self, *, address: str, max_idle_s: float = math.inf) -> None:
@@ -65,12 +66,15 @@
         body: bytes = b"",
         timeout_s: float,
         may_send: cabc.Callable[[], bool] = lambda: True,
+        is_own: cabc.Callable[[CompleteAnswer], bool] = lambda _: True,
     ) -> CompleteAnswer:
         """Return the answer.
 
         :param timeout_s: limit for the whole call, connecting included, in seconds.
         :param may_send: returns whether the call may be sent; asked when a connection is there.
-        :raises CallError: if no complete answer arrived in time, or the call may not be sent.
+        :param is_own: returns whether an answer can be that of this call.
+        :raises CallError: if no complete answer of its own arrived in time, or the call may not be
+            sent.
         """
         self.calls += 1
         conn: UpstreamConnection | None = None
@@ -81,7 +85,11 @@
                 if not may_send():
                     raise CallError("it may no longer be sent", sent=False)
                 self._send(conn, method, target, headers, body)
-                return await _read_answer(conn)
+                answer = await _read_answer(conn)
+            if not is_own(answer):
+                conn.close()
+                raise CallError("it got the answer to another call", sent=True)
+            return answer
         except ConnectError as exc:
             raise CallError(str(exc), sent=False, refused=exc.refused) from None
         except TimeoutError:
--- a/src/cassiawalk/http1/pool.py
+++ b/src/cassiawalk/http1/pool.py
@@ -24,7 +24,7 @@
 
     :param address: ``ip:port``.
     :param max_idle_s: a connection that has been idle for longer is not used again, whatever the
-        upstream announces.
+        upstream announces; with 0 none is used twice.
     """
 
     def __init__(self, *, address: str, max_idle_s: float = math.inf) -> None:
@@ -66,7 +66,7 @@
 
     def release(self, conn: UpstreamConnection) -> None:
         """Return a connection to the pool, or close it if it can't be reused."""
-        if self._closed or not conn.reusable:
+        if self._closed or not conn.reusable or self._max_idle_s <= 0:
             conn.close()
             return
         self._idle.append(conn)
--- a/src/cassiawalk/platform/duties.py
+++ b/src/cassiawalk/platform/duties.py
@@ -21,7 +21,7 @@
     """Usage reports and upstream orders over HTTP."""
 
     def __init__(self, *, address: str) -> None:
-        self._http = HttpClient(address=address)
+        self._http = HttpClient(address=address, max_idle_s=0.0)  # the answers name no call
 
     def set_address(self, address: str) -> None:
         """Use another address for later calls."""
--- a/src/cassiawalk/platform/store.py
+++ b/src/cassiawalk/platform/store.py
@@ -1,5 +1,11 @@
-"""Client of the platform's store, a log with topics and partitions, over HTTP."""
+"""Client of the platform's store, a log with topics and partitions, over HTTP.
 
+The store's answers name no call, so a late copy of one could be taken for the next on the same
+connection. Only reads that wait keep their connection, one for each stream: an answer with records
+has to end where the read's records end, and one without has to come after the wait.
+"""
+
+import asyncio
 import base64
 import binascii
 import struct
@@ -31,6 +37,7 @@
 # the time-out. Hosts that read for all use theirs more often.
 MAX_IDLE_S = 1.0
 MAX_READ_KB = 1024  # per read; the store bounds reads by bytes, not by records
+MIN_WAITED_RATIO = 0.9  # of the wait, before the store may answer that there are no records
 APPEND_RETRY_AFTER_S = 0.3
 
 # The store's offsets go back and are given out again when it returns from an older copy, which it
@@ -46,11 +53,15 @@
     """Client for all streams; a stream is partition 0 of the topic with its name."""
 
     def __init__(self, *, address: str) -> None:
-        self._http = HttpClient(address=address, max_idle_s=MAX_IDLE_S)
+        self._address = address
+        self._single = HttpClient(address=address, max_idle_s=0.0)
+        self._waiting: dict[str, HttpClient] = {}
 
     def set_address(self, address: str) -> None:
         """Use another address for later calls."""
-        self._http.set_address(address)
+        self._address = address
+        for client in (self._single, *self._waiting.values()):
+            client.set_address(address)
 
     async def append(self, *, stream: str, payload: bytes) -> AppendOutcome:
         """Append one record and return whether it is in the stream."""
@@ -81,17 +92,22 @@
         """
         first = str(start & _OFFSET_MASK)
         query = {"topic": stream, "part": "0", "from": first, "max_kb": str(MAX_READ_KB)}
-        if wait_s > 0:
-            query["wait_ms"] = str(int(wait_s * 1000))
         try:
-            answer = await self._call("GET", "log-read", query, timeout_s=CALL_TIMEOUT_S + wait_s)
+            if wait_s > 0:
+                query["wait_ms"] = str(int(wait_s * 1000))
+                answer = await self._wait_for_records(stream, query, start, wait_s)
+            else:
+                answer = await self._call("GET", "log-read", query)
             if answer.status not in (200, 410):
                 return _read_failed(answer)
             if _era(answer) != start >> _ERA_SHIFT:
                 return _other_era_batch(answer)
             if answer.status == 410:
                 return _expired_batch(answer)
-            return _read_batch(answer.body, start)
+            batch = _read_batch(answer.body, start)
+            if batch.entries and batch.entries[-1].offset + 1 < batch.end_offset:
+                self._stop_waiting(stream)  # a copy of a part could pass for the next part
+            return batch
         except CallError as exc:
             return ReadFailed(reason=str(exc))
         except WireError as exc:
@@ -146,19 +162,46 @@
 
     async def aclose(self) -> None:
         """Close idle connections; those in use are closed after their call."""
-        self._http.close()
+        for client in (self._single, *self._waiting.values()):
+            client.close()
 
     async def _call(
-        self,
-        method: str,
-        name: str,
-        query: dict[str, str],
-        *,
-        body: bytes = b"",
-        timeout_s: float = CALL_TIMEOUT_S,
+        self, method: str, name: str, query: dict[str, str], *, body: bytes = b""
+    ) -> CompleteAnswer:
+        return await self._single.call(
+            method, _target(name, query), body=body, timeout_s=CALL_TIMEOUT_S
+        )
+
+    async def _wait_for_records(
+        self, stream: str, query: dict[str, str], start: Offset, wait_s: float
     ) -> CompleteAnswer:
-        target = f"/cassiawalk/{name}?{urllib.parse.urlencode(query)}"
-        return await self._http.call(method, target, body=body, timeout_s=timeout_s)
+        client = self._waiting.get(stream)
+        if client is None:
+            client = HttpClient(address=self._address, max_idle_s=MAX_IDLE_S)
+            self._waiting[stream] = client
+        loop = asyncio.get_running_loop()
+        earliest_empty_s = loop.time() + MIN_WAITED_RATIO * wait_s
+
+        def is_own(answer: CompleteAnswer) -> bool:
+            if answer.status != 200 or _era(answer) != start >> _ERA_SHIFT:
+                return True
+            batch = _read_batch(answer.body, start)
+            if batch.entries:
+                return batch.entries[-1].offset < batch.end_offset
+            return batch.end_offset != start or loop.time() >= earliest_empty_s
+
+        return await client.call(
+            "GET", _target("log-read", query), timeout_s=CALL_TIMEOUT_S + wait_s, is_own=is_own
+        )
+
+    def _stop_waiting(self, stream: str) -> None:
+        client = self._waiting.pop(stream, None)
+        if client is not None:
+            client.close()
+
+
+def _target(name: str, query: dict[str, str]) -> str:
+    return f"/cassiawalk/{name}?{urllib.parse.urlencode(query)}"
 
 
 def _read_failed(answer: CompleteAnswer) -> ReadFailed:
