Separate the request path from a host's assembly and from what the scaler is told

The assembly of a host is now in ingressnode/, the demand and prefill speed of services in demand/; ingress/ is the request path alone. Imports go one way, as CONTRIBUTING says.

--- a/src/cassiawalk/ingress/scaling.py
+++ b/src/cassiawalk/demand/scaling.py
@@ -3,11 +3,11 @@
 import collections.abc as cabc
 
 from cassiawalk.clock import Clock
+from cassiawalk.demand.prefillspeed import PrefillSpeeds
 from cassiawalk.duties.scaler import DomainState
 from cassiawalk.duties.scaler import ServiceState
 from cassiawalk.ids import FailureDomain
 from cassiawalk.ids import ServiceName
-from cassiawalk.ingress.prefillspeed import PrefillSpeeds
 from cassiawalk.storeview.config import ConfigView
 from cassiawalk.storeview.config import ScalingBounds
 from cassiawalk.storeview.config import ServiceConfig
--- a/src/cassiawalk/ingress/__init__.py
+++ b/src/cassiawalk/ingress/__init__.py
@@ -1,4 +1,4 @@
-"""HTTP ingress, next to the API for callers: the request path, and the assembly of a host.
+"""The request path of the HTTP ingress, next to the API for callers.
 
-What hosts share is in ``fleet`` and ``storeview``, which import nothing from here.
+What hosts share is in ``fleet`` and ``storeview``; ``ingressnode`` assembles a host of all these.
 """
--- a/src/cassiawalk/ingress/forwarder.py
+++ b/src/cassiawalk/ingress/forwarder.py
@@ -7,6 +7,8 @@
 from cassiawalk.app import Component
 from cassiawalk.clock import Clock
 from cassiawalk.crashes import IsolatedRun
+from cassiawalk.demand.meter import DemandMeter
+from cassiawalk.demand.prefillspeed import PrefillSpeeds
 from cassiawalk.http1 import Exchange
 from cassiawalk.http1 import ExchangeHandler
 from cassiawalk.http1 import HeadError
@@ -14,7 +16,6 @@
 from cassiawalk.ingress.budgets import RetryBudgets
 from cassiawalk.ingress.codec import Demand
 from cassiawalk.ingress.codec import HeadCodec
-from cassiawalk.ingress.demandmeter import DemandMeter
 from cassiawalk.ingress.intake import Intake
 from cassiawalk.ingress.intake import RefusedError
 from cassiawalk.ingress.job import Job
@@ -22,7 +23,6 @@
 from cassiawalk.ingress.outcome import AttemptEnd
 from cassiawalk.ingress.placement import Placement
 from cassiawalk.ingress.placement import Placer
-from cassiawalk.ingress.prefillspeed import PrefillSpeeds
 from cassiawalk.ingress.report import IngressReport
 from cassiawalk.ingress.screening import Screening
 from cassiawalk.results import Execution
--- a/src/cassiawalk/ingress/dutyparts.py
+++ b/src/cassiawalk/ingressnode/dutyparts.py
@@ -5,6 +5,9 @@
 
 from cassiawalk.app import Component
 from cassiawalk.clock import Clock
+from cassiawalk.demand.meter import DemandMeter
+from cassiawalk.demand.prefillspeed import PrefillSpeeds
+from cassiawalk.demand.scaling import ScalingView
 from cassiawalk.duties import DutyApi
 from cassiawalk.duties.candidacy import DutyCandidacy
 from cassiawalk.duties.holder import DUTY_STREAM
@@ -19,10 +22,7 @@
 from cassiawalk.fleet.sharedprogress import SharedProgress
 from cassiawalk.ids import HostId
 from cassiawalk.ids import ServiceName
-from cassiawalk.ingress.demandmeter import DemandMeter
-from cassiawalk.ingress.prefillspeed import PrefillSpeeds
-from cassiawalk.ingress.profile import HostProfile
-from cassiawalk.ingress.scaling import ScalingView
+from cassiawalk.ingressnode.profile import HostProfile
 from cassiawalk.leases import LeaseManager
 from cassiawalk.storeview.config import ConfigView
 from cassiawalk.storeview.directory import Directory
--- a/src/cassiawalk/ingress/node.py
+++ b/src/cassiawalk/ingressnode/node.py
@@ -10,6 +10,8 @@
 from cassiawalk.app import Application
 from cassiawalk.app import Component
 from cassiawalk.clock import Clock
+from cassiawalk.demand.meter import DemandMeter
+from cassiawalk.demand.prefillspeed import PrefillSpeeds
 from cassiawalk.duties.usage import UsageCounts
 from cassiawalk.fleet.aggregates import UpstreamUse
 from cassiawalk.fleet.census import HostCensus
@@ -24,18 +26,17 @@
 from cassiawalk.ids import new_uuid7
 from cassiawalk.ingress.budgets import RetryBudgets
 from cassiawalk.ingress.codec import HeadCodec
-from cassiawalk.ingress.crashparts import CrashParts
-from cassiawalk.ingress.demandmeter import DemandMeter
-from cassiawalk.ingress.dutyparts import DutyParts
 from cassiawalk.ingress.forwarder import Forwarder
 from cassiawalk.ingress.intake import Intake
 from cassiawalk.ingress.placement import Placer
-from cassiawalk.ingress.prefillspeed import PrefillSpeeds
-from cassiawalk.ingress.profile import FleetBounds
-from cassiawalk.ingress.profile import HostProfile
 from cassiawalk.ingress.quotas import Quotas
-from cassiawalk.ingress.receiver import HeartbeatReceiver
 from cassiawalk.ingress.report import IngressReport
+from cassiawalk.ingressnode.crashparts import CrashParts
+from cassiawalk.ingressnode.dutyparts import DutyParts
+from cassiawalk.ingressnode.profile import FleetBounds
+from cassiawalk.ingressnode.profile import HostProfile
+from cassiawalk.ingressnode.receiver import HeartbeatReceiver
+from cassiawalk.ingressnode.storeparts import StoreParts
 from cassiawalk.membership import Membership
 from cassiawalk.peer import PeerLinks
 from cassiawalk.peer import PeerServer
@@ -44,7 +45,6 @@
 from cassiawalk.storeview.config import ConfigView
 from cassiawalk.storeview.directory import Directory
 from cassiawalk.storeview.source import PlatformSource
-from cassiawalk.storeview.storeparts import StoreParts
 
 # Heartbeats announce new hosts, and the heartbeat exchange reads the list when hosts are missing.
 MEMBERSHIP_POLL_S = 600.0
--- a/src/cassiawalk/platform/host.py
+++ b/src/cassiawalk/platform/host.py
@@ -17,7 +17,7 @@
 from cassiawalk.clock import SystemClock
 from cassiawalk.errors import CassiawalkError
 from cassiawalk.errors import WireError
-from cassiawalk.ingress.node import IngressNode
+from cassiawalk.ingressnode.node import IngressNode
 from cassiawalk.linelog import LineLog
 from cassiawalk.platform import names
 from cassiawalk.platform.codec import PlatformHeadCodec
--- a/src/cassiawalk/platform/reload.py
+++ b/src/cassiawalk/platform/reload.py
@@ -7,7 +7,7 @@
 from cassiawalk.app import Component
 from cassiawalk.clock import Clock
 from cassiawalk.errors import CassiawalkError
-from cassiawalk.ingress.node import IngressNode
+from cassiawalk.ingressnode.node import IngressNode
 from cassiawalk.platform.duties import PlatformDuties
 from cassiawalk.platform.settings import PlatformSettings
 from cassiawalk.platform.settings import load_settings
--- a/src/cassiawalk/platform/settings.py
+++ b/src/cassiawalk/platform/settings.py
@@ -7,8 +7,8 @@
 from cassiawalk.errors import WireError
 from cassiawalk.ids import FailureDomain
 from cassiawalk.ids import HostId
-from cassiawalk.ingress.profile import FleetBounds
-from cassiawalk.ingress.profile import HostProfile
+from cassiawalk.ingressnode.profile import FleetBounds
+from cassiawalk.ingressnode.profile import HostProfile
 from cassiawalk.platform import _fields as fields
 from cassiawalk.settings import Address
 
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -23,7 +23,7 @@
 from cassiawalk.ids import Offset
 from cassiawalk.ids import RequestId
 from cassiawalk.ids import UpstreamId
-from cassiawalk.ingress.crashparts import CrashParts
+from cassiawalk.ingressnode.crashparts import CrashParts
 from cassiawalk.membership import Membership
 from cassiawalk.peer import PeerFailure
 from cassiawalk.peer.messages import messages
--- a/tests/ingress_bed.py
+++ b/tests/ingress_bed.py
@@ -12,6 +12,8 @@
 from cassiawalk.crashes import CrashGuard
 from cassiawalk.crashes import IsolationLeases
 from cassiawalk.crashes import SharedNotesOnly
+from cassiawalk.demand.meter import DemandMeter
+from cassiawalk.demand.prefillspeed import PrefillSpeeds
 from cassiawalk.fleet.hosts import entry_of
 from cassiawalk.http1 import CallerLimits
 from cassiawalk.http1 import HttpListener
@@ -23,11 +25,9 @@
 from cassiawalk.ids import UpstreamId
 from cassiawalk.ids import WorkspaceName
 from cassiawalk.ingress.budgets import RetryBudgets
-from cassiawalk.ingress.demandmeter import DemandMeter
 from cassiawalk.ingress.forwarder import Forwarder
 from cassiawalk.ingress.intake import Intake
 from cassiawalk.ingress.placement import Placer
-from cassiawalk.ingress.prefillspeed import PrefillSpeeds
 from cassiawalk.ingress.quotas import Quotas
 from cassiawalk.ingress.quotas import QuotaTolerance
 from cassiawalk.ingress.report import IngressReport
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -11,13 +11,13 @@
 from cassiawalk.clients import KeyedRecord
 from cassiawalk.clients import ReadFailed
 from cassiawalk.ids import Offset
+from cassiawalk.ingressnode.storeparts import CONFIG_PAUSE_S
+from cassiawalk.ingressnode.storeparts import CONFIG_WAIT_S
 from cassiawalk.storeview.config import ConfigView
 from cassiawalk.storeview.config import IngressConfig
 from cassiawalk.storeview.copying import READER_COPY_DELAY_S
 from cassiawalk.storeview.follow import ReadOptions
 from cassiawalk.storeview.followers import ConfigFollower
-from cassiawalk.storeview.storeparts import CONFIG_PAUSE_S
-from cassiawalk.storeview.storeparts import CONFIG_WAIT_S
 from tests.fakes import FakeClock
 
 IN_FORCE_S = 2.0  # the shortest time limit of any deployment for a new revision
--- a/tests/test_prefillspeed.py
+++ b/tests/test_prefillspeed.py
@@ -4,11 +4,11 @@
 
 import pytest
 
+from cassiawalk.demand.prefillspeed import MIN_TOKENS_PER_S
+from cassiawalk.demand.prefillspeed import SAMPLES_KEPT
+from cassiawalk.demand.prefillspeed import PrefillSpeed
+from cassiawalk.demand.prefillspeed import PrefillSpeeds
 from cassiawalk.ids import ServiceName
-from cassiawalk.ingress.prefillspeed import MIN_TOKENS_PER_S
-from cassiawalk.ingress.prefillspeed import SAMPLES_KEPT
-from cassiawalk.ingress.prefillspeed import PrefillSpeed
-from cassiawalk.ingress.prefillspeed import PrefillSpeeds
 
 SPEEDS = [60_000.0, 75_000.0, 150_000.0, 400_000.0]
 COMMON_S = 0.03
