Spread requests without a prompt evenly, and refuse by the load of all their upstreams

Load: 80 hosts before 4 upstreams of 6 slots, answers of 0.08 s, heartbeats of 0.5 s that are 0.3 s old. Cause: each host took the upstream that seemed to have the fewest requests, so all hosts chose the same one until they heard of it; a queue built up there while others had free slots, and upstreams turned requests away that may be sent once only.

--- /dev/null
+++ b/benchmarks/fleet_simulation.py
@@ -0,0 +1,195 @@
+"""Simulates hosts that place requests of one service and exchange heartbeats, in virtual time."""
+
+import abc
+import collections.abc as cabc
+import functools
+import heapq
+import itertools
+import random
+import types
+import typing as t
+
+from cassiawalk.clock import Clock
+from cassiawalk.ids import FailureDomain
+from cassiawalk.ids import HostId
+from cassiawalk.ids import Offset
+from cassiawalk.ids import ServiceName
+from cassiawalk.ids import UpstreamId
+from cassiawalk.ingress.codec import Demand
+from cassiawalk.ingress.job import Job
+from cassiawalk.ingress.placement import Placement
+from cassiawalk.ingress.placement import Placer
+from cassiawalk.storeview.directory import Directory
+from cassiawalk.storeview.directory import Presence
+from cassiawalk.storeview.directory import Registration
+from cassiawalk.storeview.directory import Upstream
+
+SERVICE = ServiceName("models")
+HEARTBEAT_INTERVAL_S = 0.5
+HEARTBEAT_DELAY_S = 0.3  # age of a heartbeat's aggregate when it is received
+START_TIME_S = 1000.0
+
+
+class VirtualClock(Clock):
+    """A clock that the simulation sets."""
+
+    def __init__(self) -> None:
+        self.now = START_TIME_S
+
+    def monotonic(self) -> float:
+        """Return the virtual time in seconds."""
+        return self.now
+
+    def wall(self) -> float:
+        """Return the virtual time in seconds."""
+        return self.now
+
+    async def sleep(self, delay_s: float) -> None:
+        """Not available: a simulation schedules actions instead."""
+        raise NotImplementedError
+
+
+class SimulatedHost:
+    """The part of a host that places requests."""
+
+    def __init__(
+        self,
+        *,
+        clock: VirtualClock,
+        failure_domain: FailureDomain,
+        fetches_prefixes: bool,
+        rng: random.Random,
+    ) -> None:
+        self.failure_domain = failure_domain
+        self.directory = Directory(clock=clock)
+        self.placer = Placer(
+            directory=self.directory,
+            failure_domain=failure_domain,
+            fetches_prefixes=lambda service: fetches_prefixes,
+            now=clock.monotonic,
+            rng=rng,
+        )
+
+    def upstreams(self) -> list[Upstream]:
+        """Return the upstreams that the host knows."""
+        return self.directory.upstreams()
+
+    def place(self, demand: Demand, unshared_tokens: int) -> Placement | None:
+        """Return where a request goes, or None if it is refused."""
+        # The placer reads only these attributes of a job.
+        job = t.cast(
+            Job,
+            types.SimpleNamespace(
+                service=SERVICE, demand=demand, tried=set(), unshared_tokens=unshared_tokens
+            ),
+        )
+        placement = self.placer.place(job)
+        if placement is None or not self.placer.has_room(job, placement):
+            return None
+        return placement
+
+
+class FleetSimulation(abc.ABC):
+    """Runs actions in the order of their times; hosts hear of each other's load with a delay.
+
+    :param domains: the failure domains, which hosts and upstreams take in turn.
+    """
+
+    def __init__(
+        self,
+        *,
+        hosts: int,
+        domains: int = 1,
+        duration_s: float,
+        seed: int,
+        fetches_prefixes: bool = False,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.clock = VirtualClock()
+        self.domains = [FailureDomain(f"domain-{number}") for number in range(domains)]
+        self.hosts = [
+            SimulatedHost(
+                clock=self.clock,
+                failure_domain=self.domains[number % domains],
+                fetches_prefixes=fetches_prefixes,
+                rng=random.Random(seed * hosts + number),
+            )
+            for number in range(hosts)
+        ]
+        self._duration_s = duration_s
+        self._events: list[tuple[float, int, cabc.Callable[[], None]]] = []
+        self.numbers = itertools.count()
+        self._offsets = itertools.count()
+
+    @property
+    def elapsed_s(self) -> float:
+        """Return the virtual seconds since the start."""
+        return self.clock.now - START_TIME_S
+
+    @abc.abstractmethod
+    def begin(self) -> None:
+        """Schedule the first actions."""
+
+    def simulate(self) -> None:
+        """Run the actions until ``duration_s`` has passed."""
+        self.begin()
+        for host in self.hosts:
+            self.schedule(
+                HEARTBEAT_INTERVAL_S * self.rng.random(),
+                functools.partial(self._collect_peer_load, host),
+            )
+        while self._events and self._events[0][0] < START_TIME_S + self._duration_s:
+            due_at, _, action = heapq.heappop(self._events)
+            self.clock.now = due_at
+            action()
+
+    def schedule(self, delay_s: float, action: cabc.Callable[[], None]) -> None:
+        """Run an action after ``delay_s`` virtual seconds."""
+        heapq.heappush(self._events, (self.clock.now + delay_s, next(self.numbers), action))
+
+    def register(
+        self, name: UpstreamId, *, slots: int, presence: Presence, started_ms: int = 0
+    ) -> None:
+        """Tell all hosts of an upstream's state."""
+        offset = Offset(next(self._offsets))
+        known = self.hosts[0].directory.get(name)
+        if known is None:
+            domain = self.domains[offset % len(self.domains)]
+        else:
+            domain = known.failure_domain
+            started_ms = known.registration.started_ms
+        registration = Registration(
+            upstream_id=name,
+            service=SERVICE,
+            address=f"{name}:1",
+            failure_domain=domain,
+            slots=slots,
+            presence=presence,
+            started_ms=started_ms,
+        )
+        for host in self.hosts:
+            host.directory.put(registration, offset)
+
+    def unregister(self, name: UpstreamId) -> None:
+        """Tell all hosts that an upstream is gone."""
+        for host in self.hosts:
+            host.directory.remove(name, Offset(next(self._offsets)))
+
+    def _collect_peer_load(self, host: SimulatedHost) -> None:
+        loads: dict[UpstreamId, list[int]] = {}
+        for other in self.hosts:
+            if other is host:
+                continue
+            for upstream in other.upstreams():
+                load = upstream.load
+                if load.own:
+                    counts = loads.setdefault(upstream.upstream_id, [0, 0])
+                    counts[0] += load.own
+                    counts[1] += load.own_pending_tokens
+        self.schedule(HEARTBEAT_DELAY_S, lambda: self._apply_peer_load(host, loads))
+        self.schedule(HEARTBEAT_INTERVAL_S, lambda: self._collect_peer_load(host))
+
+    def _apply_peer_load(self, host: SimulatedHost, loads: dict[UpstreamId, list[int]]) -> None:
+        for upstream in host.upstreams():
+            requests, pending_tokens = loads.get(upstream.upstream_id, [0, 0])
+            upstream.load.note_peer(HostId("rest"), requests, pending_tokens)
--- /dev/null
+++ b/benchmarks/plain_load.py
@@ -0,0 +1,195 @@
+"""Simulates many hosts that place plain requests on a few upstreams, in virtual time.
+
+``python -m benchmarks.plain_load`` prints how many requests were answered within their target.
+"""
+
+import argparse
+import collections
+import dataclasses
+import functools
+import json
+import math
+import typing as t
+
+from benchmarks.fleet_simulation import FleetSimulation
+from benchmarks.fleet_simulation import SimulatedHost
+from cassiawalk.ids import RequestId
+from cassiawalk.ids import UpstreamId
+from cassiawalk.ingress.codec import Demand
+from cassiawalk.storeview.directory import Presence
+from cassiawalk.storeview.directory import Upstream
+
+WORK_SPREAD = 0.5  # sigma of the log-normal distribution of work
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PlainLoad:
+    """Hosts, upstreams and requests of one run.
+
+    :param domains: the failure domains, which hosts and upstreams take in turn.
+    :param work_s: the mean time for which a request takes a slot.
+    :param utilization: the share of all slots that the requests take on average.
+    :param peak: how many times as many requests come in the middle third.
+    :param target_s: the time within which an answer should come.
+    """
+
+    hosts: int = 80
+    upstreams: int = 4
+    domains: int = 4
+    slots: int = 6
+    queue: int = 24
+    work_s: float = 0.08
+    utilization: float = 0.5
+    peak: float = 1.0
+    target_s: float = 0.385
+    duration_s: float = 30.0
+    seed: int = 1
+
+
+@dataclasses.dataclass(kw_only=True)
+class PlainResult:
+    """What one run measured; ``answer_s`` are the times to the answers, in seconds.
+
+    ``refused`` counts refusals by hosts, ``shed`` those by upstreams, ``crossed`` the requests
+    that left their failure domain.
+    """
+
+    requested: int = 0
+    within_target: int = 0
+    refused: int = 0
+    shed: int = 0
+    crossed: int = 0
+    answer_s: list[float] = dataclasses.field(default_factory=list)
+
+    @property
+    def share_within_target(self) -> float:
+        """Return the share of all requests that were answered within the target."""
+        return self.within_target / max(1, self.requested)
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Request:
+    request_id: RequestId
+    sent_at: float
+    upstream: Upstream
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Server:
+    running: int = 0
+    waiting: collections.deque[_Request] = dataclasses.field(default_factory=collections.deque)
+
+
+class PlainSimulation(FleetSimulation):
+    """Simulates one load; each host has a placer of the product of its own."""
+
+    def __init__(self, load: PlainLoad) -> None:
+        super().__init__(
+            hosts=load.hosts, domains=load.domains, duration_s=load.duration_s, seed=load.seed
+        )
+        self._load = load
+        self._servers: dict[UpstreamId, _Server] = {}
+        self.result = PlainResult()
+
+    def run(self) -> PlainResult:
+        """Simulate the load to its end and return the measured result."""
+        self.simulate()
+        return self.result
+
+    def begin(self) -> None:
+        """Start the upstreams and schedule the first request."""
+        for number in range(self._load.upstreams):
+            name = UpstreamId(f"u-{number}")
+            self._servers[name] = _Server()
+            self.register(name, slots=self._load.slots, presence=Presence.READY)
+        self._arrive()
+
+    def _rate(self) -> float:
+        load = self._load
+        rate = load.utilization * load.upstreams * load.slots / load.work_s
+        passed = self.elapsed_s / load.duration_s
+        return rate * load.peak if 1 / 3 < passed < 2 / 3 else rate
+
+    def _arrive(self) -> None:
+        self.schedule(self.rng.expovariate(self._rate()), self._arrive)
+        self.result.requested += 1
+        self._place(self.rng.choice(self.hosts))
+
+    def _place(self, host: SimulatedHost) -> None:
+        request_id = RequestId(str(next(self.numbers)))
+        demand = Demand(request_id=request_id, parts=(), prompt_tokens=0, output_tokens=0)
+        placement = host.place(demand, 0)
+        if placement is None:
+            self.result.refused += 1
+            return
+        upstream = placement.upstream
+        self.result.crossed += upstream.failure_domain != host.failure_domain
+        server = self._servers[upstream.upstream_id]
+        if len(server.waiting) >= self._load.queue:
+            self.result.shed += 1
+            return
+        upstream.load.note_sent(request_id, 0)
+        request = _Request(request_id=request_id, sent_at=self.clock.now, upstream=upstream)
+        server.waiting.append(request)
+        self._begin_next(server)
+
+    def _begin_next(self, server: _Server) -> None:
+        if server.running >= self._load.slots or not server.waiting:
+            return
+        request = server.waiting.popleft()
+        server.running += 1
+        mean = math.log(self._load.work_s) - WORK_SPREAD**2 / 2
+        work_s = self.rng.lognormvariate(mean, WORK_SPREAD)
+        self.schedule(work_s, functools.partial(self._end, server, request))
+
+    def _end(self, server: _Server, request: _Request) -> None:
+        server.running -= 1
+        request.upstream.load.note_ended(request.request_id)
+        answer_s = self.clock.now - request.sent_at
+        self.result.answer_s.append(answer_s)
+        self.result.within_target += answer_s <= self._load.target_s
+        self._begin_next(server)
+
+
+LOADS = {
+    "7 hosts, half": PlainLoad(hosts=7, work_s=0.09),
+    "7 hosts, peak": PlainLoad(hosts=7, work_s=0.09, peak=1.8),
+    "80 hosts, half": PlainLoad(),
+    "80 hosts, peak": PlainLoad(peak=1.8),
+    "80 hosts, overload": PlainLoad(peak=2.6),
+    "195 hosts, third": PlainLoad(
+        hosts=195, upstreams=6, domains=6, work_s=0.045, target_s=0.21, utilization=0.33
+    ),
+}
+
+
+def figures(result: PlainResult) -> dict[str, t.Any]:
+    """Return the figures of a result by name; times are in seconds."""
+    times = sorted(result.answer_s)
+    return {
+        "asked": result.requested,
+        "in_aim": round(result.share_within_target, 3),
+        "refused": result.refused,
+        "shed": result.shed,
+        "crossed": round(result.crossed / max(1, result.requested), 3),
+        "median_s": round(times[len(times) // 2], 3),
+        "p95_s": round(times[int(0.95 * len(times))], 3),
+    }
+
+
+def main() -> None:
+    """Print the figures of each load and seed as JSON lines."""
+    parser = argparse.ArgumentParser(prog="python -m benchmarks.plain_load", description=__doc__)
+    parser.add_argument(
+        "--seeds", type=int, default=1, help="number of runs of each load, with seeds from 1"
+    )
+    parser.add_argument("--loads", nargs="+", choices=list(LOADS), default=list(LOADS))
+    args = parser.parse_args()
+    for name in args.loads:
+        for seed in range(1, args.seeds + 1):
+            result = PlainSimulation(dataclasses.replace(LOADS[name], seed=seed)).run()
+            print(json.dumps({"load": name, "seed": seed, **figures(result)}), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/cassiawalk/http1/pool.py
+++ b/src/cassiawalk/http1/pool.py
@@ -40,6 +40,11 @@
         """Return how many connections are open, in use or idle."""
         return len(self._open)
 
+    @property
+    def has_idle(self) -> bool:
+        """Return whether a connection is open and not in use."""
+        return bool(self._idle)
+
     async def acquire(self, *, timeout_s: float = CONNECT_TIMEOUT_S) -> UpstreamConnection:
         """Return an idle connection, the most recently used one first, or open a new one.
 
--- a/src/cassiawalk/ingress/placement.py
+++ b/src/cassiawalk/ingress/placement.py
@@ -1,11 +1,13 @@
 """Chooses the upstream with the lowest estimated cost for an attempt.
 
 The estimate is based on the time to the first token. This time grows with the request's uncached
-prompt tokens, the prefill that is pending at the upstream, and the requests that run there.
+prompt tokens, the prefill that is pending at the upstream, and the requests that run there. For
+requests without a prompt see ``spreading``.
 """
 
 import collections.abc as cabc
 import dataclasses
+import random
 
 from cassiawalk.ids import FailureDomain
 from cassiawalk.ids import ServiceName
@@ -13,6 +15,8 @@
 from cassiawalk.ingress.holders import likely_cache_holder
 from cassiawalk.ingress.holders import rendezvous_order
 from cassiawalk.ingress.job import Job
+from cassiawalk.ingress.spreading import refusal_ratio
+from cassiawalk.ingress.spreading import spread
 from cassiawalk.storeview.directory import Directory
 from cassiawalk.storeview.directory import Upstream
 
@@ -64,17 +68,21 @@
         failure_domain: FailureDomain,
         fetches_prefixes: cabc.Callable[[ServiceName], bool],
         now: cabc.Callable[[], float],
+        rng: random.Random,
     ) -> None:
         self._directory = directory
         self._failure_domain = failure_domain
         self._fetches_prefixes = fetches_prefixes
         self._now = now
+        self._rng = rng
 
     def place(self, job: Job) -> Placement | None:
         """Return the cheapest upstream that was not tried yet, or None if none accepts requests."""
         usable = self._usable(job.service, job.tried)
         if not usable:
             return None
+        if not job.demand.parts:
+            return self._estimate(spread(usable, self._rng), job, (), len(usable))
         preferred = rendezvous_order(job.demand.shared_prefix, usable)
         found = [self._estimate(upstream, job, preferred, len(usable)) for upstream in usable]
         best = min(found, key=lambda placement: placement.cost)
@@ -112,8 +120,11 @@
         upstreams = self._directory.all_for(job.service)
         return likely_cache_holder(job.demand.shared_prefix, chosen, upstreams, self._now() * 1000)
 
-    def has_room(self, placement: Placement) -> bool:
+    def has_room(self, job: Job, placement: Placement) -> bool:
         """Return whether the chosen upstream can start the request soon."""
+        if not job.demand.parts:
+            upstreams = self._directory.available_for(job.service)
+            return self._rng.random() >= refusal_ratio(upstreams)
         upstream = placement.upstream
         return upstream.load.total < MAX_REQUESTS_PER_SLOT * upstream.slots
 
--- a/src/cassiawalk/ingressnode/node.py
+++ b/src/cassiawalk/ingressnode/node.py
@@ -231,6 +231,7 @@
             failure_domain=self._profile.failure_domain,
             fetches_prefixes=self.config.fetches_prefixes,
             now=self.time.now,
+            rng=self._rng,
         )
         self.forwarder = Forwarder(
             intake=intake,
--- a/tests/ingress_bed.py
+++ b/tests/ingress_bed.py
@@ -243,6 +243,7 @@
         self.forwarder = Forwarder(
             intake=intake,
             placer=Placer(
+                rng=random.Random(1),
                 directory=self.directory,
                 failure_domain=DOMAIN,
                 fetches_prefixes=self.view.fetches_prefixes,
