Name all entries to hosts that copy from further back than removals are known

Cause: a host that has read its first list after a removal never saw it, so its copies leave it out, and the host that copied counts as current. In a rolling restart of 195 hosts such sources are common. Ruled out: the age of knowledge (the host's was confirmed), fewer heartbeats (copies came in time).

Change: copies from further back than the source knows all removals also name all entries there are. A copy that was applied is logged with its source, which no line told before.

--- a/src/cassiawalk/storeview/copying.py
+++ b/src/cassiawalk/storeview/copying.py
@@ -22,6 +22,7 @@
 from cassiawalk.storeview.config import ConfigView
 from cassiawalk.storeview.directory import Directory
 from cassiawalk.storeview.followers import ConfigFollower
+from cassiawalk.storeview.followers import DirectoryChanges
 from cassiawalk.storeview.followers import DirectoryFollower
 from cassiawalk.storeview.freshness import Claims
 from cassiawalk.storeview.freshness import Freshness
@@ -55,7 +56,7 @@
     """Asks for a configuration newer than ``revision`` and for upstreams changed after ``since``.
 
     :param revision: the configuration revision in force at the sender, -1 if there is none.
-    :param since: the offset of the last upstream change that the sender has applied.
+    :param since: the offset through which the sender knows all upstreams.
     """
 
     revision: int
@@ -69,10 +70,14 @@
 
     :param config: the encoded configuration, deflated; None if it is no newer.
     :param records: the entries and removals of upstreams that changed.
+    :param present: see ``DirectoryChanges``.
+    :param through: see ``DirectoryChanges``.
     """
 
     config: bytes | None
     records: tuple[CopiedRecord, ...]
+    present: tuple[str, ...] | None = None
+    through: Offset = Offset(-1)
 
 
 class PeerCopier(Component):
@@ -164,13 +169,15 @@
     async def handle(self, call: CopyCall) -> CopyReply:
         """Answer another host's call."""
         newer = self._revision() > call.revision
-        changed = self.directory_follower.changes_since(call.since)
+        changes = self.directory_follower.changes_since(call.since)
         return CopyReply(
             config=self._deflate_config() if newer else None,
             records=tuple(
                 CopiedRecord(key=record.key, value=record.value, offset=record.offset)
-                for record in changed
+                for record in changes.records
             ),
+            present=changes.present,
+            through=changes.through,
         )
 
     def _deflate_config(self) -> bytes | None:
@@ -276,7 +283,7 @@
         )
 
     async def _copy(self, host: HostId) -> None:
-        call = CopyCall(revision=self._revision(), since=self._directory.changed)
+        call = CopyCall(revision=self._revision(), since=self.directory_follower.known_through)
         try:
             reply = await self._links.call(host, call, CopyReply, timeout_s=CALL_TIMEOUT_S)
         finally:
@@ -287,12 +294,23 @@
             return
         if reply.config is not None:
             self._apply_config(reply.config, host)
-        self.directory_follower.apply_copy(
+        records = tuple(
             KeyedRecord(key=record.key, value=record.value, offset=record.offset)
             for record in reply.records
         )
+        self.directory_follower.apply_copy(
+            DirectoryChanges(records=records, present=reply.present, through=reply.through)
+        )
         self._failed_at.pop(host, None)
         self._confirm()
+        eliot.log_message(
+            message_type="copier:copied",
+            peer=host,
+            since=call.since,
+            records=len(records),
+            present=None if reply.present is None else len(reply.present),
+            changed=self._directory.changed,
+        )
 
 
 def _sum(age_s: float | None, more_s: float) -> float | None:
--- a/src/cassiawalk/storeview/followers.py
+++ b/src/cassiawalk/storeview/followers.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc as cabc
+import dataclasses
 import random
 
 import eliot
@@ -92,6 +93,21 @@
         self._view.checked_at = self._clock.monotonic()
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class DirectoryChanges:
+    """What one host tells another of the upstreams that changed after an offset.
+
+    :param records: the entries that changed, and the removals that the host knows.
+    :param present: the keys of all entries there are, if the host may not know all removals: one
+        that has read the complete list does not know what was removed before. None if it does.
+    :param through: the offset through which ``present`` is known.
+    """
+
+    records: tuple[KeyedRecord, ...]
+    present: tuple[str, ...] | None = None
+    through: Offset = Offset(-1)
+
+
 class DirectoryFollower(StreamFollower):
     """Follows the upstreams' registrations and updates the directory."""
 
@@ -110,19 +126,31 @@
         self._directory = directory
         self._raw: dict[str, KeyedRecord] = {}
         self._removed: dict[str, Offset] = {}
+        self._removals_known_after = Offset(-1)
         self._renewals: collections.Counter[str] = collections.Counter()  # in the current batch
 
-    def changes_since(self, offset: Offset) -> tuple[KeyedRecord, ...]:
-        """Return the records of entries that changed after ``offset``, and of removals."""
+    @property
+    def known_through(self) -> Offset:
+        """Return the offset through which this host knows all entries."""
+        return max(self._directory.changed, self._removals_known_after)
+
+    def changes_since(self, offset: Offset) -> DirectoryChanges:
+        """Return what changed after ``offset``."""
         removed = [KeyedRecord(key=key, value=None, offset=at) for key, at in self._removed.items()]
-        return tuple(record for record in [*self._raw.values(), *removed] if record.offset > offset)
+        records = [*self._raw.values(), *removed]
+        changed = tuple(record for record in records if record.offset > offset)
+        if offset >= self._removals_known_after:
+            return DirectoryChanges(records=changed)
+        return DirectoryChanges(
+            records=changed, present=tuple(self._raw), through=self.known_through
+        )
 
-    def apply_copy(self, records: cabc.Iterable[KeyedRecord]) -> None:
-        """Apply records that another host has read, except those older than known ones."""
+    def apply_copy(self, changes: DirectoryChanges) -> None:
+        """Apply what another host has read, except records older than known ones."""
         if self.freshness.gap_s >= MIN_LAPSE_GAP_S:
             self._directory.note_source_recovered()
         self.on_batch()
-        for record in sorted(records, key=lambda record: record.offset):
+        for record in sorted(changes.records, key=lambda record: record.offset):
             newer = record.offset > self._directory.offset_of(UpstreamId(record.key))
             self.apply_record(record)
             # Only the newest record of each entry is copied, without those in between. So a record
@@ -131,6 +159,8 @@
             if newer and record.value is not None:
                 self._raw[record.key] = record
                 self._directory.advance_to(record.offset)
+        if changes.present is not None:
+            self._keep_only({UpstreamId(key) for key in changes.present}, changes.through)
         self._directory.note_loaded()
         self._directory.remove_stale()
 
@@ -159,14 +189,21 @@
         self._raw.pop(key, None)
         self._removed[key] = offset
         while len(self._removed) > MAX_REMOVALS_KEPT:
-            del self._removed[next(iter(self._removed))]
+            forgotten = self._removed.pop(next(iter(self._removed)))
+            self._removals_known_after = max(self._removals_known_after, forgotten)
+
+    def _keep_only(self, present: cabc.Collection[UpstreamId], through: Offset) -> None:
+        """Remove upstreams that are missing from all entries there are as of ``through``."""
+        for key in [key for key in self._raw if key not in present]:
+            if self._directory.offset_of(UpstreamId(key)) < through:
+                self._record_removal(key, through)
+        self._directory.reconcile(present, through)
+        self._removals_known_after = max(self._removals_known_after, through)
 
     def apply_list(self, batch: KeyedList) -> None:
         """Remove upstreams that are not in a complete list."""
         present = {UpstreamId(record.key) for record in batch.records if record.value is not None}
-        for key in [key for key in self._raw if key not in present]:
-            self._record_removal(key, Offset(batch.end - 1))
-        self._directory.reconcile(present, Offset(batch.end - 1))
+        self._keep_only(present, Offset(batch.end - 1))
         self._directory.note_loaded()
         self._directory.end_restoration()
 
--- a/tests/test_copying.py
+++ b/tests/test_copying.py
@@ -28,6 +28,8 @@
 from cassiawalk.storeview.directory import Directory
 from cassiawalk.storeview.follow import OVERDUE_AFTER_S
 from cassiawalk.storeview.follow import ReadOptions
+from cassiawalk.storeview.followers import MAX_REMOVALS_KEPT
+from cassiawalk.storeview.followers import DirectoryChanges
 from cassiawalk.storeview.followers import DirectoryFollower
 from cassiawalk.storeview.freshness import Freshness
 from tests.fakes import FakeClock
@@ -65,7 +67,12 @@
 
     def copy_from(self, other: "Host") -> None:
         if other.directory.changed > self.directory.changed:
-            self.follower.apply_copy(other.follower.changes_since(self.directory.changed))
+            self.follower.apply_copy(other.follower.changes_since(self.follower.known_through))
+
+    def read_list(self, records: list[KeyedRecord], *, end: int) -> None:
+        for found in records:
+            self.follower.apply_record(found)
+        self.follower.apply_list(KeyedList(records=tuple(records), end=Offset(end)))
 
     def state(self) -> dict[str, bool]:
         return {found.upstream_id: found.leaving for found in self.directory.upstreams()}
@@ -121,6 +128,76 @@
         assert hosts[target].state() == reader.state()
 
 
+def test_removal_before_a_host_started_reaches_hosts_that_copy_from_it() -> None:
+    """Guards against upstreams that are kept because a copy's source never knew of them.
+
+    While two fifths of 195 hosts were restarted, one sent requests to upstreams for 4 s after they
+    had left: it had copied from a host that had read its first list after they had.
+    """
+    reader, behind, started = Host(), Host(), Host()
+    for offset, key in enumerate(("u-1", "u-2")):
+        reader.follower.apply_record(record(key, offset))
+    behind.copy_from(reader)
+    reader.follower.apply_record(record("u-1", 10, state=None))
+    started.read_list([record("u-2", 12, sequence=5)], end=13)
+    behind.copy_from(started)
+    assert behind.state() == {"u-2": False}
+
+
+def test_removals_that_are_no_longer_kept_reach_hosts_that_copy() -> None:
+    reader, behind = Host(), Host()
+    for offset in range(MAX_REMOVALS_KEPT + 20):
+        reader.follower.apply_record(record(f"u-{offset}", offset))
+    behind.copy_from(reader)
+    for offset in range(MAX_REMOVALS_KEPT + 20):
+        reader.follower.apply_record(record(f"u-{offset}", 1000 + offset, state=None))
+    behind.copy_from(reader)
+    assert behind.state() == {}
+
+
+def test_whole_list_takes_back_nothing_that_is_newer() -> None:
+    reader, ahead, started = Host(), Host(), Host()
+    reader.follower.apply_record(record("u-1", 1))
+    ahead.copy_from(reader)
+    started.read_list([record("u-1", 5, sequence=5)], end=6)
+    ahead.follower.apply_record(record("u-2", 9))
+    ahead.follower.apply_copy(started.follower.changes_since(Offset(0)))
+    assert ahead.state() == {"u-1": False, "u-2": False}
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_host_that_knows_a_change_knows_all_before_it(seed: int) -> None:
+    """Hosts copy from any host with newer knowledge, and are restarted with the store's list."""
+    rng = random.Random(seed)
+    hosts = [Host() for _ in range(5)]
+    newest: dict[str, KeyedRecord] = {}
+    state: dict[str, str | None] = {}
+    last_change = -1
+    for offset in range(300):
+        key = f"u-{rng.randrange(6)}"
+        found = record(
+            key, offset, state=rng.choice([*["ready"] * 4, "draining", None]), sequence=offset
+        )
+        newest[key] = found
+        new_state = None if found.value is None else str(orjson.loads(found.value)["state"])
+        if new_state != state.get(key):
+            state[key], last_change = new_state, offset
+        hosts[0].follower.apply_record(found)
+        if rng.random() < 0.05:
+            number = rng.randrange(1, 5)
+            hosts[number] = Host()
+            listed = [found for found in newest.values() if found.value is not None]
+            hosts[number].read_list(listed, end=offset + 1)
+        if rng.random() < 0.4:
+            target, source = rng.sample(range(5), 2)
+            if target:
+                hosts[target].copy_from(hosts[source])
+        truth = {key: found == "draining" for key, found in state.items() if found is not None}
+        for host in hosts:
+            if host.directory.changed >= last_change:
+                assert host.state() == truth
+
+
 def test_entry_that_is_back_after_an_outage_is_back_at_hosts_that_copy() -> None:
     reader, before, after = (Host() for _ in range(3))
     reader.follower.apply_record(record("u-1", 1))
@@ -264,8 +341,8 @@
         self.raw = raw
         self.applied: list[bytes] = []
 
-    def changes_since(self, offset: Offset) -> tuple[KeyedRecord, ...]:
-        return ()
+    def changes_since(self, offset: Offset) -> DirectoryChanges:
+        return DirectoryChanges(records=())
 
     def apply_value(self, value: bytes, *, source: str) -> None:
         self.applied.append(value)
