Compare a few upstreams for each prompt, and refuse by the load of the whole service

Cause: all hosts compared all upstreams by reports that were up to 0.8 s old, so they chose the same one; it was full while others had free slots, and a request that waits for a slot of such an engine misses its target.

--- a/src/cassiawalk/ingress/forwarder.py
+++ b/src/cassiawalk/ingress/forwarder.py
@@ -105,7 +105,7 @@
             placement = self._placer.place(job)
             if placement is None:
                 return self._no_upstream(job)
-            if not self._placer.has_room(job, placement):
+            if not self._placer.has_room(job):
                 return self._upstreams_full(job, placement)
             end, reason = await self._attempt(job, placement)
             if end is AttemptEnd.DELIVERED:
@@ -216,7 +216,7 @@
 
     def _upstreams_full(self, job: Job, placement: Placement) -> Refusal:
         load = placement.upstream.load
-        detail = f"upstreams of {job.service} are full; the best choice has {load.total} requests"
+        detail = f"upstreams of {job.service} are full; the one chosen has {load.total} requests"
         return self._unanswered(job, ResultCode.QUEUE_FULL, detail, FULL_RETRY_S)
 
     def _retries_exhausted(self, job: Job, end: AttemptEnd, reason: str) -> Refusal:
--- a/src/cassiawalk/ingress/placement.py
+++ b/src/cassiawalk/ingress/placement.py
@@ -15,7 +15,8 @@
 from cassiawalk.ingress.holders import likely_cache_holder
 from cassiawalk.ingress.holders import rendezvous_order
 from cassiawalk.ingress.job import Job
-from cassiawalk.ingress.spreading import refusal_ratio
+from cassiawalk.ingress.refusing import PLAIN_RAMP
+from cassiawalk.ingress.refusing import PROMPT_RAMP
 from cassiawalk.ingress.spreading import spread
 from cassiawalk.storeview.directory import Directory
 from cassiawalk.storeview.directory import Upstream
@@ -24,10 +25,12 @@
 # Prefilling a shared part again also delays the requests behind it and evicts other cached parts.
 UNCACHED_WEIGHT = 3.0
 RUNNING_REQUEST_DELAY_S = 0.002  # added to a first token by each running request
-QUEUED_REQUEST_DELAY_S = 0.02  # added by each request beyond an upstream's slots
+SLOT_TIME_S = 1.3  # for which an answer keeps its slot, so that slots / this are freed in a second
 CROSS_DOMAIN_DELAY_S = 0.002
 PAUSED_PENALTY_S = 5.0
-MAX_REQUESTS_PER_SLOT = 1.5  # an upstream with this many requests per slot counts as full
+# Compared for each attempt, beside the preferred one. Hosts with the same reports would all choose
+# the same upstream if they compared all of them.
+SAMPLED_UPSTREAMS = 6
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -38,7 +41,7 @@
     :param first_s: the expected time to the first token, in seconds.
     :param unread_tokens: the prompt tokens that the upstream is expected to prefill.
     :param pending_tokens: the prompt tokens of other requests that it is expected to prefill first.
-    :param candidates: the number of upstreams that were compared.
+    :param candidates: the number of upstreams that accepted requests.
     :param holder: another upstream from which the prompt's shared prefix may be fetched.
     """
 
@@ -52,7 +55,7 @@
 
 
 class Placer:
-    """Compares a service's upstreams for each attempt.
+    """Compares some of a service's upstreams for each attempt.
 
     All hosts agree on the preferred upstream of a shared prefix, as they use the same rendezvous
     order.
@@ -84,7 +87,8 @@
         if not job.demand.parts:
             return self._estimate(spread(usable, self._rng), job, (), len(usable))
         preferred = rendezvous_order(job.demand.shared_prefix, usable)
-        found = [self._estimate(upstream, job, preferred, len(usable)) for upstream in usable]
+        compared = self._sample(usable, preferred)
+        found = [self._estimate(upstream, job, preferred, len(usable)) for upstream in compared]
         best = min(found, key=lambda placement: placement.cost)
         return dataclasses.replace(best, holder=self._holder(job, best.upstream))
 
@@ -120,13 +124,19 @@
         upstreams = self._directory.all_for(job.service)
         return likely_cache_holder(job.demand.shared_prefix, chosen, upstreams, self._now() * 1000)
 
-    def has_room(self, job: Job, placement: Placement) -> bool:
-        """Return whether the chosen upstream can start the request soon."""
-        if not job.demand.parts:
-            upstreams = self._directory.available_for(job.service)
-            return self._rng.random() >= refusal_ratio(upstreams)
-        upstream = placement.upstream
-        return upstream.load.total < MAX_REQUESTS_PER_SLOT * upstream.slots
+    def has_room(self, job: Job) -> bool:
+        """Return whether the upstreams of a job's service can start it soon enough."""
+        ramp = PROMPT_RAMP if job.demand.parts else PLAIN_RAMP
+        return self._rng.random() >= ramp.ratio(self._directory.available_for(job.service))
+
+    def _sample(
+        self, usable: cabc.Sequence[Upstream], preferred: cabc.Sequence[UpstreamId]
+    ) -> list[Upstream]:
+        """Return the preferred upstream and a few others."""
+        if len(usable) <= SAMPLED_UPSTREAMS:
+            return list(usable)
+        first = [found for found in usable if found.upstream_id in preferred[:1]]
+        return first + self._rng.sample(usable, SAMPLED_UPSTREAMS)
 
     def _usable(self, service: ServiceName, tried: cabc.Set[UpstreamId]) -> list[Upstream]:
         upstreams = self._directory.available_for(service)
@@ -142,7 +152,7 @@
         pending = load.own_pending_tokens + load.others_pending_tokens
         first_s = (prefill + pending) / PREFILL_TOKENS_PER_S + load.total * RUNNING_REQUEST_DELAY_S
         if load.total >= upstream.slots:
-            first_s += (load.total - upstream.slots + 1) * QUEUED_REQUEST_DELAY_S
+            first_s += (load.total - upstream.slots + 1) * SLOT_TIME_S / upstream.slots
         if upstream.registration.failure_domain != self._failure_domain:
             first_s += CROSS_DOMAIN_DELAY_S
         cost = first_s + (UNCACHED_WEIGHT - 1) * uncached / PREFILL_TOKENS_PER_S
--- a/src/cassiawalk/ingress/spreading.py
+++ b/src/cassiawalk/ingress/spreading.py
@@ -1,10 +1,9 @@
-"""Spreads requests without a prompt over upstreams, and decides how many of them to refuse.
+"""Spreads requests without a prompt over upstreams.
 
 The load is that of many hosts, each with a small part of the requests, before a few upstreams. What
 hosts hear of each other is older than such a request takes. The upstream that seems to have the
 fewest requests is then the choice of all hosts at once, until they hear of it. So each host spreads
-its own requests, which it can count, and uses what it hears only for the sum over all upstreams,
-which changes slowly.
+its own requests, which it can count.
 """
 
 import collections.abc as cabc
@@ -12,11 +11,6 @@
 
 from cassiawalk.storeview.directory import Upstream
 
-# Requests per slot over all upstreams: up to the first nothing is refused, from the second on
-# everything. A step instead would be taken by all hosts at once, back and forth.
-UNREFUSED_REQUESTS_PER_SLOT = 2.5
-REFUSED_REQUESTS_PER_SLOT = 5.5
-
 
 def spread(upstreams: cabc.Sequence[Upstream], rng: random.Random) -> Upstream:
     """Return one of the upstreams at which this host has the fewest requests of its own.
@@ -29,14 +23,3 @@
     equal = [found for found in sound if found.load.own == fewest]
     connected = [found for found in equal if found.pool.has_idle]
     return rng.choice(connected or equal)
-
-
-def refusal_ratio(upstreams: cabc.Iterable[Upstream]) -> float:
-    """Return the share of new requests to refuse, from 0 to 1."""
-    requests = slots = 0
-    for upstream in upstreams:
-        requests += upstream.load.total
-        slots += upstream.slots
-    per_slot = requests / max(1, slots)
-    margin = REFUSED_REQUESTS_PER_SLOT - UNREFUSED_REQUESTS_PER_SLOT
-    return min(1.0, max(0.0, (per_slot - UNREFUSED_REQUESTS_PER_SLOT) / margin))
--- a/tests/test_spreading.py
+++ b/tests/test_spreading.py
@@ -1,4 +1,4 @@
-"""The choice of upstreams for requests without a prompt, and the share that is refused."""
+"""The choice of upstreams for requests without a prompt."""
 
 import random
 import types
@@ -6,7 +6,6 @@
 
 import pytest
 
-from cassiawalk.ingress.spreading import refusal_ratio
 from cassiawalk.ingress.spreading import spread
 from cassiawalk.storeview.directory import Upstream
 
@@ -43,18 +42,3 @@
 )
 def test_own_requests_are_spread(upstreams: list[Upstream], expected: set[str]) -> None:
     assert chosen(*upstreams) == expected
-
-
-@pytest.mark.parametrize(
-    ("totals", "ratio"),
-    [([0, 0], 0.0), ([15, 15], 0.0), ([48, 0], 0.5), ([33, 33], 1.0), ([90, 90], 1.0)],
-)
-def test_share_of_refusals_follows_the_sum_of_all_upstreams(
-    totals: list[int], ratio: float
-) -> None:
-    upstreams = [upstream(str(total), others=total) for total in totals]
-    assert refusal_ratio(upstreams) == pytest.approx(ratio)
-
-
-def test_service_without_slots_refuses_nothing_while_it_has_no_requests() -> None:
-    assert refusal_ratio([]) == 0.0
