--- a/benchmarks/plain_load.py
+++ b/benchmarks/plain_load.py
@@ -3,16 +3,15 @@
 ``python -m benchmarks.plain_load`` prints how many requests were answered within their target.
 """
 
-import argparse
 import collections
 import dataclasses
 import functools
-import json
 import math
 import typing as t
 
 from benchmarks.fleet_simulation import FleetSimulation
 from benchmarks.fleet_simulation import SimulatedHost
+from benchmarks.load_command import print_figures
 from cassiawalk.ids import RequestId
 from cassiawalk.ids import UpstreamId
 from cassiawalk.ingress.codec import Demand
@@ -179,16 +178,14 @@
 
 def main() -> None:
     """Print the figures of each load and seed as JSON lines."""
-    parser = argparse.ArgumentParser(prog="python -m benchmarks.plain_load", description=__doc__)
-    parser.add_argument(
-        "--seeds", type=int, default=1, help="number of runs of each load, with seeds from 1"
+    print_figures(
+        prog="python -m benchmarks.plain_load",
+        description=__doc__,
+        loads=LOADS,
+        simulate=lambda load, seed: figures(
+            PlainSimulation(dataclasses.replace(load, seed=seed)).run()
+        ),
     )
-    parser.add_argument("--loads", nargs="+", choices=list(LOADS), default=list(LOADS))
-    args = parser.parse_args()
-    for name in args.loads:
-        for seed in range(1, args.seeds + 1):
-            result = PlainSimulation(dataclasses.replace(LOADS[name], seed=seed)).run()
-            print(json.dumps({"load": name, "seed": seed, **figures(result)}), flush=True)
 
 
 if __name__ == "__main__":
--- a/benchmarks/prompt_load.py
+++ b/benchmarks/prompt_load.py
@@ -4,17 +4,16 @@
 tokens: under constant conditions, while engines are reclaimed and replaced, and with few engines.
 """
 
-import argparse
 import collections
 import dataclasses
 import functools
-import json
 import typing as t
 
 from benchmarks.batch_engine import BatchEngine
 from benchmarks.batch_engine import EngineRun
 from benchmarks.fleet_simulation import FleetSimulation
 from benchmarks.fleet_simulation import SimulatedHost
+from benchmarks.load_command import print_figures
 from benchmarks.prompt_kinds import EngineChange
 from benchmarks.prompt_kinds import Load
 from benchmarks.prompt_kinds import PromptKind
@@ -249,16 +248,14 @@
 
 def main() -> None:
     """Print the figures of each load and seed as JSON lines."""
-    parser = argparse.ArgumentParser(prog="python -m benchmarks.prompt_load", description=__doc__)
-    parser.add_argument(
-        "--seeds", type=int, default=1, help="number of runs of each load, with seeds from 1"
+    print_figures(
+        prog="python -m benchmarks.prompt_load",
+        description=__doc__,
+        loads=LOADS,
+        simulate=lambda load, seed: figures(
+            LoadSimulation(dataclasses.replace(load, seed=seed)).run()
+        ),
     )
-    parser.add_argument("--loads", nargs="+", choices=list(LOADS), default=list(LOADS))
-    args = parser.parse_args()
-    for name in args.loads:
-        for seed in range(1, args.seeds + 1):
-            result = LoadSimulation(dataclasses.replace(LOADS[name], seed=seed)).run()
-            print(json.dumps({"load": name, "seed": seed, **figures(result)}), flush=True)
 
 
 if __name__ == "__main__":
