Take back the refusal of prompts by the load of the whole service

Suspected, not shown: the load of a host whose hub changes is counted twice for up to 2 s, which the sum over all upstreams then has in full. So the chosen engine decides again, at 1.5 requests per slot.

Kept, as the simulation shows them alone: six others compared beside the preferred upstream, and a slot's time in the estimate.

--- a/benchmarks/fleet_simulation.py
+++ b/benchmarks/fleet_simulation.py
@@ -84,7 +84,7 @@
             ),
         )
         placement = self.placer.place(job)
-        if placement is None or not self.placer.has_room(job):
+        if placement is None or not self.placer.has_room(job, placement):
             return None
         return placement
 
--- a/src/cassiawalk/ingress/forwarder.py
+++ b/src/cassiawalk/ingress/forwarder.py
@@ -105,7 +105,7 @@
             placement = self._placer.place(job)
             if placement is None:
                 return self._no_upstream(job)
-            if not self._placer.has_room(job):
+            if not self._placer.has_room(job, placement):
                 return self._upstreams_full(job, placement)
             end, reason = await self._attempt(job, placement)
             if end is AttemptEnd.DELIVERED:
--- a/src/cassiawalk/ingress/placement.py
+++ b/src/cassiawalk/ingress/placement.py
@@ -16,7 +16,6 @@
 from cassiawalk.ingress.holders import rendezvous_order
 from cassiawalk.ingress.job import Job
 from cassiawalk.ingress.refusing import PLAIN_RAMP
-from cassiawalk.ingress.refusing import PROMPT_RAMP
 from cassiawalk.ingress.spreading import spread
 from cassiawalk.storeview.directory import Directory
 from cassiawalk.storeview.directory import Upstream
@@ -28,6 +27,7 @@
 SLOT_TIME_S = 1.3  # for which an answer keeps its slot, so that slots / this are freed in a second
 CROSS_DOMAIN_DELAY_S = 0.002
 PAUSED_PENALTY_S = 5.0
+MAX_REQUESTS_PER_SLOT = 1.5  # an engine with this many requests per slot counts as full
 # Compared for each attempt, beside the preferred one. Hosts with the same reports would all choose
 # the same upstream if they compared all of them.
 SAMPLED_UPSTREAMS = 6
@@ -124,10 +124,13 @@
         upstreams = self._directory.all_for(job.service)
         return likely_cache_holder(job.demand.shared_prefix, chosen, upstreams, self._now() * 1000)
 
-    def has_room(self, job: Job) -> bool:
-        """Return whether the upstreams of a job's service can start it soon enough."""
-        ramp = PROMPT_RAMP if job.demand.parts else PLAIN_RAMP
-        return self._rng.random() >= ramp.ratio(self._directory.available_for(job.service))
+    def has_room(self, job: Job, placement: Placement) -> bool:
+        """Return whether the chosen upstream can start the request soon enough."""
+        if job.demand.parts:
+            upstream = placement.upstream
+            return upstream.load.total < MAX_REQUESTS_PER_SLOT * upstream.slots
+        upstreams = self._directory.available_for(job.service)
+        return self._rng.random() >= PLAIN_RAMP.ratio(upstreams)
 
     def _sample(
         self, usable: cabc.Sequence[Upstream], preferred: cabc.Sequence[UpstreamId]
--- a/src/cassiawalk/ingress/refusing.py
+++ b/src/cassiawalk/ingress/refusing.py
@@ -38,5 +38,3 @@
 
 # A slot is free again soon, so a few requests that wait for it are still answered in time.
 PLAIN_RAMP = RefusalRamp(begins_at=2.5, ends_at=5.5)
-# An answer of an engine keeps its slot for longer than a first token may take.
-PROMPT_RAMP = RefusalRamp(begins_at=1.0, ends_at=1.4)
