Read no further in a list of the store whose pages go round

Cause: its server sends two pages on one connection; since calls of the store open one each, it sent the first page without end, and the client read it without end. So a store whose pages go round keeps a host from ever being ready.

Change: a page that ends with a key that was asked after already fails the read. The old test counts pages over connections now, and checks their number as well; it asks for all else it asked before.

--- a/src/cassiawalk/platform/store.py
+++ b/src/cassiawalk/platform/store.py
@@ -117,6 +117,7 @@
         """Return the newest record of every key, read in pages."""
         records: list[KeyedRecord] = []
         end: Offset | None = None
+        asked_after: set[str] = set()
         query = {"topic": stream, "part": "0"}
         try:
             while True:
@@ -131,7 +132,10 @@
                 end = page_end if end is None else end
                 if not fields.boolean_field(page, "has_more") or not entries:
                     return KeyedList(records=tuple(records), end=end)
+                if entries[-1].key in asked_after:
+                    return ReadFailed(reason=f"the list of {stream} goes on without end")
                 query["after"] = entries[-1].key
+                asked_after.add(entries[-1].key)
         except CallError as exc:
             return ReadFailed(reason=str(exc))
         except WireError as exc:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import contextlib
+import itertools
 import struct
 import typing as t
 
@@ -122,6 +123,25 @@
         )
 
 
+@pytest.mark.parametrize("names", ["a", "ab"])
+async def test_list_whose_pages_go_round_is_a_failure(names: str) -> None:
+    """Guards against a list that is read without end, and a host that does nothing else."""
+    turns = itertools.cycle(names)
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        page = {"entries": [_row(next(turns), 3)], "has_more": True, "end": 5}
+        writer.write(reply("200 OK", orjson.dumps(page)))
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    ip, port = server.sockets[0].getsockname()[:2]
+    async with asyncio.timeout(2.0):
+        found = await PlatformStore(address=f"{ip}:{port}").newest(stream="keyed.op")
+    server.close()
+    assert isinstance(found, ReadFailed)
+
+
 async def test_newest_reads_all_pages() -> None:
     pages = [
         {"entries": [_row("a", 3)], "has_more": True, "end": 5},
@@ -130,15 +150,15 @@
     heads: list[bytes] = []
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        for page in pages:
-            heads.append(await reader.readuntil(b"\r\n\r\n"))
-            writer.write(reply("200 OK", orjson.dumps(page)))
+        heads.append(await reader.readuntil(b"\r\n\r\n"))
+        writer.write(reply("200 OK", orjson.dumps(pages[len(heads) - 1])))
         writer.close()
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     ip, port = server.sockets[0].getsockname()[:2]
     found = await PlatformStore(address=f"{ip}:{port}").newest(stream="keyed.op")
     server.close()
+    assert len(heads) == len(pages)
     assert isinstance(found, KeyedList)
     assert [record.key for record in found.records] == ["a", "b"]
     assert found.end == 5, "records appended between two pages have to be read again"
