--- a/src/cassiawalk/ingress/attempt.py
+++ b/src/cassiawalk/ingress/attempt.py
@@ -280,6 +280,8 @@
             self._send_head(head, with_length=False)
         job.exchange.send_data(complete)
         self._upstream.load.note_first_token(job.request_id)
+        if self.trace.began_at is None:
+            self.trace.began_at = self._clock.monotonic()
         job.sent_events = True
         self._note_started()
 
--- a/src/cassiawalk/ingress/outcome.py
+++ b/src/cassiawalk/ingress/outcome.py
@@ -3,10 +3,24 @@
 import dataclasses
 import enum
 
+BEGINNING_S = 0.5
 from cassiawalk.http1 import Ending
 from cassiawalk.http1 import Framing
 
 
+class Progress(enum.Enum):
+    """How far an answer had come.
+
+    - WAITING: nothing of it had come.
+    - BEGINNING: its head had come, and its first event less than ``BEGINNING_S`` s ago or not yet.
+    - RUNNING: it had gone on for longer.
+    """
+
+    WAITING = "waiting"
+    BEGINNING = "beginning"
+    RUNNING = "running"
+
+
 class AttemptEnd(enum.Enum):
     """How an attempt ended, and what this says about the request.
 
@@ -43,6 +57,7 @@
 
     :param reason: why the attempt failed; empty if it did not.
     :param first_s: time to the head or first event of the answer in seconds; None if none came.
+    :param began_at: when the first event came, in monotonic seconds; None if none came.
     :param framing: how the answer was framed; None if no head came.
     :param ending: how the answer ended; None if the attempt gave it up or did not read on.
     :param incomplete_bytes: how many bytes of an incomplete event came at the end of a stream.
@@ -50,6 +65,18 @@
 
     reason: str = ""
     first_s: float | None = None
+    began_at: float | None = None
     framing: Framing | None = None
     ending: Ending | None = None
     incomplete_bytes: int = 0
+
+    def progress(self, now: float) -> Progress:
+        """Return how far the answer has come.
+
+        :param now: the time in monotonic seconds.
+        """
+        if self.framing is None:
+            return Progress.WAITING
+        if self.began_at is None or now - self.began_at < BEGINNING_S:
+            return Progress.BEGINNING
+        return Progress.RUNNING
--- a/src/cassiawalk/ingress/report.py
+++ b/src/cassiawalk/ingress/report.py
@@ -78,6 +78,8 @@
             route=job.route.name,
             revision=job.revision,
             fingerprint=job.fingerprint if end.answer_lost else None,
+            parts=[part.part_id for part in job.demand.shared_prefix] if end.answer_lost else None,
+            progress=trace.progress(self._clock.monotonic()).value,
             upstream=placement.upstream.upstream_id,
             expected_first_s=round(placement.first_s, 4),
             first_s=None if trace.first_s is None else round(trace.first_s, 4),
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -19,6 +19,7 @@
 from standins.raw_caller import Caller
 from standins.unframed_upstream import UnframedUpstream
 
+PART_TOKENS = 100
 READY_TIMEOUT_S = 15.0
 POLL_INTERVAL_S = 0.05
 FIRST_PEER_PORT = 7600
@@ -251,10 +252,21 @@
 
 
 def build_request(
-    request_id: str, path: str = SAFE, *, key: str = "key-1", body: bytes = b"hello"
+    request_id: str,
+    path: str = SAFE,
+    *,
+    key: str = "key-1",
+    body: bytes = b"hello",
+    parts: cabc.Sequence[str] = (),
 ) -> bytes:
-    """Return the bytes of one request of a caller."""
+    """Return the bytes of one request of a caller.
+
+    :param parts: the ids of the parts of its prompt, in order.
+    """
+    prompt = ",".join(f"{part}:{PART_TOKENS}" for part in parts)
+    tokens = f"X-Token-Usage: {PART_TOKENS * len(parts)},20\r\n" if parts else ""
+    stated = f"X-Prompt-Prefix: {prompt}\r\n{tokens}" if parts else ""
     return (
         f"POST {path}x HTTP/1.1\r\nHost: care.example\r\nX-Request-Id: {request_id}\r\n"
-        f"X-Deadline-Ms: 4000\r\nApi-Key: {key}\r\nContent-Length: {len(body)}\r\n\r\n"
+        f"X-Deadline-Ms: 4000\r\nApi-Key: {key}\r\n{stated}Content-Length: {len(body)}\r\n\r\n"
     ).encode() + body
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -1,11 +1,13 @@
 """Stand-in for an upstream on the users' platform."""
 
 import asyncio
+import collections.abc as cabc
 import dataclasses
 import itertools
 import time
 
 from cassiawalk.http1 import Exchange
+from cassiawalk.http1 import Headers
 from cassiawalk.http1.heads import header_value
 from standins.platform import PlatformStore
 from standins.platform import StandIn
@@ -16,11 +18,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class UpstreamRun:
-    """A request at an upstream, and when it arrived, in monotonic seconds."""
+    """A request at an upstream, with the parts of its prompt.
+
+    ``at`` is when it arrived, in monotonic seconds.
+    """
 
     request_id: str
     body: bytes
     at: float
+    parts: tuple[str, ...] = ()
 
 
 class PlatformUpstream(StandIn):
@@ -35,6 +41,9 @@
     :param events: the number of events in a stream.
     :param event_s: the time between two events, in seconds.
     :param crash_on: a request whose body contains this crashes it; None for no request.
+    :param crash_on_parts: a request with one of these parts in its prompt crashes it.
+    :param crash_after_events: how many events of such an answer are sent before the crash.
+    :param prefill_s: the time until the head of an answer to a prompt, in seconds.
     :param down_s: how long it is down after a crash; it comes back with a new id.
     """
 
@@ -50,6 +59,9 @@
         events: int = 5,
         event_s: float = 0.02,
         crash_on: bytes | None = None,
+        crash_on_parts: cabc.Container[str] = (),
+        crash_after_events: int = 0,
+        prefill_s: float = 0.0,
         down_s: float = 1.5,
     ) -> None:
         super().__init__()
@@ -59,6 +71,9 @@
         self._events = events
         self._event_s = event_s
         self._crash_on = crash_on
+        self._crash_on_parts = crash_on_parts
+        self._crash_after_events = crash_after_events
+        self._prefill_s = prefill_s
         self._down_s = down_s
         self._crash: asyncio.Task[None] | None = None
         self.upstream_id = f"i-{next(self._numbers)}"
@@ -130,7 +145,12 @@
             return
         request_id = header_value(exchange.headers, b"x-request-id") or b""
         echoed = (b"X-Request-Id", request_id)
-        run = UpstreamRun(request_id=request_id.decode(), body=exchange.body, at=time.monotonic())
+        run = UpstreamRun(
+            request_id=request_id.decode(),
+            body=exchange.body,
+            at=time.monotonic(),
+            parts=_parts(exchange),
+        )
         self.arrivals.append(run)
         if header_value(exchange.headers, b"x-expect-instance") != self.upstream_id.encode():
             exchange.answer(421, [echoed], b"")
@@ -148,12 +168,31 @@
             echoed,
             (b"X-Response-Seal", f"{self.upstream_id}.{request_id.decode()}".encode()),
         ]
-        if b"/stream/" not in exchange.target:
+        if run.parts:
+            await asyncio.sleep(self._prefill_s)
+        crashes = any(part in self._crash_on_parts for part in run.parts)
+        if b"/stream/" in exchange.target:
+            await self._stream(exchange, headers, crashes=crashes)
+        elif crashes:
+            self.crash()
+        else:
             exchange.answer(200, headers, exchange.body)
-            return
+
+    async def _stream(self, exchange: Exchange, headers: Headers, *, crashes: bool) -> None:
         exchange.send_head(200, [*headers, (b"Content-Type", b"text/event-stream")])
         first = int(header_value(exchange.headers, b"last-event-id") or b"0") + 1
         for number in range(first, self._events + 1):
+            if crashes and number - first >= self._crash_after_events:
+                self.crash()
+                return
             exchange.send_data(b"id: %d\ndata: piece %d\n\n" % (number, number))
             await asyncio.sleep(self._event_s)
         exchange.finish()
+
+
+def _parts(exchange: Exchange) -> tuple[str, ...]:
+    """Return the ids of the parts of a request's prompt, in order."""
+    value = header_value(exchange.headers, b"x-prompt-prefix")
+    if not value:
+        return ()
+    return tuple(part.strip().partition(b":")[0].decode() for part in value.split(b","))
