Refuse the part of a prompt under which upstreams die

What callers saw: requests with one part in common crashed upstreams one after the other; nobody was served. Cause: the crash guard knows one identity, the digest of a whole request. Requests that share a part and nothing else never meet twice. Class of fault: one identity stands for the cause. Change: each host tells all others what it lost at a process that died, by the shared parts of the prompts and how far each answer had come. Parts that nothing tells apart are refused only together; a complete answer without some of them narrows the verdict. Requests are held from the accusation on and refused from the verdict on; both come from what all hosts share and from the store.

--- a/src/cassiawalk/crashes/__init__.py
+++ b/src/cassiawalk/crashes/__init__.py
@@ -7,5 +7,6 @@
 from cassiawalk.crashes.isolation import IsolatedRun as IsolatedRun
 from cassiawalk.crashes.leases import IsolationLeaseCall as IsolationLeaseCall
 from cassiawalk.crashes.leases import IsolationLeases as IsolationLeases
+from cassiawalk.crashes.parts import PartGuard as PartGuard
 from cassiawalk.crashes.quarantine import QuarantinePublisher as QuarantinePublisher
 from cassiawalk.crashes.quarantine import SharedNotesOnly as SharedNotesOnly
--- a/src/cassiawalk/crashes/evidence.py
+++ b/src/cassiawalk/crashes/evidence.py
@@ -14,6 +14,7 @@
 from cassiawalk.ids import HostId
 from cassiawalk.peer import Note
 from cassiawalk.peer import NoteTopic
+from cassiawalk.peer.notes import VERDICTS
 
 SUSPICION_S = 600.0
 MAX_FINGERPRINTS = 4096
@@ -133,8 +134,11 @@
     return f"{fingerprint}{_SEPARATOR}{process}"
 
 
-def fingerprint_in(note: Note) -> Fingerprint | None:
-    """Return the request that a note is about, or None if it is about an upstream."""
-    if note.topic is NoteTopic.SUSPECT_REQUEST:
-        return Fingerprint(note.name.partition(_SEPARATOR)[0])
-    return Fingerprint(note.name) if note.topic is NoteTopic.QUARANTINE else None
+def record_key(note: Note) -> str | None:
+    """Return the key under which a note is stored, or None if it is not.
+
+    The notes about one request are stored together, and so are those about one process that died.
+    """
+    if note.topic in (NoteTopic.SUSPECT_REQUEST, NoteTopic.LOST_PARTS):
+        return note.name.partition(_SEPARATOR)[0]
+    return note.name if note.topic in VERDICTS else None
--- a/src/cassiawalk/crashes/guard.py
+++ b/src/cassiawalk/crashes/guard.py
@@ -225,12 +225,22 @@
 
     def note_leaving(self, upstream: GuardedUpstream) -> None:
         """Withdraw the death of an upstream that turns out to have left."""
-        process = upstream.process
-        self._deaths.remove(process)
+        self._deaths.remove(upstream.process)
+        self.note_explained(upstream.process)
+        self._notify_changed()
+
+    def note_explained(self, process: str) -> None:
+        """Withdraw a death from all requests, as its cause is known."""
         blamed = self._evidence.blamed_for(process)
         if blamed:
             self.spawn(self._explain(process, blamed), name=f"explain-{process}")
-        self._notify_changed()
+
+    async def isolate(self, request: GuardedRequest, *, left_s: float) -> IsolatedRun | None:
+        """Return an isolated run for a request against which no death stands, if there can be one.
+
+        :param left_s: the time that is left until the request's deadline, in seconds.
+        """
+        return await self._isolated_runs.try_acquire(request, limit_s=left_s)
 
     async def confirm_death(
         self, upstream: GuardedUpstream, *, timeout_s: float = DEATH_CONFIRM_TIMEOUT_S
--- a/src/cassiawalk/ingress/forwarder.py
+++ b/src/cassiawalk/ingress/forwarder.py
@@ -147,11 +147,18 @@
     async def _attempt(self, job: Job, placement: Placement) -> tuple[AttemptEnd, str]:
         """Make one attempt; return how it ended and why it failed."""
         attempt = self._new_attempt(job, placement)
+        answer = self._screening.follow(job, attempt.trace)
+        end: AttemptEnd | None = None
         try:
             end = await attempt.run()
         except asyncio.CancelledError:
+            job.progress = attempt.trace.progress(self._clock.monotonic())
             self._screening.note_unanswered(job, placement.upstream)
             raise
+        finally:
+            whole = end is AttemptEnd.DELIVERED and job.succeeded
+            self._screening.note_ended(answer, whole=whole)
+        job.progress = attempt.trace.progress(self._clock.monotonic())
         self._report.note_attempt(job, placement, end, attempt.trace)
         self._note_speed(job, placement, attempt.trace)
         if end is AttemptEnd.DELIVERED and job.succeeded:
--- a/src/cassiawalk/ingress/job.py
+++ b/src/cassiawalk/ingress/job.py
@@ -3,6 +3,9 @@
 import dataclasses
 import functools
 
+from cassiawalk.crashes.losses import Parts
+from cassiawalk.crashes.losses import Progress
+from cassiawalk.crashes.losses import part_keys
 from cassiawalk.fingerprint import fingerprint
 from cassiawalk.http1 import Exchange
 from cassiawalk.http1 import Headers
@@ -41,6 +44,7 @@
     :param buffered: the last complete answer; it is sent if no later attempt succeeds.
     :param sent_status: the status in the head that was sent to the caller as it arrived.
     :param sent_events: whether events of a stream were sent to the caller.
+    :param progress: how far the answer of the last attempt had come when it ended.
     :param tried: upstreams whose attempt failed.
     """
 
@@ -59,6 +63,7 @@
     buffered: BufferedAnswer | None = None
     sent_status: int | None = None
     sent_events: bool = False
+    progress: Progress = Progress.WAITING
     tried: set[UpstreamId] = dataclasses.field(default_factory=set)
     events: EventSplitter = dataclasses.field(default_factory=EventSplitter)
 
@@ -74,6 +79,11 @@
         caller = b"" if self.workspace_name is None else self.workspace_name.encode()
         return fingerprint((self.route.host, exchange.target, caller, exchange.body))
 
+    @functools.cached_property
+    def shared_parts(self) -> Parts:
+        """Return the parts of the prompt that other requests may have too, in no order."""
+        return part_keys(part.part_id for part in self.demand.shared_prefix)
+
     @property
     def workspace_name(self) -> WorkspaceName | None:
         """Return the name of the caller's workspace."""
--- a/src/cassiawalk/ingress/outcome.py
+++ b/src/cassiawalk/ingress/outcome.py
@@ -3,24 +3,12 @@
 import dataclasses
 import enum
 
-BEGINNING_S = 0.5
+from cassiawalk.crashes.losses import BEGINNING_S
+from cassiawalk.crashes.losses import Progress
 from cassiawalk.http1 import Ending
 from cassiawalk.http1 import Framing
 
 
-class Progress(enum.Enum):
-    """How far an answer had come.
-
-    - WAITING: nothing of it had come.
-    - BEGINNING: its head had come, and its first event less than ``BEGINNING_S`` s ago or not yet.
-    - RUNNING: it had gone on for longer.
-    """
-
-    WAITING = "waiting"
-    BEGINNING = "beginning"
-    RUNNING = "running"
-
-
 class AttemptEnd(enum.Enum):
     """How an attempt ended, and what this says about the request.
 
--- a/src/cassiawalk/ingress/report.py
+++ b/src/cassiawalk/ingress/report.py
@@ -8,6 +8,7 @@
 
 from cassiawalk._histogram import LabelledHistogram
 from cassiawalk.clock import Clock
+from cassiawalk.crashes.verdicts import VerdictChange
 from cassiawalk.http1 import Exchange
 from cassiawalk.ids import WorkspaceName
 from cassiawalk.ingress.codec import Demand
@@ -45,6 +46,9 @@
         self._answers = self._counter(
             "cassiawalk_ingress_answers", "Upstreams' answers, by framing and how they ended."
         )
+        self._verdicts = self._counter(
+            "cassiawalk_crash_verdicts", "Verdicts on parts of prompts, by what happened to them."
+        )
         self._first_seconds = self._histogram(
             "cassiawalk_ingress_first_seconds", "Time to the head or first event of an answer."
         )
@@ -79,7 +83,7 @@
             revision=job.revision,
             fingerprint=job.fingerprint if end.answer_lost else None,
             parts=[part.part_id for part in job.demand.shared_prefix] if end.answer_lost else None,
-            progress=trace.progress(self._clock.monotonic()).value,
+            progress=job.progress.value,
             upstream=placement.upstream.upstream_id,
             expected_first_s=round(placement.first_s, 4),
             first_s=None if trace.first_s is None else round(trace.first_s, 4),
@@ -118,6 +122,10 @@
             age_s=round(self._clock.monotonic() - exchange.received_at, 4),
         )
 
+    def note_verdict(self, change: VerdictChange) -> None:
+        """Count what happened to a verdict on parts of prompts."""
+        self._verdicts.inc({"change": change.value})
+
     def note_cut(self, job: Job, refusal: Refusal) -> None:
         """Count and log an answer that was cut off after its head had been sent."""
         self._cut.inc({"route": job.route.name})
--- a/src/cassiawalk/ingress/screening.py
+++ b/src/cassiawalk/ingress/screening.py
@@ -8,10 +8,14 @@
 from cassiawalk.clock import Clock
 from cassiawalk.crashes import CrashGuard
 from cassiawalk.crashes import IsolatedRun
+from cassiawalk.crashes import PartGuard
 from cassiawalk.crashes.evidence import RecordedDeath
+from cassiawalk.crashes.parts import RunningAnswer
+from cassiawalk.crashes.verdicts import Verdict
 from cassiawalk.ids import FailureDomain
 from cassiawalk.ids import UpstreamId
 from cassiawalk.ingress.job import Job
+from cassiawalk.ingress.outcome import AnswerTrace
 from cassiawalk.results import Execution
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
@@ -27,19 +31,24 @@
 LAST_UPSTREAM_HOLD_S = 15.0
 ISOLATION_WAIT_S = 0.3
 PROBE_WAIT_S = 0.3
+HELD_RETRY_S = 1.0
 SILENCE_JUDGEMENT_S = 6.0  # until the entry of an upstream that fell silent is gone
 
 
 class Screening(Component):
     """Connects the forwarder to the crash guard."""
 
-    def __init__(self, *, guard: CrashGuard, directory: Directory, clock: Clock) -> None:
+    def __init__(
+        self, *, guard: CrashGuard, parts: PartGuard, directory: Directory, clock: Clock
+    ) -> None:
         self._guard = guard
+        self._parts = parts
         self._directory = directory
         self._clock = clock
         self._probes: dict[str, asyncio.Task[bool | None]] = {}
         directory.add_departure_listener(self._note_departure)
         directory.add_leaving_listener(guard.note_leaving)
+        directory.add_leaving_listener(parts.note_leaving)
 
     async def admit(self, job: Job) -> IsolatedRun | Refusal | None:
         """Return None if the request may be sent, an isolated run if only in that, or a refusal."""
@@ -49,12 +58,56 @@
         return admitted
 
     async def _screen(self, job: Job) -> IsolatedRun | Refusal | None:
+        if not self._parts.is_idle and job.shared_parts:
+            admitted = await self._screen_parts(job)
+            if admitted is not None:
+                return admitted
         refusal = self._guard.refusal(job) or self._hold(job)
         if refusal is not None:
             return refusal
         left_s = max(0.0, job.ends_at - self._clock.monotonic())
         return await self._guard.screen(job, left_s=left_s, wait_s=ISOLATION_WAIT_S)
 
+    async def _screen_parts(self, job: Job) -> IsolatedRun | Refusal | None:
+        """Return a refusal if a part of the prompt crashes upstreams, or a run that tries it."""
+        verdict = self._parts.verdict_against(job.shared_parts)
+        if verdict is not None:
+            if not job.may_have_run and await self._parts.take_trial(verdict):
+                left_s = max(0.0, job.ends_at - self._clock.monotonic())
+                run = await self._guard.isolate(job, left_s=left_s)
+                if run is not None:
+                    return run
+            return Refusal(code=ResultCode.QUARANTINED, detail=self._verdict_detail(verdict))
+        if self._parts.is_held(job.shared_parts):
+            detail = "upstreams died running requests with a part of this prompt"
+            return Refusal(code=ResultCode.SUSPECT, detail=detail, retry_after_s=HELD_RETRY_S)
+        return None
+
+    def _verdict_detail(self, verdict: Verdict) -> str:
+        age_s = self._clock.wall() - verdict.at_s
+        return (
+            f"{len(verdict.processes)} upstreams died running requests with "
+            f"{', '.join(sorted(verdict.parts))} in their prompts "
+            f"({', '.join(verdict.processes)}), told by {verdict.reporter} {age_s:.1f} s ago"
+        )
+
+    def follow(self, job: Job, trace: AnswerTrace) -> RunningAnswer | None:
+        """Follow an attempt with a prompt until ``note_ended``."""
+        if not job.shared_parts:
+            return None
+        answer = RunningAnswer(
+            parts=job.shared_parts,
+            sent_at_s=self._clock.wall(),
+            progress=lambda: trace.progress(self._clock.monotonic()),
+        )
+        self._parts.note_began(answer)
+        return answer
+
+    def note_ended(self, answer: RunningAnswer | None, *, whole: bool) -> None:
+        """Record that an attempt has ended, with a complete answer or without."""
+        if answer is not None:
+            self._parts.note_ended(answer, whole=whole)
+
     def deaths_in(self, job: Job) -> cabc.Set[FailureDomain]:
         """Return the failure domains in which upstreams died under the request."""
         return {death.failure_domain for death in self._guard.blamed_deaths(job.fingerprint)}
@@ -78,9 +131,9 @@
         """
         if upstream.is_leaving:
             return True
-        self._guard.note_lost(job, upstream)
+        self._note_lost_at(job, upstream)
         if upstream.leaving:  # its entry is gone already, without an announcement
-            self._guard.note_death(upstream)
+            self._note_death(upstream)
             return False
         return await self._is_alive(upstream, wait_s=PROBE_WAIT_S)
 
@@ -100,14 +153,14 @@
         """Record that the wait for an answer was given up, as that of an upstream gone silent."""
         if upstream.is_leaving:
             return
-        self._guard.note_lost(job, upstream)
+        self._note_lost_at(job, upstream)
         if upstream.leaving:
-            self._guard.note_death(upstream)
+            self._note_death(upstream)
 
     def note_superseded(self, upstream: Upstream) -> None:
         """Record that another process answers at an upstream's address: it is gone."""
         if self._guard.has_lost(upstream):
-            self._guard.note_death(upstream)
+            self._note_death(upstream)
 
     async def end_isolated_run(
         self, run: IsolatedRun, job: Job, lost_upstream: Upstream | None
@@ -135,12 +188,21 @@
     async def _probe(self, upstream: Upstream) -> bool | None:
         is_alive = await upstream.pool.probe()
         if is_alive is False:
-            self._guard.note_death(upstream)
+            self._note_death(upstream)
         return is_alive
 
     def _note_departure(self, upstream: Upstream) -> None:
         if self._guard.has_lost(upstream):
-            self._guard.note_death(upstream)
+            self._note_death(upstream)
+
+    def _note_lost_at(self, job: Job, upstream: Upstream) -> None:
+        self._guard.note_lost(job, upstream)
+        if job.shared_parts:
+            self._parts.note_lost(job.shared_parts, job.progress, upstream)
+
+    def _note_death(self, upstream: Upstream) -> None:
+        self._guard.note_death(upstream)
+        self._parts.note_death(upstream)
 
     def _hold(self, job: Job) -> Refusal | None:
         """Return a refusal if it is too early for an isolated run of the request."""
--- a/src/cassiawalk/ingressnode/crashparts.py
+++ b/src/cassiawalk/ingressnode/crashparts.py
@@ -9,7 +9,10 @@
 from cassiawalk.crashes import CrashGuard
 from cassiawalk.crashes import IsolationLeaseCall
 from cassiawalk.crashes import IsolationLeases
+from cassiawalk.crashes import PartGuard
 from cassiawalk.crashes import SharedNotesOnly
+from cassiawalk.crashes.notes import CrashNotes
+from cassiawalk.crashes.verdicts import VerdictChange
 from cassiawalk.fleet.correctedtime import CorrectedClock
 from cassiawalk.fleet.correctedtime import CorrectedTime
 from cassiawalk.fleet.heartbeats import HeartbeatExchange
@@ -19,6 +22,7 @@
 from cassiawalk.ingress.screening import ISOLATE_AFTER_DEATHS
 from cassiawalk.ingress.screening import Screening
 from cassiawalk.membership import Membership
+from cassiawalk.membership.rendezvous import rank
 from cassiawalk.peer import NoteStore
 from cassiawalk.peer import PeerLinks
 from cassiawalk.peer import PeerServer
@@ -44,6 +48,7 @@
         heartbeats: HeartbeatExchange,
         links: PeerLinks,
         time: CorrectedTime,
+        on_verdict: cabc.Callable[[VerdictChange], None],
         clock: Clock,
     ) -> None:
         self._clock = CorrectedClock(clock=clock, time=time)
@@ -72,7 +77,19 @@
             isolate_after=ISOLATE_AFTER_DEATHS,
             settle_s=0.0,
         )
-        self.screening = Screening(guard=self._guard, directory=directory, clock=self._clock)
+        notes = CrashNotes(note_store=self._store, sharing=self.exchange, clock=self._clock)
+        self._parts = PartGuard(
+            host=host,
+            notes=notes,
+            clock=self._clock,
+            on_explained=self._guard.note_explained,
+            on_change=on_verdict,
+            may_try=lambda name: rank(name, {host, *membership.all_entries()})[0] == host,
+        )
+        self._store.add_listener(self._parts.note_changed)
+        self.screening = Screening(
+            guard=self._guard, parts=self._parts, directory=directory, clock=self._clock
+        )
 
     def serve(self, server: PeerServer) -> None:
         """Register the handlers of other hosts' calls."""
@@ -101,4 +118,4 @@
             rng=rng,
         )
         add_check(follower.check_turn)
-        return [self.exchange, follower, self._guard, self.screening]
+        return [self.exchange, follower, self._guard, self._parts, self.screening]
--- a/src/cassiawalk/ingressnode/node.py
+++ b/src/cassiawalk/ingressnode/node.py
@@ -191,6 +191,7 @@
             heartbeats=self.heartbeats,
             links=self.links,
             time=self.time,
+            on_verdict=self.report.note_verdict,
             clock=self._clock,
         )
         self.crashes.serve(self.peer_server)
--- a/src/cassiawalk/peer/notes.py
+++ b/src/cassiawalk/peer/notes.py
@@ -16,6 +16,12 @@
     SUSPECT_REQUEST = "suspect request"
     ISOLATED_RUN = "solo run"
     QUARANTINE = "quarantine"
+    LOST_PARTS = "lost parts"
+    SURVIVING_PARTS = "surviving parts"
+    REFUSED_PARTS = "refused parts"
+
+
+VERDICTS = frozenset((NoteTopic.QUARANTINE, NoteTopic.REFUSED_PARTS))
 
 
 NoteKey = tuple[NoteTopic, str]
@@ -55,7 +61,7 @@
     ``version`` grows with each change.
 
     :param limit: the maximum number of notes; beyond it, the note that was added first is dropped,
-        a quarantine only if there is nothing else.
+        a verdict only if there is nothing else.
     """
 
     def __init__(self, *, clock: Clock, limit: int = MAX_NOTES) -> None:
@@ -108,5 +114,5 @@
         return True
 
     def _first_dispensable(self) -> NoteKey:
-        others = (key for key in self._notes if key[0] is not NoteTopic.QUARANTINE)
+        others = (key for key in self._notes if key[0] not in VERDICTS)
         return next(others, None) or next(iter(self._notes))
--- a/src/cassiawalk/storeview/suspects.py
+++ b/src/cassiawalk/storeview/suspects.py
@@ -1,6 +1,8 @@
 """Keeps notes about crashing requests in the store, for hosts that no other host can tell."""
 
+import asyncio
 import collections
+import contextlib
 import dataclasses
 import random
 
@@ -11,13 +13,13 @@
 from cassiawalk.clients import KeyedLog
 from cassiawalk.clients import KeyedRecord
 from cassiawalk.clock import Clock
-from cassiawalk.crashes.evidence import fingerprint_in
+from cassiawalk.crashes.evidence import record_key
 from cassiawalk.errors import WireError
 from cassiawalk.fleet.notes import NoteExchange
-from cassiawalk.ids import Fingerprint
 from cassiawalk.peer import Note
 from cassiawalk.peer import NoteStore
 from cassiawalk.peer import NoteTopic
+from cassiawalk.peer.notes import VERDICTS
 from cassiawalk.storeview.follow import ReadOptions
 from cassiawalk.storeview.follow import StreamFollower
 from cassiawalk.wire import from_plain
@@ -27,18 +29,20 @@
 WRITE_INTERVAL_S = 1.0
 MIN_DEATHS = 2  # a request with fewer is forgotten without harm
 
+_ALWAYS_STORED = VERDICTS | {NoteTopic.LOST_PARTS}
+
 NoteVersion = tuple[str, float]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SuspectRecord:
-    """All that is known about one suspect request."""
+    """All that is known about one suspect request, one death, or one verdict."""
 
     notes: tuple[Note, ...]
 
 
 class SuspectFollower(StreamFollower):
-    """Reads the records of suspect requests, and writes what they lack.
+    """Reads the records of suspects and verdicts, and writes what they lack.
 
     Only hosts that read the store write. A record that an outage or an older copy of the store
     lost is written again, since it is compared with this host's notes.
@@ -57,8 +61,14 @@
         super().__init__(log=log, options=options, clock=clock, rng=rng)
         self._store = store
         self._exchange = exchange
-        self._stored: dict[Fingerprint, frozenset[NoteVersion]] = {}
+        self._stored: dict[str, frozenset[NoteVersion]] = {}
         self._reads = 0
+        self._is_urgent = asyncio.Event()
+        store.add_listener(self._note_changed)
+
+    def _note_changed(self, note: Note) -> None:
+        if note.topic in VERDICTS:
+            self._is_urgent.set()
 
     async def start(self) -> None:
         """Start reading and writing."""
@@ -67,20 +77,17 @@
 
     def apply_record(self, record: KeyedRecord) -> None:
         """Merge the notes of a record."""
-        fingerprint = Fingerprint(record.key)
         if record.value is None:
-            self._stored.pop(fingerprint, None)
+            self._stored.pop(record.key, None)
             return
         try:
             notes = from_plain(SuspectRecord, load(record.value)).notes
         except (WireError, AttributeError, TypeError, ValueError) as exc:
-            eliot.log_message(
-                message_type="suspects:unreadable", fingerprint=record.key, reason=str(exc)
-            )
+            eliot.log_message(message_type="suspects:unreadable", key=record.key, reason=str(exc))
             return
         self._reads += 1
-        self._stored[fingerprint] = _versions(notes)
-        self.spawn(self._exchange.share(notes), name=f"stored-{fingerprint}")
+        self._stored[record.key] = _versions(notes)
+        self.spawn(self._exchange.share(notes), name=f"stored-{record.key}")
 
     def apply_list(self, batch: KeyedList) -> None:
         """Forget what a complete list lacks, so that it is written again."""
@@ -93,7 +100,10 @@
 
     async def _write(self) -> None:
         while True:
-            await self._clock.sleep(WRITE_INTERVAL_S * (0.5 + self._rng.random()))
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(WRITE_INTERVAL_S * (0.5 + self._rng.random())):
+                    await self._is_urgent.wait()
+            self._is_urgent.clear()
             if self._next is not None and self._options.should_read():
                 await self.write_missing()
 
@@ -101,25 +111,25 @@
         """Write the records that lack notes of this host; remove those that have expired."""
         if self._store.is_empty() and not self._stored:
             return
-        known = self._notes_by_request()
-        for fingerprint in [name for name in self._stored if name not in known]:
-            if await self._log.put(stream=self._options.stream, key=fingerprint, value=None):
-                self._stored.pop(fingerprint, None)
-        for fingerprint, notes in known.items():
+        known = self._notes_by_key()
+        for key in [name for name in self._stored if name not in known]:
+            if await self._log.put(stream=self._options.stream, key=key, value=None):
+                self._stored.pop(key, None)
+        for key, notes in known.items():
             versions = _versions(notes)
-            stored = self._stored.get(fingerprint)
+            stored = self._stored.get(key)
             if versions == stored or (stored is None and not _is_worth_storing(notes)):
                 continue
             record = cbor2.dumps(to_plain(SuspectRecord(notes=tuple(notes))))
-            if await self._log.put(stream=self._options.stream, key=fingerprint, value=record):
-                self._stored[fingerprint] = versions
+            if await self._log.put(stream=self._options.stream, key=key, value=record):
+                self._stored[key] = versions
 
-    def _notes_by_request(self) -> dict[Fingerprint, list[Note]]:
+    def _notes_by_key(self) -> dict[str, list[Note]]:
         found = collections.defaultdict(list)
         for note in self._store.notes().values():
-            fingerprint = fingerprint_in(note)
-            if fingerprint is not None:
-                found[fingerprint].append(note)
+            key = record_key(note)
+            if key is not None:
+                found[key].append(note)
         return found
 
 
@@ -128,6 +138,6 @@
 
 
 def _is_worth_storing(notes: list[Note]) -> bool:
-    """Return whether a request is quarantined or has enough deaths against it."""
+    """Return whether notes tell a verdict, losses by parts, or enough deaths of one request."""
     deaths = sum(note.topic is NoteTopic.SUSPECT_REQUEST and bool(note.items) for note in notes)
-    return deaths >= MIN_DEATHS or any(note.topic is NoteTopic.QUARANTINE for note in notes)
+    return deaths >= MIN_DEATHS or any(note.topic in _ALWAYS_STORED for note in notes)
--- a/tests/crash_fakes.py
+++ b/tests/crash_fakes.py
@@ -9,6 +9,8 @@
 from cassiawalk.clients import KeyedLog
 from cassiawalk.clients import KeyedRecord
 from cassiawalk.clients import ReadFailed
+from cassiawalk.crashes.losses import Parts
+from cassiawalk.crashes.losses import Progress
 from cassiawalk.ids import Fingerprint
 from cassiawalk.ids import Offset
 from cassiawalk.ids import RequestId
@@ -95,6 +97,8 @@
     ends_at: float
     service: ServiceName = SERVICE
     may_have_run: bool = False
+    shared_parts: Parts = frozenset()
+    progress: Progress = Progress.WAITING
 
 
 @dataclasses.dataclass
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -79,6 +79,7 @@
             heartbeats=self.heartbeats,
             links=links,
             time=self._time,
+            on_verdict=lambda _: None,
             clock=clock,
         )
         self.handlers: dict[type, t.Any] = {Heartbeat: self.heartbeats.handle}
