Test which part is blamed, and fleets of up to 195 hosts with a crashing part

15 cases of the decision alone, 20 of fleets on virtual time: kills in turn and all at once, freezes, cuts, the store in trouble and from an older copy, an hour of requests, a false verdict that a trial lifts, two parts at once. Red while written: survivals beyond the kept number counted as none (a popular part accused after 20 deaths); a trial in the same instant as its verdict did not lift it. Both mended here.

--- a/src/cassiawalk/crashes/blame.py
+++ b/src/cassiawalk/crashes/blame.py
@@ -26,8 +26,9 @@
 SAME_FAILURE_S = 0.03  # deaths in one domain so close to each other have one cause
 SUSPICION_S = 600.0
 MAX_DEATHS = 256
-MAX_WATCHED_PARTS = 16384
-MAX_SURVIVALS_KEPT = 8
+MAX_WATCHED_PARTS = 4096
+MAX_SURVIVALS_KEPT = 16  # for each part, each for this long:
+SURVIVAL_STEP_S = 0.25
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -127,7 +128,12 @@
         """Count requests of this host with these parts that survived."""
         for part in self.watched(parts):
             kept = self._own.setdefault(part, collections.deque(maxlen=MAX_SURVIVALS_KEPT))
-            kept.append(survival)
+            last = kept[-1] if kept else None
+            is_near = last is not None and survival.at_s - last.at_s < SURVIVAL_STEP_S
+            if last is not None and is_near and last.whole == survival.whole:
+                kept[-1] = dataclasses.replace(last, count=last.count + survival.count)
+            else:
+                kept.append(survival)
 
     def note_told(self, part: PartId, host: HostId, survival: Survival) -> None:
         """Replace what another host tells of requests with a part that survived."""
@@ -248,11 +254,17 @@
     def _excess(self, part: PartId, deaths: cabc.Sequence[_Death], *, whole: bool = False) -> int:
         """Return by how many the last deaths exceed the survivals since the first of them.
 
-        Of all numbers of last deaths, that one counts for which it is greatest.
+        Of all numbers of last deaths, that one counts for which it is greatest; deaths are left
+        out from whose time survivals are not kept.
         """
-        numbered = enumerate(reversed(deaths), start=1)
+        own = list(self._own.get(part, ()))
+        since_s = own[0].at_s if len(own) == MAX_SURVIVALS_KEPT else 0.0
+        recent = [death for death in reversed(deaths) if death.at_s >= since_s]
         return max(
-            (count - self._survivals(part, death.at_s, whole=whole) for count, death in numbered),
+            (
+                count - self._survivals(part, death.at_s, whole=whole)
+                for count, death in enumerate(recent, start=1)
+            ),
             default=0,
         )
 
--- a/src/cassiawalk/crashes/parts.py
+++ b/src/cassiawalk/crashes/parts.py
@@ -233,7 +233,7 @@
                 self._narrow(verdict, verdict.parts - answer.parts)
                 continue
             self._contradictions[verdict.parts] += 1
-            is_later = answer.sent_at_s > verdict.at_s
+            is_later = answer.sent_at_s >= verdict.at_s
             if is_later or self._contradictions[verdict.parts] >= CONTRADICTIONS:
                 del self._contradictions[verdict.parts]
                 self._lift(verdict)
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -11,6 +11,7 @@
 
 from cassiawalk.clock import LoopClock
 from cassiawalk.crashes import IsolatedRun
+from cassiawalk.crashes.losses import Progress
 from cassiawalk.fingerprint import fingerprint
 from cassiawalk.fleet.correctedtime import CorrectedTime
 from cassiawalk.fleet.heartbeat import Heartbeat
@@ -18,11 +19,11 @@
 from cassiawalk.fleet.hosts import HostRegistry
 from cassiawalk.fleet.hosts import entry_of
 from cassiawalk.ids import FailureDomain
-from cassiawalk.ids import Fingerprint
 from cassiawalk.ids import HostId
 from cassiawalk.ids import Offset
 from cassiawalk.ids import RequestId
 from cassiawalk.ids import UpstreamId
+from cassiawalk.ingress.outcome import AnswerTrace
 from cassiawalk.ingressnode.crashparts import CrashParts
 from cassiawalk.membership import Membership
 from cassiawalk.peer import PeerFailure
@@ -34,6 +35,7 @@
 from cassiawalk.storeview.directory import Registration
 from cassiawalk.storeview.directory import Upstream
 from cassiawalk.storeview.follow import ReadOptions
+from cassiawalk.storeview.promptparts import PartId
 from tests.crash_fakes import LINK_DELAY_S
 from tests.crash_fakes import SERVICE
 from tests.crash_fakes import FakeJob
@@ -159,6 +161,8 @@
 class CrashFleet:
     """Hosts and upstreams; a request whose body is in ``crashing`` crashes the upstream it runs on.
 
+    So does one with one of ``crashing_parts`` in its prompt.
+
     ``runs`` has the time and body of each run, ``crashes`` the time and body of each crash, and
     ``refusals`` the code of each refusal by body. Hosts in ``isolated`` are cut off from all
     others, those in ``frozen`` besides take no requests. With ``silent_crashes``, crashed upstreams
@@ -180,6 +184,7 @@
         self._domains = domains
         self.rng = random.Random(1)
         self.crashing: set[bytes] = set()
+        self.crashing_parts: set[PartId] = set()
         self.silent_crashes = False
         self.runs: list[tuple[float, bytes]] = []
         self.crashes: list[tuple[float, bytes]] = []
@@ -221,10 +226,18 @@
         connected = [name for name in self.hosts if name not in self.isolated]
         return host in self.isolated or host in connected[:2]
 
-    async def send(self, host: HostId, body: bytes, *, upstream: str | None = None) -> bool:
+    async def send(
+        self,
+        host: HostId,
+        body: bytes,
+        *,
+        upstream: str | None = None,
+        parts: cabc.Iterable[str] = (),
+    ) -> bool:
         """Send a request through a host; return whether it was answered with success.
 
         :param upstream: the upstream to run on; by default one at random.
+        :param parts: the shared parts of its prompt.
         """
         process = self.hosts[host]
         now = asyncio.get_running_loop().time()
@@ -232,6 +245,7 @@
             request_id=RequestId(f"q-{next(self.numbers)}"),
             fingerprint=fingerprint([body]),
             ends_at=now + 2.0,
+            shared_parts=frozenset(PartId(part) for part in parts),
         )
         screening = process.parts.screening
         admitted = await screening.admit(t.cast(t.Any, job))
@@ -244,20 +258,19 @@
         if isinstance(admitted, IsolatedRun):
             avoided = screening.deaths_in(t.cast(t.Any, job))
             chosen = min(usable, key=lambda found: found.failure_domain in avoided)
-            return await self._run_alone(process, job, admitted, chosen)
+            return await self._run_alone(process, job, body, admitted, chosen)
         chosen = next((found for found in usable if found.upstream_id == upstream), None)
         chosen = chosen or self.rng.choice(usable)
         return await self._run(process, job, body, chosen)
 
     async def _run_alone(
-        self, process: CrashHost, job: FakeJob, run: IsolatedRun, chosen: Upstream
+        self, process: CrashHost, job: FakeJob, body: bytes, run: IsolatedRun, chosen: Upstream
     ) -> bool:
         lost: Upstream | None = None
         run.start()
         try:
             if not await run.reserve(chosen):
                 return False
-            body = next(self._body_of(job.fingerprint))
             ok = await self._run(process, job, body, chosen, alone=True)
             lost = None if ok else chosen
             return ok
@@ -265,10 +278,6 @@
             ending = process.parts.screening.end_isolated_run(run, t.cast(t.Any, job), lost)
             process.parts.screening.spawn(ending, name="end")
 
-    def _body_of(self, wanted: Fingerprint) -> cabc.Iterator[bytes]:
-        bodies = {*self.crashing, *(body for _, body in self.runs)}
-        return (body for body in bodies if fingerprint([body]) == wanted)
-
     async def _run(
         self,
         process: CrashHost,
@@ -281,15 +290,20 @@
         loop = asyncio.get_running_loop()
         pool = t.cast(FakePool, chosen.pool)
         self.runs.append((loop.time(), body))
+        screening = process.parts.screening
+        trace = AnswerTrace()
+        answer = screening.follow(t.cast(t.Any, job), trace)
         await asyncio.sleep(LINK_DELAY_S)
-        if body in self.crashing and pool.alive:
+        crashes = body in self.crashing or job.shared_parts & self.crashing_parts
+        job.progress = Progress.BEGINNING
+        if crashes and pool.alive:
             self.crashes.append((loop.time(), body))
             self.crash(chosen.upstream_id)
         for _ in range(10):
             if not pool.alive:
                 break
             await asyncio.sleep(RUN_S / 10)
-        screening = process.parts.screening
+        screening.note_ended(answer, whole=pool.alive)
         if pool.alive:
             screening.note_completed(t.cast(t.Any, job))
             return True
--- /dev/null
+++ b/tests/test_blame.py
@@ -0,0 +1,214 @@
+"""Which part of prompts is blamed for the deaths of upstreams."""
+
+import typing as t
+
+import pytest
+
+from cassiawalk.crashes.blame import CERTAIN_DEATHS
+from cassiawalk.crashes.blame import EARLY_EXCESS
+from cassiawalk.crashes.blame import LATE_SETTLE_S
+from cassiawalk.crashes.blame import MAX_DEATHS
+from cassiawalk.crashes.blame import SUSPICION_S
+from cassiawalk.crashes.blame import WHOLE_EXCESS
+from cassiawalk.crashes.blame import PartBlame
+from cassiawalk.crashes.blame import Survival
+from cassiawalk.crashes.losses import Losses
+from cassiawalk.crashes.losses import LostRequest
+from cassiawalk.crashes.losses import Parts
+from cassiawalk.crashes.losses import Progress
+from cassiawalk.ids import FailureDomain
+from cassiawalk.ids import HostId
+from cassiawalk.storeview.promptparts import PartId
+
+GAP_S = 0.3
+START_S = 1000.0
+
+
+def _parts(*names: str) -> Parts:
+    return frozenset(PartId(name) for name in names)
+
+
+class Case:
+    """A blame with a clock that goes on with each death."""
+
+    def __init__(self) -> None:
+        self.blame = PartBlame()
+        self.now_s = START_S
+        self._deaths = 0
+
+    def die(
+        self,
+        *lost: tuple[str, ...],
+        progress: Progress = Progress.BEGINNING,
+        after_s: float = GAP_S,
+        **changes: t.Any,
+    ) -> None:
+        self.now_s += after_s
+        self._deaths += 1
+        requests = [LostRequest(parts=_parts(*parts), progress=progress) for parts in lost]
+        fields = {
+            "process": f"u-{self._deaths}",
+            "failure_domain": FailureDomain("here"),
+            "reporter": HostId("h-1"),
+            "at_s": self.now_s,
+            "requests": frozenset(requests),
+        }
+        self.blame.note_losses(Losses(**{**fields, **changes}), self.now_s)
+
+    def survive(self, *parts: str, count: int = 1, whole: bool = True) -> None:
+        survival = Survival(at_s=self.now_s + GAP_S / 2, count=count, whole=whole)
+        self.blame.note_survived(_parts(*parts), survival)
+
+    def accused(self, *verdicts: Parts) -> list[set[str]]:
+        found = self.blame.accuse(verdicts, self.now_s)
+        return [set(accusation.parts) for accusation in found]
+
+
+@pytest.mark.parametrize("position", [0, 1, 2])
+def test_part_that_all_deaths_share_is_accused_wherever_it_stands(position: int) -> None:
+    case = Case()
+    for number in range(EARLY_EXCESS):
+        others = ["common", f"topic-{number}"]
+        others.insert(position, "bad")
+        case.die(tuple(others))
+        case.survive("common", count=2)
+    assert case.accused() == [{"bad"}]
+
+
+def test_fewer_deaths_accuse_nothing() -> None:
+    case = Case()
+    for _ in range(EARLY_EXCESS - 1):
+        case.die(("bad",))
+    assert case.accused() == []
+
+
+def test_parts_that_nothing_tells_apart_are_accused_together() -> None:
+    case = Case()
+    for _ in range(EARLY_EXCESS):
+        case.die(("common", "bad"))
+    assert case.accused() == [{"common", "bad"}]
+
+
+def test_part_is_accused_alone_once_it_kills_without_its_companion() -> None:
+    case = Case()
+    for _ in range(EARLY_EXCESS):
+        case.die(("common", "bad"))
+    case.survive("common", count=9)
+    verdict = _parts("common", "bad")
+    assert case.accused(verdict) == []
+    case.die(("another", "bad"))
+    assert case.accused(verdict) == [{"bad"}]
+
+
+def test_part_in_other_requests_that_waited_there_is_not_accused() -> None:
+    case = Case()
+    for number in range(EARLY_EXCESS):
+        case.die(("bad",), progress=Progress.BEGINNING)
+        case.blame.note_losses(
+            Losses(
+                process=f"u-{number + 1}",
+                failure_domain=FailureDomain("here"),
+                reporter=HostId("h-2"),
+                at_s=case.now_s,
+                requests=frozenset(
+                    [LostRequest(parts=_parts("unlucky"), progress=Progress.WAITING)]
+                ),
+            ),
+            case.now_s,
+        )
+    assert case.accused() == [{"bad"}]
+    assert case.accused(_parts("bad")) == []
+
+
+def test_rivals_in_other_requests_are_accused_only_after_more_deaths() -> None:
+    case = Case()
+    for _ in range(CERTAIN_DEATHS - 1):
+        case.die(("one",), ("other",))
+    assert case.accused() == []
+    case.die(("one",), ("other",))
+    assert case.accused() == [{"one"}, {"other"}]
+
+
+def test_two_parts_at_once_are_both_found() -> None:
+    case = Case()
+    for _ in range(EARLY_EXCESS):
+        case.die(("common", "bad"))
+        case.die(("common", "worse"))
+        case.survive("common", count=3)
+    first = case.accused()
+    assert len(first) <= 1 or first == [{"bad"}, {"worse"}]
+    found = case.accused(_parts("bad"))
+    assert found == [{"worse"}]
+
+
+def test_popular_part_is_not_accused_while_upstreams_die_by_themselves() -> None:
+    case = Case()
+    for _ in range(20):
+        case.die(("popular",))
+        case.survive("popular", count=2)
+    assert case.accused() == []
+
+
+def test_survivals_that_another_host_tells_count() -> None:
+    case = Case()
+    for _ in range(EARLY_EXCESS):
+        case.die(("popular",))
+    told = Survival(at_s=case.now_s, count=2, whole=True)
+    case.blame.note_told(PartId("popular"), HostId("h-2"), told)
+    assert case.accused() == []
+
+
+def test_part_that_only_some_upstreams_die_of_is_accused_later() -> None:
+    case = Case()
+    for _ in range(2 * EARLY_EXCESS):
+        case.die(("bad",))
+        case.die(("bad",))
+        case.survive("bad")
+    assert case.accused() == [{"bad"}]
+
+
+def test_part_that_kills_late_in_the_stream_is_accused_although_streams_begin() -> None:
+    case = Case()
+    for _ in range(WHOLE_EXCESS):
+        case.die(("common", "bad"), progress=Progress.RUNNING)
+        case.survive("common", "bad", count=3, whole=False)
+        case.survive("common", count=2, whole=True)
+    assert case.accused() == []
+    case.now_s += LATE_SETTLE_S
+    assert case.accused() == [{"bad"}]
+
+
+def test_deaths_of_a_domain_at_one_moment_count_once() -> None:
+    case = Case()
+    for _ in range(8):
+        case.die(("popular",), after_s=0.001)
+    assert case.accused() == []
+
+
+def test_withdrawn_losses_count_no_more() -> None:
+    case = Case()
+    for _ in range(EARLY_EXCESS):
+        case.die(("bad",))
+    case.die(process="u-1", after_s=0.0)
+    assert case.accused() == []
+
+
+def test_acquitted_part_needs_new_deaths() -> None:
+    case = Case()
+    for _ in range(EARLY_EXCESS):
+        case.die(("innocent",))
+    case.blame.acquit(_parts("innocent"), case.now_s)
+    assert case.accused() == []
+    for _ in range(EARLY_EXCESS):
+        case.die(("innocent",))
+    assert case.accused() == [{"innocent"}]
+
+
+def test_deaths_are_kept_in_bounds_of_number_and_time() -> None:
+    case = Case()
+    for number in range(2 * MAX_DEATHS):
+        case.die((f"part-{number}",), after_s=0.01)
+    assert not case.blame.watched(_parts("part-0"))
+    assert case.blame.watched(_parts(f"part-{2 * MAX_DEATHS - 1}"))
+    case.die(("last",), after_s=SUSPICION_S + 1.0)
+    assert not case.blame.watched(_parts(f"part-{2 * MAX_DEATHS - 1}"))
--- /dev/null
+++ b/tests/test_part_fleet.py
@@ -0,0 +1,187 @@
+"""What a whole fleet of hosts does with requests that have a crashing part in common."""
+
+import asyncio
+import collections.abc as cabc
+import itertools
+
+import pytest
+
+from cassiawalk.ids import HostId
+from cassiawalk.results import ResultCode
+from cassiawalk.storeview.promptparts import PartId
+from tests.crash_fakes import StoreTrouble
+from tests.crash_fleet import CrashFleet
+from tests.part_callers import CRASHES_ALLOWED
+from tests.part_callers import MAX_LATE_ARRIVALS
+from tests.part_callers import STABILITY_S
+
+pytestmark = pytest.mark.looptime
+
+BAD = "bad"
+COMMON = "common"
+BLAMED = (ResultCode.QUARANTINED, ResultCode.SUSPECT, ResultCode.CRASHED_UPSTREAM)
+
+
+class PartRequests:
+    """Requests with a crashing part, none alike, and others that have all else in common.
+
+    ``arrivals`` has the times at which crashing ones reached upstreams.
+    """
+
+    def __init__(self, fleet: CrashFleet) -> None:
+        fleet.crashing_parts.add(PartId(BAD))
+        self._fleet = fleet
+        self._numbers = itertools.count()
+
+    async def repeat(
+        self, hosts: cabc.Sequence[HostId], *, for_s: float, every_s: float, bad: bool
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + for_s
+        tasks = []
+        for host in itertools.cycle(hosts):
+            if loop.time() >= ends_at:
+                break
+            if host in self._fleet.hosts and host not in self._fleet.frozen:
+                tasks.append(asyncio.create_task(self._send(host, bad=bad)))
+            await asyncio.sleep(every_s)
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _send(self, host: HostId, *, bad: bool) -> bool:
+        number = next(self._numbers)
+        kind, parts = ("bad", (COMMON, BAD)) if bad else ("sound", (COMMON, f"t-{number % 5}"))
+        return await self._fleet.send(host, f"{kind} {number}".encode(), parts=parts)
+
+    async def play(self, *, for_s: float, every_s: float = 0.15) -> None:
+        """Send both kinds through all hosts."""
+        names = list(self._fleet.hosts)
+        await asyncio.gather(
+            self.repeat(names, for_s=for_s, every_s=every_s, bad=True),
+            self.repeat(names, for_s=for_s, every_s=every_s / 3, bad=False),
+        )
+
+    def late_arrivals(self) -> int:
+        """Return how many reached upstreams after the fifth crash had to be known."""
+        crashes = [at for at, _ in self._fleet.crashes]
+        if len(crashes) < CRASHES_ALLOWED:
+            return 0
+        known_at = crashes[CRASHES_ALLOWED - 1] + STABILITY_S
+        return sum(at > known_at for at, body in self._fleet.runs if body.startswith(b"bad"))
+
+    def blamed_sound(self) -> int:
+        """Return how many of the other requests were refused for a crash."""
+        return sum(
+            body.startswith(b"sound") and code in BLAMED for body, code in self._fleet.refusals
+        )
+
+
+@pytest.mark.parametrize(("hosts", "for_s"), [(4, 40.0), (9, 40.0), (89, 15.0), (195, 12.0)])
+async def test_requests_at_all_hosts_stay_in_bound(hosts: int, for_s: float) -> None:
+    async with CrashFleet(hosts=hosts, upstreams=8) as fleet:
+        requests = PartRequests(fleet)
+        await requests.play(for_s=for_s)
+        assert len(fleet.crashes) >= 3
+        assert requests.late_arrivals() <= MAX_LATE_ARRIVALS
+        assert requests.blamed_sound() == 0
+
+
+@pytest.mark.parametrize(("hosts", "for_s"), [(7, 30.0), (89, 14.0)])
+async def test_requests_stay_in_bound_while_hosts_are_killed_in_turn(
+    hosts: int, for_s: float
+) -> None:
+    async with CrashFleet(hosts=hosts, upstreams=8) as fleet:
+        requests = PartRequests(fleet)
+        playing = asyncio.create_task(requests.play(for_s=for_s))
+        for name in itertools.islice(itertools.cycle(list(fleet.hosts)), int(for_s / 1.5) - 1):
+            await asyncio.sleep(1.5)
+            await fleet.restart(name)
+        await playing
+        assert requests.late_arrivals() <= MAX_LATE_ARRIVALS
+
+
+@pytest.mark.parametrize("at_s", [0.5, 1.0, 3.0, 8.0])
+async def test_requests_stay_in_bound_after_all_hosts_were_killed(at_s: float) -> None:
+    async with CrashFleet(hosts=7, upstreams=8) as fleet:
+        requests = PartRequests(fleet)
+        playing = asyncio.create_task(requests.play(for_s=25.0))
+        await asyncio.sleep(at_s)
+        await asyncio.gather(*(fleet.restart(name) for name in list(fleet.hosts)))
+        await playing
+        assert requests.late_arrivals() <= MAX_LATE_ARRIVALS
+
+
+@pytest.mark.parametrize("trouble", StoreTrouble)
+async def test_requests_stay_in_bound_while_the_store_is_in_trouble(trouble: StoreTrouble) -> None:
+    async with CrashFleet(hosts=7, upstreams=8) as fleet:
+        for host in fleet.hosts.values():
+            host.log.trouble = trouble
+        requests = PartRequests(fleet)
+        await requests.play(for_s=25.0)
+        assert requests.late_arrivals() <= MAX_LATE_ARRIVALS
+        assert requests.blamed_sound() == 0
+
+
+async def test_requests_stay_in_bound_when_the_store_returns_from_an_older_copy() -> None:
+    async with CrashFleet(hosts=7, upstreams=8) as fleet:
+        requests = PartRequests(fleet)
+        await requests.play(for_s=8.0)
+        assert fleet.streams.records["suspects"]
+        fleet.streams.records["suspects"].clear()
+        fleet.streams.era += 1
+        await asyncio.sleep(8.0)
+        await asyncio.gather(*(fleet.restart(name) for name in list(fleet.hosts)))
+        await asyncio.sleep(3.0)
+        await requests.play(for_s=10.0)
+        assert requests.late_arrivals() <= MAX_LATE_ARRIVALS
+
+
+async def test_requests_stay_in_bound_at_a_host_that_is_cut_off_from_its_peers() -> None:
+    async with CrashFleet(hosts=7, upstreams=8) as fleet:
+        names = list(fleet.hosts)
+        requests = PartRequests(fleet)
+        fleet.isolated.add(names[4])
+        await asyncio.sleep(STABILITY_S)
+        await requests.repeat(names[:4], for_s=5.0, every_s=0.15, bad=True)
+        await requests.repeat(names, for_s=30.0, every_s=0.15, bad=True)
+        assert requests.late_arrivals() <= MAX_LATE_ARRIVALS
+
+
+async def test_requests_stay_in_bound_while_hosts_freeze_in_turn() -> None:
+    async with CrashFleet(hosts=7, upstreams=8) as fleet:
+        requests = PartRequests(fleet)
+        playing = asyncio.create_task(requests.play(for_s=25.0))
+        for name in list(fleet.hosts)[:5]:
+            fleet.frozen.add(name)
+            await asyncio.sleep(4.0)
+            fleet.frozen.discard(name)
+        await playing
+        assert requests.late_arrivals() <= MAX_LATE_ARRIVALS
+
+
+async def test_requests_stay_in_bound_for_an_hour() -> None:
+    async with CrashFleet(hosts=4, upstreams=8) as fleet:
+        requests = PartRequests(fleet)
+        await requests.play(for_s=10.0)
+        names = list(fleet.hosts)
+        await requests.repeat(names, for_s=3600.0, every_s=5.0, bad=True)
+        assert requests.late_arrivals() <= MAX_LATE_ARRIVALS
+
+
+async def test_false_verdict_is_lifted_by_a_trial() -> None:
+    async with CrashFleet(hosts=4, upstreams=8) as fleet:
+        requests = PartRequests(fleet)
+        await requests.play(for_s=5.0)
+        fleet.crashing_parts.clear()
+        names = list(fleet.hosts)
+        await requests.repeat(names, for_s=15.0, every_s=0.3, bad=True)
+        assert await fleet.send(names[0], b"bad again", parts=(COMMON, BAD))
+
+
+async def test_two_crashing_parts_at_once_are_both_found() -> None:
+    async with CrashFleet(hosts=7, upstreams=12) as fleet:
+        requests = PartRequests(fleet)
+        fleet.crashing_parts.add(PartId("t-3"))
+        await requests.play(for_s=25.0)
+        assert requests.late_arrivals() <= MAX_LATE_ARRIVALS
+        late = [at for at, _ in fleet.crashes if at > fleet.crashes[0][0] + 2 * STABILITY_S]
+        assert len(late) <= 2  # trials of the two verdicts
