Send nothing to upstreams that say they leave or ask for time

Cause: neither header was read; what an upstream says of itself came by its entry only. Change: both are decoded once, in platform/availability.py. An upstream that says that it leaves is leaving for this host from then on, whatever its entry states, until another process has the address or id. Both hold for new requests, retries, resumed streams, isolated runs and those that wait for a connection. If all upstreams of a service ask for time, callers are refused at once, not run, and return spread over half of that time. A pause is no reason to order another upstream. Other hosts are told nothing: each hears it from the upstream itself, so that a false statement costs no more than it said.

--- a/benchmarks/fleet_simulation.py
+++ b/benchmarks/fleet_simulation.py
@@ -20,9 +20,9 @@
 from cassiawalk.ingress.placement import Placement
 from cassiawalk.ingress.placement import Placer
 from cassiawalk.storeview.directory import Directory
-from cassiawalk.storeview.directory import Presence
-from cassiawalk.storeview.directory import Registration
-from cassiawalk.storeview.directory import Upstream
+from cassiawalk.storeview.upstream import Presence
+from cassiawalk.storeview.upstream import Registration
+from cassiawalk.storeview.upstream import Upstream
 
 SERVICE = ServiceName("models")
 HEARTBEAT_INTERVAL_S = 0.5
--- a/benchmarks/plain_load.py
+++ b/benchmarks/plain_load.py
@@ -15,8 +15,8 @@
 from cassiawalk.ids import RequestId
 from cassiawalk.ids import UpstreamId
 from cassiawalk.ingress.codec import Demand
-from cassiawalk.storeview.directory import Presence
-from cassiawalk.storeview.directory import Upstream
+from cassiawalk.storeview.upstream import Presence
+from cassiawalk.storeview.upstream import Upstream
 
 WORK_SPREAD = 0.5  # sigma of the log-normal distribution of work
 
--- a/benchmarks/prompt_load.py
+++ b/benchmarks/prompt_load.py
@@ -20,10 +20,10 @@
 from cassiawalk.ids import RequestId
 from cassiawalk.ids import UpstreamId
 from cassiawalk.ingress.codec import Demand
-from cassiawalk.storeview.directory import Presence
-from cassiawalk.storeview.directory import Upstream
 from cassiawalk.storeview.promptparts import PartId
 from cassiawalk.storeview.promptparts import PromptPart
+from cassiawalk.storeview.upstream import Presence
+from cassiawalk.storeview.upstream import Upstream
 
 RECLAIM_NOTICE_S = 2.0
 
--- a/src/cassiawalk/demand/scaling.py
+++ b/src/cassiawalk/demand/scaling.py
@@ -12,7 +12,7 @@
 from cassiawalk.storeview.config import ScalingBounds
 from cassiawalk.storeview.config import ServiceConfig
 from cassiawalk.storeview.directory import Directory
-from cassiawalk.storeview.directory import Upstream
+from cassiawalk.storeview.upstream import Upstream
 
 DEFAULT_SLOTS = 64
 DIRECTORY_SETTLE_S = 5.0  # by then, all live upstreams have written their entries
@@ -81,7 +81,7 @@
     registrations = [
         found.registration
         for found in upstreams
-        if found.registration.failure_domain == domain and found.takes_work
+        if found.registration.failure_domain == domain and found.serves
     ]
     reclaimable = sum(registration.reclaimable for registration in registrations)
     return DomainState(reclaimable=reclaimable, on_demand=len(registrations) - reclaimable)
--- a/src/cassiawalk/ingress/attempt.py
+++ b/src/cassiawalk/ingress/attempt.py
@@ -23,6 +23,7 @@
 from cassiawalk.ingress.placement import Placement
 from cassiawalk.ingress.report import IngressReport
 from cassiawalk.ingress.screening import Screening
+from cassiawalk.storeview.directory import Directory
 
 # Answers up to this size, other than streams, are sent to the caller only if they are complete.
 MAX_BUFFERED_ANSWER_BYTES = 262144
@@ -51,8 +52,10 @@
         clock: Clock,
         report: IngressReport,
         screening: Screening,
+        directory: Directory,
     ) -> None:
         self._screening = screening
+        self._directory = directory
         self._job = job
         self._upstream = placement.upstream
         self._placement = placement
@@ -74,7 +77,7 @@
             conn = await upstream.pool.acquire()
             if not upstream.is_usable:
                 self.trace.reason = (
-                    "the upstream began to leave while a connection was being opened"
+                    "the upstream began to leave, or asked for time, while a connection was opened"
                 )
                 return AttemptEnd.UNSENT
             self._send(conn)
@@ -156,6 +159,7 @@
             return self._broken(head)
         assert isinstance(head, AnswerHead)
         metadata = self._codec.parse_answer_head(head.status, head.headers)
+        self._note_availability(metadata)
         if metadata.load is not None:
             self._upstream.load.note_reported_load(metadata.load)
         if metadata.not_run or metadata.wrong_upstream:
@@ -170,6 +174,19 @@
         self._note_started()
         return await self._forward_buffered(conn, head)
 
+    def _note_availability(self, metadata: AnswerMetadata) -> None:
+        """Act on what the upstream says of the requests it still wants."""
+        upstream = self._upstream
+        if metadata.unreadable:
+            self._report.note_unreadable(upstream, metadata.unreadable)
+        if metadata.wrong_upstream:
+            return
+        if metadata.leaving and not upstream.said_leaving:
+            self._report.note_said_leaving(self._job, upstream)
+            self._directory.note_said_leaving(upstream)
+        if metadata.pause_s > 0.0 and upstream.pause.note_asked(metadata.pause_s):
+            self._report.note_pause(self._job, upstream, metadata.pause_s)
+
     async def _read_refusal(
         self, conn: UpstreamConnection, head: AnswerHead, metadata: AnswerMetadata
     ) -> AttemptEnd:
--- a/src/cassiawalk/ingress/codec.py
+++ b/src/cassiawalk/ingress/codec.py
@@ -71,6 +71,10 @@
     :param not_run: whether the upstream states that it has not run the request.
     :param wrong_upstream: whether another upstream than the addressed one has answered.
     :param load: the upstream's load, if stated.
+    :param leaving: whether the upstream states that it leaves.
+    :param pause_s: for how long the upstream wants no request of this host, in seconds; 0 if it
+        states nothing.
+    :param unreadable: the headers with values that are ignored as they can't be read.
     """
 
     request_id: RequestId | None
@@ -78,6 +82,9 @@
     not_run: bool
     wrong_upstream: bool
     load: ReportedLoad | None
+    leaving: bool = False
+    pause_s: float = 0.0
+    unreadable: tuple[str, ...] = ()
 
 
 class HeadCodec(abc.ABC):
--- a/src/cassiawalk/ingress/forwarder.py
+++ b/src/cassiawalk/ingress/forwarder.py
@@ -1,6 +1,7 @@
 """Forwards callers' requests to upstreams and retries them as their routes allow."""
 
 import asyncio
+import random
 
 import eliot
 
@@ -28,10 +29,12 @@
 from cassiawalk.results import Execution
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
-from cassiawalk.storeview.directory import Upstream
+from cassiawalk.storeview.directory import Directory
+from cassiawalk.storeview.upstream import Upstream
 
 NO_UPSTREAM_RETRY_S = 0.4
 FULL_RETRY_S = 0.3
+MIN_RETURN_SPREAD_S = 0.5  # over which callers return when upstreams want requests again
 
 
 class Forwarder(Component, ExchangeHandler):
@@ -49,8 +52,12 @@
         meter: DemandMeter,
         speeds: PrefillSpeeds,
         screening: Screening,
+        directory: Directory,
+        rng: random.Random,
     ) -> None:
         self._screening = screening
+        self._directory = directory
+        self._rng = rng
         self._meter = meter
         self._speeds = speeds
         self._intake = intake
@@ -192,6 +199,7 @@
             clock=self._clock,
             report=self._report,
             screening=self._screening,
+            directory=self._directory,
         )
 
     def _may_retry(self, job: Job, end: AttemptEnd) -> bool:
@@ -214,6 +222,11 @@
         return False
 
     def _no_upstream(self, job: Job) -> Refusal:
+        pause_s = self._directory.pause_left_s(job.service)
+        if pause_s is not None:
+            detail = f"all upstreams of {job.service} ask for time, {pause_s:.1f} s at least"
+            spread_s = self._rng.uniform(0.0, max(MIN_RETURN_SPREAD_S, pause_s / 2))
+            return self._unanswered(job, ResultCode.QUEUE_FULL, detail, pause_s + spread_s)
         detail = f"no upstream of {job.service} accepts requests"
         return self._unanswered(job, ResultCode.NO_UPSTREAM, detail, NO_UPSTREAM_RETRY_S)
 
--- a/src/cassiawalk/ingress/holders.py
+++ b/src/cassiawalk/ingress/holders.py
@@ -8,8 +8,8 @@
 
 from cassiawalk.ids import UpstreamId
 from cassiawalk.membership.rendezvous import rank
-from cassiawalk.storeview.directory import Upstream
 from cassiawalk.storeview.promptparts import PromptPart
+from cassiawalk.storeview.upstream import Upstream
 
 MIN_FETCH_TOKENS = 1000  # prefilling fewer tokens is faster than fetching them
 # A former holder must have started at least this long before the chosen engine.
--- a/src/cassiawalk/ingress/placement.py
+++ b/src/cassiawalk/ingress/placement.py
@@ -18,7 +18,7 @@
 from cassiawalk.ingress.refusing import PLAIN_RAMP
 from cassiawalk.ingress.spreading import spread
 from cassiawalk.storeview.directory import Directory
-from cassiawalk.storeview.directory import Upstream
+from cassiawalk.storeview.upstream import Upstream
 
 PREFILL_TOKENS_PER_S = 50_000.0
 # Prefilling a shared part again also delays the requests behind it and evicts other cached parts.
--- a/src/cassiawalk/ingress/refusing.py
+++ b/src/cassiawalk/ingress/refusing.py
@@ -8,7 +8,7 @@
 import collections.abc as cabc
 import dataclasses
 
-from cassiawalk.storeview.directory import Upstream
+from cassiawalk.storeview.upstream import Upstream
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/cassiawalk/ingress/report.py
+++ b/src/cassiawalk/ingress/report.py
@@ -17,9 +17,12 @@
 from cassiawalk.ingress.outcome import AttemptEnd
 from cassiawalk.ingress.placement import Placement
 from cassiawalk.results import Refusal
+from cassiawalk.storeview.upstream import Upstream
 
 LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.4, 2.5, 5.0, 10.0, 60.0]
 
+MAX_UNREADABLE_LINES = 100  # of one process
+
 StartListener = cabc.Callable[[WorkspaceName], None]
 
 
@@ -46,6 +49,13 @@
         self._answers = self._counter(
             "cassiawalk_ingress_answers", "Upstreams' answers, by framing and how they ended."
         )
+        self._said_leaving = self._counter(
+            "cassiawalk_upstream_said_leaving", "Upstreams that said in an answer that they leave."
+        )
+        self._pauses = self._counter(
+            "cassiawalk_upstream_pauses", "Times for which upstreams asked for no requests."
+        )
+        self._unreadable_lines = 0
         self._verdicts = self._counter(
             "cassiawalk_crash_verdicts", "Verdicts on parts of prompts, by what happened to them."
         )
@@ -122,6 +132,37 @@
             age_s=round(self._clock.monotonic() - exchange.received_at, 4),
         )
 
+    def note_said_leaving(self, job: Job, upstream: Upstream) -> None:
+        """Count and log that an upstream says in an answer that it leaves."""
+        self._said_leaving.inc({"service": job.service})
+        eliot.log_message(
+            message_type="upstream:said-leaving",
+            request_id=job.request_id,
+            upstream=upstream.upstream_id,
+        )
+
+    def note_pause(self, job: Job, upstream: Upstream, asked_s: float) -> None:
+        """Count and log that an upstream wants no requests of this host for a time."""
+        self._pauses.inc({"service": job.service})
+        eliot.log_message(
+            message_type="upstream:asked-for-time",
+            request_id=job.request_id,
+            upstream=upstream.upstream_id,
+            asked_s=asked_s,
+            left_s=round(upstream.pause.left_s, 3),
+        )
+
+    def note_unreadable(self, upstream: Upstream, headers: tuple[str, ...]) -> None:
+        """Log headers of an answer that are ignored, up to ``MAX_UNREADABLE_LINES`` times."""
+        self._unreadable_lines += 1
+        if self._unreadable_lines <= MAX_UNREADABLE_LINES:
+            eliot.log_message(
+                message_type="upstream:unreadable",
+                upstream=upstream.upstream_id,
+                headers=list(headers),
+                lines_left=MAX_UNREADABLE_LINES - self._unreadable_lines,
+            )
+
     def note_verdict(self, change: VerdictChange) -> None:
         """Count what happened to a verdict on parts of prompts."""
         self._verdicts.inc({"change": change.value})
--- a/src/cassiawalk/ingress/screening.py
+++ b/src/cassiawalk/ingress/screening.py
@@ -20,7 +20,7 @@
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
 from cassiawalk.storeview.directory import Directory
-from cassiawalk.storeview.directory import Upstream
+from cassiawalk.storeview.upstream import Upstream
 
 # Deaths after which a request runs only in isolation; the next one then convicts it. It has to be
 # refused after its third, and each earlier one may have another cause.
--- a/src/cassiawalk/ingress/spreading.py
+++ b/src/cassiawalk/ingress/spreading.py
@@ -9,7 +9,7 @@
 import collections.abc as cabc
 import random
 
-from cassiawalk.storeview.directory import Upstream
+from cassiawalk.storeview.upstream import Upstream
 
 
 def spread(upstreams: cabc.Sequence[Upstream], rng: random.Random) -> Upstream:
--- a/src/cassiawalk/ingressnode/node.py
+++ b/src/cassiawalk/ingressnode/node.py
@@ -248,6 +248,8 @@
             meter=self.demand,
             speeds=self.speeds,
             screening=self.crashes.screening,
+            directory=self.directory,
+            rng=self._rng,
         )
 
     def _build_followers(self) -> None:
--- a/src/cassiawalk/platform/codec.py
+++ b/src/cassiawalk/platform/codec.py
@@ -11,6 +11,7 @@
 from cassiawalk.ingress.codec import Demand
 from cassiawalk.ingress.codec import HeadCodec
 from cassiawalk.platform import names
+from cassiawalk.platform.availability import read_availability
 from cassiawalk.results import CODES
 from cassiawalk.results import Execution
 from cassiawalk.results import Refusal
@@ -77,12 +78,16 @@
         """Return what an answer's head states."""
         found = {name.lower(): value for name, value in headers}
         request_id = found.get(names.REQUEST_ID)
+        said = read_availability(status, headers)
         return AnswerMetadata(
             request_id=None if request_id is None else RequestId(request_id.decode("latin-1")),
             signed=names.SIGNATURE in found,
             not_run=names.NOT_EXECUTED in found,
             wrong_upstream=status == names.WRONG_UPSTREAM_STATUS,
             load=_load(found.get(names.LOAD)),
+            leaving=said.leaving,
+            pause_s=said.pause_s,
+            unreadable=said.unreadable,
         )
 
     def build_caller_head(self, headers: Headers) -> Headers:
--- a/src/cassiawalk/platform/health.py
+++ b/src/cassiawalk/platform/health.py
@@ -3,9 +3,10 @@
 from cassiawalk.http1 import CallError
 from cassiawalk.http1 import HttpClient
 from cassiawalk.platform import names
-from cassiawalk.storeview.directory import Registration
+from cassiawalk.platform.availability import read_availability
 from cassiawalk.storeview.lapses import UpstreamInquiry
 from cassiawalk.storeview.lapses import UpstreamState
+from cassiawalk.storeview.upstream import Registration
 
 CALL_TIMEOUT_S = 0.6
 
@@ -24,6 +25,8 @@
             client.close()
         if answer.header(names.NOT_EXECUTED) is not None:
             return UpstreamState.UNKNOWN  # too busy for the check
+        if read_availability(answer.status, answer.headers).leaving:
+            return UpstreamState.LEAVING
         is_same = answer.header(names.UPSTREAM_ID) == registration.upstream_id.encode()
         if answer.status == 200 and is_same:
             return UpstreamState.SERVING
--- a/src/cassiawalk/platform/names.py
+++ b/src/cassiawalk/platform/names.py
@@ -45,6 +45,11 @@
 REQUEST_ID_OUT = b"X-Request-Id"
 RETRY_AFTER = b"Retry-After"
 
+LEAVING = b"server-leaving"
+LEAVING_YES = b"1"
+ASKED_PAUSE = b"retry-after"  # in answers of upstreams, with the following status only
+ASKED_PAUSE_STATUS = 503
+
 WRONG_UPSTREAM_STATUS = 421
 
 STORE_ERA = b"store-era"  # rises each time the store has returned from an older copy
--- a/src/cassiawalk/platform/registrations.py
+++ b/src/cassiawalk/platform/registrations.py
@@ -7,8 +7,8 @@
 from cassiawalk.ids import ServiceName
 from cassiawalk.ids import UpstreamId
 from cassiawalk.platform import _fields as fields
-from cassiawalk.storeview.directory import Presence
-from cassiawalk.storeview.directory import Registration
+from cassiawalk.storeview.upstream import Presence
+from cassiawalk.storeview.upstream import Registration
 
 _PRESENCE_OF_STATE = {"ready": Presence.READY, "draining": Presence.LEAVING}
 
--- a/src/cassiawalk/storeview/directory.py
+++ b/src/cassiawalk/storeview/directory.py
@@ -1,21 +1,18 @@
 """The directory of registered upstreams, built from their entries on the platform."""
 
 import collections.abc as cabc
-import dataclasses
-import enum
 import math
 
 import eliot
 
 from cassiawalk.clock import Clock
-from cassiawalk.http1 import ConnectionPool
-from cassiawalk.ids import FailureDomain
 from cassiawalk.ids import Offset
-from cassiawalk.ids import RequestId
 from cassiawalk.ids import ServiceName
 from cassiawalk.ids import UpstreamId
-from cassiawalk.storeview.health import UpstreamHealth
-from cassiawalk.storeview.load import EngineLoad
+from cassiawalk.storeview.upstream import Presence
+from cassiawalk.storeview.upstream import Registration
+from cassiawalk.storeview.upstream import Upstream
+from cassiawalk.storeview.upstream import process_name
 
 # Upstreams renew their entries. In an outage of the source they cannot, and entries of upstreams
 # that still run expire. Both times count from the source's recovery.
@@ -29,97 +26,6 @@
 MIN_LAPSE_GAP_S = 2.0
 
 
-class Presence(enum.Enum):
-    """The state that an upstream reports in its entry."""
-
-    READY = "ready"
-    LEAVING = "leaving"
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Registration:
-    """One upstream's entry.
-
-    :param slots: the number of requests that it runs at once.
-    :param started_ms: when its process started, in milliseconds since the epoch.
-    :param reclaimable: whether the provider may reclaim it (spot) at short notice.
-    :param leaves_s: the seconds from the writing of the entry until it leaves, or None if unknown.
-    """
-
-    upstream_id: UpstreamId
-    service: ServiceName
-    address: str
-    failure_domain: FailureDomain
-    slots: int
-    presence: Presence
-    started_ms: int
-    reclaimable: bool = False
-    leaves_s: float | None = None
-
-
-class Upstream:
-    """One process of an upstream, with this host's connections to it, its load and its health.
-
-    ``leaving`` is also set when its entry is gone; ``leaving_since`` is when it announced that it
-    leaves, in monotonic seconds. ``reserved_for`` is the only request that may be sent to it, or
-    None. ``superseded`` is set once another process has its address. ``usable_until`` is set while
-    its entry may only have expired, in monotonic seconds.
-    """
-
-    def __init__(self, *, registration: Registration, clock: Clock) -> None:
-        self.registration = registration
-        self._clock = clock
-        self.pool = ConnectionPool(address=registration.address)
-        self.load = EngineLoad(clock=clock)
-        self.health = UpstreamHealth(clock=clock)
-        self.leaving = registration.presence is Presence.LEAVING
-        self.leaving_since: float | None = None
-        self.reserved_for: RequestId | None = None
-        self.superseded = False
-        self.usable_until: float | None = None
-
-    @property
-    def upstream_id(self) -> UpstreamId:
-        """Return the upstream's id."""
-        return self.registration.upstream_id
-
-    @property
-    def process(self) -> str:
-        """Return a name of the process; a restarted one may have the same id."""
-        return _process(self.registration)
-
-    @property
-    def failure_domain(self) -> FailureDomain:
-        """Return the upstream's failure domain."""
-        return self.registration.failure_domain
-
-    @property
-    def is_leaving(self) -> bool:
-        """Return whether the upstream has announced that it leaves."""
-        return self.registration.presence is Presence.LEAVING
-
-    @property
-    def is_busy(self) -> bool:
-        """Return whether requests of this host are at the upstream."""
-        return self.load.own > 0
-
-    @property
-    def slots(self) -> int:
-        """Return the number of requests that it runs at once."""
-        return self.registration.slots
-
-    @property
-    def is_usable(self) -> bool:
-        """Return whether a request that was placed on it may still be sent to it."""
-        in_doubt = self.usable_until is not None and self._clock.monotonic() > self.usable_until
-        return not (self.leaving or self.superseded or in_doubt)
-
-    @property
-    def takes_work(self) -> bool:
-        """Return whether new requests may be placed on it."""
-        return self.is_usable and self.reserved_for is None
-
-
 UpstreamListener = cabc.Callable[[Upstream], None]
 
 
@@ -138,6 +44,7 @@
         self._stale: set[UpstreamId] = set()
         self._source_recovered_at: float | None = None
         self._departed: dict[str, float] = {}
+        self._said_leaving: dict[str, None] = {}
         self._is_restored = False
         self._departure_listeners: list[UpstreamListener] = []
         self._leaving_listeners: list[UpstreamListener] = []
@@ -173,6 +80,29 @@
             self._stale.discard(upstream.upstream_id)
             self._discard(upstream.upstream_id)
 
+    def note_said_leaving(self, upstream: Upstream) -> None:
+        """Use an upstream no more, as it has said that it leaves, whatever its entry states.
+
+        A later process at its address, or with its id, is another upstream.
+        """
+        if upstream.said_leaving:
+            return
+        upstream.said_leaving = True
+        self._said_leaving[upstream.process] = None
+        while len(self._said_leaving) > MAX_DEPARTED:
+            del self._said_leaving[next(iter(self._said_leaving))]
+        self._begin_to_leave(upstream)
+
+    def pause_left_s(self, service: ServiceName) -> float | None:
+        """Return when the first upstream wants requests again, if all that serve ask for time.
+
+        The time is in seconds from now; None if one of the upstreams asks for none, or there are
+        none.
+        """
+        serving = [found for found in self._by_service.get(service, ()) if not found.leaving]
+        left_s = min((found.pause.left_s for found in serving), default=0.0)
+        return left_s or None
+
     @property
     def loaded(self) -> bool:
         """Return whether the complete list has been read."""
@@ -297,7 +227,7 @@
         """Return whether an entry is of a process that was seen to leave or to be gone."""
         if known is not None and not _is_other_process(known.registration, entry):
             return known.leaving
-        departed_at = self._departed.get(_process(entry))
+        departed_at = self._departed.get(process_name(entry))
         return departed_at is not None and self._clock.monotonic() - departed_at < DEPARTED_S
 
     def _may_be_expiry(self) -> bool:
@@ -309,11 +239,10 @@
         return self._clock.monotonic() - self._source_recovered_at
 
     def _apply_presence(self, known: Upstream, registration: Registration) -> None:
-        leaving = registration.presence is Presence.LEAVING
+        leaving = known.said_leaving or registration.presence is Presence.LEAVING
         if leaving and not known.leaving:
-            known.leaving_since = self._clock.monotonic()
-            for listener in self._leaving_listeners:
-                listener(known)
+            self._begin_to_leave(known)
+            return
         if leaving != known.leaving:
             eliot.log_message(
                 message_type="directory:presence",
@@ -323,10 +252,25 @@
             )
         known.leaving = leaving
 
+    def _begin_to_leave(self, upstream: Upstream) -> None:
+        upstream.leaving = True
+        upstream.leaving_since = self._clock.monotonic()
+        eliot.log_message(
+            message_type="directory:presence",
+            upstream=upstream.upstream_id,
+            leaving=True,
+            leaves_s=upstream.registration.leaves_s,
+            by_answer=upstream.said_leaving,
+        )
+        for listener in self._leaving_listeners:
+            listener(upstream)
+
     def _replace(self, known: Upstream | None, registration: Registration) -> None:
         if known is not None:
             self._discard(known.upstream_id)
         upstream = Upstream(registration=registration, clock=self._clock)
+        if upstream.process in self._said_leaving:
+            upstream.said_leaving = upstream.leaving = True
         if upstream.leaving:
             upstream.leaving_since = self._clock.monotonic()
         self._supersede_at(registration)
@@ -363,10 +307,6 @@
         eliot.log_message(message_type="directory:gone", upstream=upstream_id)
 
 
-def _process(entry: Registration) -> str:
-    return f"{entry.upstream_id}/{entry.started_ms}"
-
-
 def _is_other_process(known: Registration, new: Registration) -> bool:
     """Return whether two entries with the same id belong to different processes."""
     return (known.started_ms, known.address, known.service) != (
--- a/src/cassiawalk/storeview/followers.py
+++ b/src/cassiawalk/storeview/followers.py
@@ -19,9 +19,9 @@
 from cassiawalk.storeview.config import IngressConfig
 from cassiawalk.storeview.directory import MIN_LAPSE_GAP_S
 from cassiawalk.storeview.directory import Directory
-from cassiawalk.storeview.directory import Registration
 from cassiawalk.storeview.follow import ReadOptions
 from cassiawalk.storeview.follow import StreamFollower
+from cassiawalk.storeview.upstream import Registration
 
 MAX_REMOVALS_KEPT = 256
 # Renewals of one entry in the first read after an outage, from which on the outage was this host's
--- a/src/cassiawalk/storeview/lapses.py
+++ b/src/cassiawalk/storeview/lapses.py
@@ -14,8 +14,8 @@
 from cassiawalk.clock import Clock
 from cassiawalk.storeview.config import ConfigView
 from cassiawalk.storeview.directory import Directory
-from cassiawalk.storeview.directory import Registration
-from cassiawalk.storeview.directory import Upstream
+from cassiawalk.storeview.upstream import Registration
+from cassiawalk.storeview.upstream import Upstream
 
 KEPT_S = 1.0  # half of the time in which no request may reach an upstream that leaves
 ASK_INTERVAL_S = 0.4
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -35,8 +35,10 @@
     ``executed_ids`` and ``workspaces`` list the ids and workspaces of the requests that it ran.
     ``runs`` lists them with their bodies and times, and ``crashed_at`` when it crashed, in
     monotonic seconds. ``arrivals`` lists all requests that reached it, also those that it rejected.
-    While ``refuses`` is set, it rejects each request as not run. ``leaving`` is set once it has
-    announced that it leaves, or has deleted its entry.
+    While ``refuses`` is set, it rejects each request as not run; ``asks_s``, if set, is the time
+    that it asks for then, as written in its answers. ``rejected`` lists these
+    requests. While ``says_leaving`` is set, all of its answers say that it leaves. ``leaving`` is
+    set once it has announced that it leaves, or has deleted its entry.
 
     :param events: the number of events in a stream.
     :param event_s: the time between two events, in seconds.
@@ -84,6 +86,9 @@
         self.runs: list[UpstreamRun] = []
         self.arrivals: list[UpstreamRun] = []
         self.refuses = False
+        self.asks_s: str | None = None
+        self.says_leaving = False
+        self.rejected: list[UpstreamRun] = []
         self.leaving = False
         self.crashed_at: list[float] = []
 
@@ -141,7 +146,8 @@
         """Run one request; 421 if it is meant for another upstream."""
         if exchange.target == HEALTH_PATH.encode():
             status = 503 if self.leaving else 200
-            exchange.answer(status, [(b"X-Instance-Id", self.upstream_id.encode())], b"")
+            answered = [(b"X-Instance-Id", self.upstream_id.encode()), *self._availability()]
+            exchange.answer(status, answered, b"")
             return
         request_id = header_value(exchange.headers, b"x-request-id") or b""
         echoed = (b"X-Request-Id", request_id)
@@ -156,7 +162,9 @@
             exchange.answer(421, [echoed], b"")
             return
         if self.refuses:
-            exchange.answer(503, [echoed, (b"X-Not-Executed", b"1")], b"")
+            self.rejected.append(run)
+            refused = [echoed, (b"X-Not-Executed", b"1"), *self._availability()]
+            exchange.answer(503, refused, b"")
             return
         self.executed_ids.append(run.request_id)
         self.runs.append(run)
@@ -167,6 +175,7 @@
         headers = [
             echoed,
             (b"X-Response-Seal", f"{self.upstream_id}.{request_id.decode()}".encode()),
+            *self._availability(),
         ]
         if run.parts:
             await asyncio.sleep(self._prefill_s)
@@ -178,6 +187,14 @@
         else:
             exchange.answer(200, headers, exchange.body)
 
+    def _availability(self) -> Headers:
+        said: list[tuple[bytes, bytes]] = []
+        if self.says_leaving:
+            said.append((b"Server-Leaving", b"1"))
+        if self.refuses and self.asks_s is not None:
+            said.append((b"Retry-After", self.asks_s.encode()))
+        return said
+
     async def _stream(self, exchange: Exchange, headers: Headers, *, crashes: bool) -> None:
         exchange.send_head(200, [*headers, (b"Content-Type", b"text/event-stream")])
         first = int(header_value(exchange.headers, b"last-event-id") or b"0") + 1
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -31,11 +31,11 @@
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
 from cassiawalk.storeview.directory import Directory
-from cassiawalk.storeview.directory import Presence
-from cassiawalk.storeview.directory import Registration
-from cassiawalk.storeview.directory import Upstream
 from cassiawalk.storeview.follow import ReadOptions
 from cassiawalk.storeview.promptparts import PartId
+from cassiawalk.storeview.upstream import Presence
+from cassiawalk.storeview.upstream import Registration
+from cassiawalk.storeview.upstream import Upstream
 from tests.crash_fakes import LINK_DELAY_S
 from tests.crash_fakes import SERVICE
 from tests.crash_fakes import FakeJob
--- a/tests/ingress_bed.py
+++ b/tests/ingress_bed.py
@@ -53,8 +53,8 @@
 from cassiawalk.storeview.config import Split
 from cassiawalk.storeview.config import WorkspaceConfig
 from cassiawalk.storeview.directory import Directory
-from cassiawalk.storeview.directory import Presence
-from cassiawalk.storeview.directory import Registration
+from cassiawalk.storeview.upstream import Presence
+from cassiawalk.storeview.upstream import Registration
 from standins.raw_caller import Answer as Answer
 from standins.raw_caller import Caller as Caller
 from standins.raw_caller import find_header
@@ -258,6 +258,8 @@
             meter=DemandMeter(clock=clock),
             speeds=PrefillSpeeds(),
             screening=self._screening(),
+            directory=self.directory,
+            rng=random.Random(1),
         )
         self._sock = listen(Address(ip="127.0.0.1", port=0))
         self.listener = HttpListener(
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -9,8 +9,8 @@
 from cassiawalk.storeview.directory import EXPIRY_WINDOW_S
 from cassiawalk.storeview.directory import STALE_GRACE_S
 from cassiawalk.storeview.directory import Directory
-from cassiawalk.storeview.directory import Presence
-from cassiawalk.storeview.directory import Registration
+from cassiawalk.storeview.upstream import Presence
+from cassiawalk.storeview.upstream import Registration
 from tests.fakes import FakeClock
 
 SERVICE = ServiceName("models")
--- a/tests/test_holders.py
+++ b/tests/test_holders.py
@@ -9,11 +9,11 @@
 from cassiawalk.ingress.holders import WARMUP_S
 from cassiawalk.ingress.holders import likely_cache_holder
 from cassiawalk.ingress.holders import rendezvous_order
-from cassiawalk.storeview.directory import Presence
-from cassiawalk.storeview.directory import Registration
-from cassiawalk.storeview.directory import Upstream
 from cassiawalk.storeview.promptparts import PartId
 from cassiawalk.storeview.promptparts import PromptPart
+from cassiawalk.storeview.upstream import Presence
+from cassiawalk.storeview.upstream import Registration
+from cassiawalk.storeview.upstream import Upstream
 from tests.fakes import FakeClock
 
 NAMES = ("u-1", "u-2", "u-3", "u-4")
--- a/tests/test_partial_outage.py
+++ b/tests/test_partial_outage.py
@@ -15,10 +15,10 @@
 from cassiawalk.ids import ServiceName
 from cassiawalk.ids import UpstreamId
 from cassiawalk.storeview.directory import Directory
-from cassiawalk.storeview.directory import Presence
-from cassiawalk.storeview.directory import Registration
 from cassiawalk.storeview.follow import ReadOptions
 from cassiawalk.storeview.followers import DirectoryFollower
+from cassiawalk.storeview.upstream import Presence
+from cassiawalk.storeview.upstream import Registration
 from tests.fakes import FakeClock
 
 SERVICE = ServiceName("models")
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -28,8 +28,8 @@
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
 from cassiawalk.storeview.config import RetryRule
-from cassiawalk.storeview.directory import Presence
 from cassiawalk.storeview.load import ReportedLoad
+from cassiawalk.storeview.upstream import Presence
 
 ROUTE = {
     "name": "r-1",
--- a/tests/test_refusing.py
+++ b/tests/test_refusing.py
@@ -6,7 +6,7 @@
 import pytest
 
 from cassiawalk.ingress.refusing import RefusalRamp
-from cassiawalk.storeview.directory import Upstream
+from cassiawalk.storeview.upstream import Upstream
 
 RAMP = RefusalRamp(begins_at=2.5, ends_at=5.5)
 
--- a/tests/test_spreading.py
+++ b/tests/test_spreading.py
@@ -7,7 +7,7 @@
 import pytest
 
 from cassiawalk.ingress.spreading import spread
-from cassiawalk.storeview.directory import Upstream
+from cassiawalk.storeview.upstream import Upstream
 
 
 def upstream(
--- a/tests/test_unreported_upstreams.py
+++ b/tests/test_unreported_upstreams.py
@@ -8,7 +8,7 @@
 from cassiawalk.ids import Offset
 from cassiawalk.ids import UpstreamId
 from cassiawalk.storeview.config import RetryRule
-from cassiawalk.storeview.directory import Presence
+from cassiawalk.storeview.upstream import Presence
 from tests.ingress_bed import IngressBed
 from tests.ingress_bed import ScriptedUpstream
 from tests.ingress_bed import UpstreamSide
--- a/tests/test_upstream_ends.py
+++ b/tests/test_upstream_ends.py
@@ -10,7 +10,7 @@
 from cassiawalk.ids import Offset
 from cassiawalk.ids import UpstreamId
 from cassiawalk.storeview.config import RetryRule
-from cassiawalk.storeview.directory import Presence
+from cassiawalk.storeview.upstream import Presence
 from tests.answer_ends import answering
 from tests.answer_ends import call
 from tests.ingress_bed import IngressBed
