Let the soak play crashing parts, leaving by answers and time asked for, and check their limits

The soak has a third kind of faults, drawn apart so that seeds keep their runs, and checks both rules on budgets, leaving by answers, and losses as before. A new connection may be accepted by a process whose sockets are being closed; the probe now waits 20 ms for its connection to end and tries once more.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -9,6 +9,7 @@
 # Between the starts of two faults; shorter than most faults, so that faults overlap.
 FAULT_INTERVAL_RANGE_S = (0.05, 1.2)
 FLEET_FAULT_INTERVAL_RANGE_S = (0.3, 2.5)
+UPSTREAM_FAULT_INTERVAL_RANGE_S = (0.5, 3.0)
 
 
 class Fault(enum.Enum):
@@ -60,6 +61,22 @@
     CRASHING_REQUEST = "crashing-request"
 
 
+class UpstreamFault(enum.Enum):
+    """A fault of what upstreams do with requests; drawn apart from the others.
+
+    ``CRASHING_PART`` sends requests whose prompts have a part in common that crashes upstreams.
+    ``SAYS_LEAVING`` makes an upstream say so in its answers, until it starts anew as another one.
+    ``ASKS_FOR_TIME`` makes an upstream turn requests away and ask for time.
+    """
+
+    CRASHING_PART = "crashing-part"
+    SAYS_LEAVING = "says-leaving"
+    ASKS_FOR_TIME = "asks-for-time"
+
+
+AnyFault = Fault | FleetFault | UpstreamFault
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PlannedFault:
     """One fault of a run.
@@ -69,7 +86,7 @@
     """
 
     at_s: float
-    fault: Fault | FleetFault
+    fault: AnyFault
     target: int
     duration_s: float
 
@@ -82,12 +99,14 @@
     planned = _draw(random.Random(seed), list(Fault), FAULT_INTERVAL_RANGE_S, seconds)
     fleet_rng = random.Random(f"fleet {seed}")
     planned += _draw(fleet_rng, list(FleetFault), FLEET_FAULT_INTERVAL_RANGE_S, seconds)
+    upstream_rng = random.Random(f"upstreams {seed}")
+    planned += _draw(upstream_rng, list(UpstreamFault), UPSTREAM_FAULT_INTERVAL_RANGE_S, seconds)
     return sorted(planned, key=lambda item: item.at_s)
 
 
 def _draw(
     rng: random.Random,
-    faults: cabc.Sequence[Fault | FleetFault],
+    faults: cabc.Sequence[AnyFault],
     interval_range_s: tuple[float, float],
     seconds: float,
 ) -> list[PlannedFault]:
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,12 +14,16 @@
 from soak.limits import Departure
 from soak.limits import check_departures
 from soak.limits import check_repeats
+from soak.plan import AnyFault
 from soak.plan import Fault
 from soak.plan import FleetFault
 from soak.plan import PlannedFault
+from soak.plan import UpstreamFault
 from soak.plan import plan_faults
 from soak.record import RunRecord
 from soak.touch import Touch
+from soak.upstreams import CRASHING_PART
+from soak.upstreams import UpstreamFaults
 from standins.platform_fleet import ONCE
 from standins.platform_fleet import SAFE
 from standins.platform_fleet import STREAM
@@ -90,6 +94,9 @@
         self._host_proxies: list[FaultProxy] = []
         self._touch = Touch()
         self._departures: list[Departure] = []
+        self._upstream_faults = UpstreamFaults(
+            fleet=self._fleet, record=self._record, touch=self._touch
+        )
         self._crashes = 0
         self._disrupted_hosts: set[str] = set()
         self._revision = 1
@@ -115,6 +122,7 @@
             return [
                 *self._violations,
                 *check_departures(self._departures, self._record, self._touch),
+                *self._upstream_faults.violations(),
                 *check_repeats(upstreams, [sent.sent_at for sent in requests]),
                 *self._record.violations(
                     upstreams=upstreams, duties=self._fleet.duties.calls, logs=logs
@@ -127,6 +135,7 @@
                 store=self._fleet.store,
                 service="models",
                 crash_on=CRASH_MARK,
+                crash_on_parts={CRASHING_PART},
                 down_s=UPSTREAM_DOWN_S,
             )
             await upstream.start()
@@ -137,6 +146,9 @@
             self._upstream_proxies.append(proxy)
         # Without a proxy, whose open port would hide its deaths.
         await self._fleet.add_unframed_upstream(seed=self._seed, cut_ratio=UNFRAMED_CUT_RATIO)
+        await self._fleet.add_upstream(
+            crash_on=CRASH_MARK, crash_on_parts={CRASHING_PART}, down_s=UPSTREAM_DOWN_S
+        )
         for _ in range(self._size.hosts):
             proxy = await self._start_proxy(self._fleet.store.address, proxies)
             self._store_proxies.append(proxy)
@@ -165,6 +177,10 @@
         if isinstance(planned.fault, FleetFault):
             await self._apply_to_fleet(planned)
             return
+        if isinstance(planned.fault, UpstreamFault):
+            upstream = self._fleet.upstreams[planned.target % len(self._fleet.upstreams)]
+            await self._upstream_faults.apply(planned, upstream)
+            return
         host = self._fleet.hosts[planned.target % len(self._fleet.hosts)]
         upstream = self._fleet.upstreams[planned.target % self._size.upstreams]
         match planned.fault:
@@ -266,7 +282,7 @@
             name = self._fleet.hosts[index].name
         self._touch.add(name, began_at, time.monotonic())
 
-    def _proxies_of(self, fault: Fault | FleetFault) -> list[FaultProxy]:
+    def _proxies_of(self, fault: AnyFault) -> list[FaultProxy]:
         if isinstance(fault, FleetFault):
             return self._host_proxies
         is_store = fault.value.startswith("store")
@@ -309,7 +325,7 @@
         self._touch.add(host.name, began_at, time.monotonic())
         self._disrupted_hosts.discard(host.name)
 
-    async def _stop_host(self, host: Host, fault: Fault | FleetFault) -> None:
+    async def _stop_host(self, host: Host, fault: AnyFault) -> None:
         if host.process.returncode is not None:
             self._violations.append(
                 f"{host.name}: exited unexpectedly with status {host.process.returncode}"
--- a/src/cassiawalk/crashes/blame.py
+++ b/src/cassiawalk/crashes/blame.py
@@ -177,8 +177,9 @@
         explained = {parts: set(self.deaths_with(parts, early=False)) for parts in verdicts}
         cases = {
             part: case
-            for part in self._by_part
-            if (case := self._case(part, self._unexplained(part, explained), now_s)) is not None
+            for part, processes in self._by_part.items()
+            if len(processes) >= EARLY_EXCESS
+            and (case := self._case(part, self._unexplained(part, explained), now_s)) is not None
         }
         groups: dict[Parts, _Case] = {}
         for part, case in cases.items():
--- a/src/cassiawalk/crashes/parts.py
+++ b/src/cassiawalk/crashes/parts.py
@@ -197,8 +197,6 @@
         losses = losses_in(note)
         self._blame.note_losses(losses, self._clock.wall())
         self._explain(losses)
-        self._count_survivals()
-        self._judge()
         self._keep_checking()
 
     def _read_survivals(self, note: Note) -> None:
@@ -272,10 +270,10 @@
     async def _check(self) -> None:
         """Count survivals and judge until no upstream has died for ``ACTIVE_S`` s."""
         while self._clock.wall() - self._blame.last_death_s < ACTIVE_S:
-            await self._clock.sleep(CHECK_INTERVAL_S)
             self._count_survivals()
             self._judge()
             await self._tell_survivals()
+            await self._clock.sleep(CHECK_INTERVAL_S)
 
     def _count_survivals(self) -> None:
         """Count running requests once that are past the beginning of their answers."""
--- a/src/cassiawalk/http1/pool.py
+++ b/src/cassiawalk/http1/pool.py
@@ -7,6 +7,7 @@
 
 CONNECT_TIMEOUT_S = 0.6
 IDLE_TIMEOUT_S = 20.0  # if the upstream does not announce a keep-alive timeout
+PROBE_SETTLE_S = 0.02
 IDLE_MARGIN_S = 0.6  # a connection this close to the upstream's timeout is not reused
 
 
@@ -57,17 +58,25 @@
         return await self._connect(timeout_s)
 
     async def probe(self, *, timeout_s: float = CONNECT_TIMEOUT_S) -> bool | None:
-        """Open a connection, which is kept for later use, and return whether that succeeded.
+        """Open a connection, which is kept for later use, and return whether it stays open.
 
-        Return None if it is unknown whether anything listens at the address.
+        A process that dies may still accept connections while its sockets are being closed, so
+        that one that ends within ``PROBE_SETTLE_S`` s is tried once more. Return None if it is
+        unknown whether anything listens at the address.
 
-        :param timeout_s: limit for opening the connection, in seconds.
+        :param timeout_s: limit for opening a connection, in seconds.
         """
-        try:
-            self.release(await self._connect(timeout_s))
-        except ConnectError as exc:
-            return False if exc.refused else None
-        return True
+        for _ in range(2):
+            try:
+                conn = await self._connect(timeout_s)
+            except ConnectError as exc:
+                return False if exc.refused else None
+            await asyncio.sleep(PROBE_SETTLE_S)
+            if conn.reusable:
+                self.release(conn)
+                return True
+            conn.close()
+        return None
 
     def release(self, conn: UpstreamConnection) -> None:
         """Return a connection to the pool, or close it if it can't be reused."""
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -20,25 +20,30 @@
 class UpstreamRun:
     """A request at an upstream, with the parts of its prompt.
 
-    ``at`` is when it arrived, in monotonic seconds.
+    ``at`` is when it arrived, in monotonic seconds; ``asked`` tells whether it was turned away and
+    asked for time.
     """
 
     request_id: str
     body: bytes
     at: float
     parts: tuple[str, ...] = ()
+    upstream_id: str = ""
+    asked: bool = False
 
 
 class PlatformUpstream(StandIn):
     """An upstream that registers itself, echoes bodies and streams numbered events.
 
-    ``executed_ids`` and ``workspaces`` list the ids and workspaces of the requests that it ran.
-    ``runs`` lists them with their bodies and times, and ``crashed_at`` when it crashed, in
-    monotonic seconds. ``arrivals`` lists all requests that reached it, also those that it rejected.
+    ``executed_ids`` and ``workspaces`` list the ids and workspaces of the requests that it ran,
+    ``runs`` these requests, and ``arrivals`` all that reached it, also those that it rejected.
+    ``crashed_at`` has when it crashed, and ``part_crashes_at`` when it began to on a part of a
+    prompt, in monotonic seconds.
+
     While ``refuses`` is set, it rejects each request as not run; ``asks_s``, if set, is the time
-    that it asks for then, as written in its answers. ``rejected`` lists these
-    requests. While ``says_leaving`` is set, all of its answers say that it leaves. ``leaving`` is
-    set once it has announced that it leaves, or has deleted its entry.
+    that it asks for then, as written in its answers. ``rejected`` lists these requests. While
+    ``says_leaving`` is set, all of its answers say that it leaves. ``leaving`` is set once it has
+    announced that it leaves, or has deleted its entry.
 
     :param events: the number of events in a stream.
     :param event_s: the time between two events, in seconds.
@@ -91,6 +96,7 @@
         self.rejected: list[UpstreamRun] = []
         self.leaving = False
         self.crashed_at: list[float] = []
+        self.part_crashes_at: list[float] = []
 
     @property
     def is_up(self) -> bool:
@@ -156,13 +162,14 @@
             body=exchange.body,
             at=time.monotonic(),
             parts=_parts(exchange),
+            upstream_id=self.upstream_id,
         )
         self.arrivals.append(run)
         if header_value(exchange.headers, b"x-expect-instance") != self.upstream_id.encode():
             exchange.answer(421, [echoed], b"")
             return
         if self.refuses:
-            self.rejected.append(run)
+            self.rejected.append(dataclasses.replace(run, asked=self.asks_s is not None))
             refused = [echoed, (b"X-Not-Executed", b"1"), *self._availability()]
             exchange.answer(503, refused, b"")
             return
@@ -180,6 +187,8 @@
         if run.parts:
             await asyncio.sleep(self._prefill_s)
         crashes = any(part in self._crash_on_parts for part in run.parts)
+        if crashes and self.is_up:
+            self.part_crashes_at.append(time.monotonic())
         if b"/stream/" in exchange.target:
             await self._stream(exchange, headers, crashes=crashes)
         elif crashes:
--- a/standins/unframed_upstream.py
+++ b/standins/unframed_upstream.py
@@ -163,6 +163,9 @@
                 left = cut.after_bytes - len(event.data)
                 self._left = dataclasses.replace(cut, after_bytes=left)
             return
+        if not self._upstream.is_up:  # its last crash is not over, so that this one does not begin
+            self.abort()
+            return
         self._writer.write(event.data[: cut.after_bytes])
         self._upstream.crash(reset=cut.reset)
 
