--- a/src/cassiawalk/crashes/verdicts.py
+++ b/src/cassiawalk/crashes/verdicts.py
@@ -88,7 +88,7 @@
         """Take a new or changed note of a verdict into account."""
         parts = split(note.name)
         first = min(parts)
-        if _is_in_force(note):
+        if is_in_force(note):
             self._by_part.setdefault(first, set()).add(parts)
             return
         found = self._by_part.get(first, set())
@@ -111,7 +111,7 @@
 
     def _get(self, parts: Parts) -> Verdict | None:
         note = self._notes.get(NoteTopic.REFUSED_PARTS, joined(parts))
-        if note is None or not _is_in_force(note):
+        if note is None or not is_in_force(note):
             return None
         trials, reporter, *processes = note.items
         return Verdict(
@@ -123,7 +123,8 @@
         )
 
 
-def _is_in_force(note: Note) -> bool:
+def is_in_force(note: Note) -> bool:
+    """Return whether a verdict's note puts it in force, and does not end it."""
     return len(note.items) >= 2 and note.items[0].isdigit()
 
 
