--- a/src/cassiawalk/crashes/parts.py
+++ b/src/cassiawalk/crashes/parts.py
@@ -43,6 +43,7 @@
 # same death, and running requests survive.
 SETTLE_S = 1.0
 MAX_SETTLE_S = 2.0
+COLLECT_S = 0.01  # in which requests lost at the same moment are told in one message
 MAX_TOLD_PARTS = 64
 CONTRADICTIONS = 3  # answers to requests sent before a verdict that lift it
 
@@ -71,6 +72,7 @@
     failure_domain: FailureDomain
     requests: set[LostRequest] = dataclasses.field(default_factory=set)
     is_dead: bool = False
+    is_shared: bool = True
 
 
 class PartGuard(Component):
@@ -157,14 +159,14 @@
         if len(lost.requests) < MAX_LOST_REQUESTS:
             lost.requests.add(LostRequest(parts=parts, progress=progress))
         if lost.is_dead:
-            self._share_losses(upstream.process, lost)
+            self._share_soon(upstream.process, lost)
 
     def note_death(self, upstream: GuardedUpstream) -> None:
         """Tell all hosts what this one lost at an upstream that is dead."""
         lost = self._lost.get(upstream.process)
         if lost is not None and not lost.is_dead:
             lost.is_dead = True
-            self._share_losses(upstream.process, lost)
+            self._share_soon(upstream.process, lost)
 
     def note_leaving(self, upstream: GuardedUpstream) -> None:
         """Withdraw what this host told of an upstream that turns out to have left."""
@@ -247,7 +249,15 @@
         note = self._verdicts.ending_note(verdict.parts, VerdictChange.LIFTED)
         self.spawn(self._notes.share([note]), name="verdict-lifted")
 
-    def _share_losses(self, process: str, lost: _LostAt) -> None:
+    def _share_soon(self, process: str, lost: _LostAt) -> None:
+        """Share what was lost at a process, with what else is lost there in this moment."""
+        if lost.is_shared:
+            lost.is_shared = False
+            self.spawn(self._share_losses(process, lost), name=f"losses-{process}")
+
+    async def _share_losses(self, process: str, lost: _LostAt) -> None:
+        await self._clock.sleep(COLLECT_S)
+        lost.is_shared = True
         losses = Losses(
             process=process,
             failure_domain=lost.failure_domain,
@@ -261,7 +271,7 @@
             keep_s=LOSSES_KEEP_S,
             items=items_of(losses),
         )
-        self.spawn(self._notes.share([note]), name=f"losses-{process}")
+        await self._notes.share([note])
 
     def _keep_checking(self) -> None:
         if self._checking is None or self._checking.done():
--- a/src/cassiawalk/fleet/notes.py
+++ b/src/cassiawalk/fleet/notes.py
@@ -46,9 +46,9 @@
 class NoteExchange(Component, NoteSharing):
     """Sends new notes at once to the hosts that this one exchanges heartbeats with.
 
-    A hub passes on what is new to it. Heartbeats carry a digest of the sender's notes; hosts whose
-    digests differ for long exchange all of their notes, which replaces lost messages and informs
-    hosts that were restarted or cut off.
+    A hub passes on what is new to it. A host that does not answer is called once more. Heartbeats
+    carry a digest of the sender's notes; hosts whose digests differ for long exchange all of their
+    notes, which replaces lost messages and informs hosts that were restarted or cut off.
     """
 
     def __init__(
@@ -118,7 +118,11 @@
         if not notes:
             return
         call = NotesCall(host=self._host, notes=tuple(notes))
-        await asyncio.gather(*(self._call(host, call) for host in hosts))
+        called = list(hosts)
+        replies = await asyncio.gather(*(self._call(host, call) for host in called))
+        for host, reply in zip(called, replies, strict=True):
+            if isinstance(reply, PeerFailure):
+                self.spawn(self._call(host, call), name=f"notes-again-{host}")
 
     async def _call(self, host: HostId, call: NotesCall) -> NotesReply | PeerFailure:
         return await self._links.call(host, call, NotesReply, timeout_s=CALL_TIMEOUT_S)
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -18,6 +18,7 @@
 from cassiawalk.fleet.heartbeats import HeartbeatExchange
 from cassiawalk.fleet.hosts import HostRegistry
 from cassiawalk.fleet.hosts import entry_of
+from cassiawalk.fleet.notes import NotesCall
 from cassiawalk.ids import FailureDomain
 from cassiawalk.ids import HostId
 from cassiawalk.ids import Offset
@@ -149,7 +150,8 @@
         self._fleet.calls += 1
         await asyncio.sleep(LINK_DELAY_S)
         callee = self._fleet.hosts.get(host)
-        if callee is None or not self._fleet.connected(self._host, host):
+        lost = isinstance(message, NotesCall) and self._fleet.rng.random() < self._fleet.lost_notes
+        if lost or callee is None or not self._fleet.connected(self._host, host):
             await asyncio.sleep(timeout_s)
             return PeerFailure(reason="no answer", sent=True)
         sent = messages.decode(messages.encode([message]))[0]
@@ -161,7 +163,8 @@
 class CrashFleet:
     """Hosts and upstreams; a request whose body is in ``crashing`` crashes the upstream it runs on.
 
-    So does one with one of ``crashing_parts`` in its prompt.
+    So does one with one of ``crashing_parts`` in its prompt. ``lost_notes`` is the share of the
+    messages with notes that hosts do not receive from each other.
 
     ``runs`` has the time and body of each run, ``crashes`` the time and body of each crash, and
     ``refusals`` the code of each refusal by body. Hosts in ``isolated`` are cut off from all
@@ -185,6 +188,7 @@
         self.rng = random.Random(1)
         self.crashing: set[bytes] = set()
         self.crashing_parts: set[PartId] = set()
+        self.lost_notes = 0.0
         self.silent_crashes = False
         self.runs: list[tuple[float, bytes]] = []
         self.crashes: list[tuple[float, bytes]] = []
--- a/tests/test_part_fleet.py
+++ b/tests/test_part_fleet.py
@@ -99,6 +99,15 @@
         assert requests.late_arrivals() <= MAX_LATE_ARRIVALS
 
 
+@pytest.mark.parametrize(("hosts", "for_s"), [(7, 25.0), (89, 12.0)])
+async def test_requests_stay_in_bound_while_messages_are_lost(hosts: int, for_s: float) -> None:
+    async with CrashFleet(hosts=hosts, upstreams=8) as fleet:
+        fleet.lost_notes = 0.4
+        requests = PartRequests(fleet)
+        await requests.play(for_s=for_s)
+        assert requests.late_arrivals() <= MAX_LATE_ARRIVALS
+
+
 @pytest.mark.parametrize("at_s", [0.5, 1.0, 3.0, 8.0])
 async def test_requests_stay_in_bound_after_all_hosts_were_killed(at_s: float) -> None:
     async with CrashFleet(hosts=7, upstreams=8) as fleet:
