Tell no losses of an upstream that turned out to have left meanwhile

Found by reading: an announcement of leaving within the 10 ms in which losses are collected was followed by the note that it had withdrawn. The name of a verdict has one function.

--- a/src/cassiawalk/crashes/parts.py
+++ b/src/cassiawalk/crashes/parts.py
@@ -18,6 +18,7 @@
 from cassiawalk.crashes.losses import Parts
 from cassiawalk.crashes.losses import Progress
 from cassiawalk.crashes.losses import items_of
+from cassiawalk.crashes.losses import joined
 from cassiawalk.crashes.losses import losses_in
 from cassiawalk.crashes.losses import losses_name
 from cassiawalk.crashes.losses import split
@@ -122,8 +123,7 @@
 
     async def take_trial(self, verdict: Verdict) -> bool:
         """Return whether one request may be sent to find out whether a verdict still holds."""
-        name = ",".join(sorted(verdict.parts))
-        if self._clock.wall() < verdict.trial_due_s or not self._may_try(name):
+        if self._clock.wall() < verdict.trial_due_s or not self._may_try(joined(verdict.parts)):
             return False
         note = self._verdicts.new_note(
             verdict.parts, processes=verdict.processes, trials=verdict.trials + 1
@@ -258,6 +258,8 @@
     async def _share_losses(self, process: str, lost: _LostAt) -> None:
         await self._clock.sleep(COLLECT_S)
         lost.is_shared = True
+        if self._lost.get(process) is not lost:  # it turned out to have left
+            return
         losses = Losses(
             process=process,
             failure_domain=lost.failure_domain,
