--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""A worker's older write is carried out after the worker has left, and brings it back."""
+"""A worker's write that was held up arrives after the worker has left, and brings it back."""
 
 import asyncio
 import os
@@ -14,9 +14,9 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 DRAIN_S = bed.BOUNDS["drain_ms"] / 1000
 EVENT_S, EVENTS = 0.1, 12
-CALLERS = 12
-LATE_S = 5.9  # the pages: seconds; the bench: 1 to 6 s
-LEAVES_AFTER_S = 3.2  # from the lost answer: longer than stability_ms
+CALLERS = 24
+WORKERS = 5
+CUT_S = 2.2  # of one worker of five from the store
 SERVES_ON_S = 4.5  # drain_ms and a little longer, at times many seconds
 
 
@@ -48,13 +48,27 @@
     conn.close()
 
 
+async def next_beat(store, worker_id):
+    """Wait until the store gets the worker's next write."""
+    before = store.last_beat(worker_id)
+    while store.last_beat(worker_id) == before:
+        await asyncio.sleep(0.005)
+
+
 async def main():
     """Play the case; return the exit status."""
     async with bed.Bed(HERE) as deployment:
         record = deployment.record
-        for number, zone in enumerate(bed.ZONES[:2]):
+        link = bed.CutLink(deployment.store.address, record)
+        await link.start()
+        for number in range(WORKERS):
             await deployment.add_worker(
-                f"pool-{number}", bed.MODELS, zone, first_s=0.1, event_s=EVENT_S
+                f"pool-{number}",
+                bed.MODELS,
+                bed.ZONES[number % 4],
+                first_s=0.1,
+                event_s=EVENT_S,
+                **({"store": link.address} if number == 0 else {}),
             )
         await deployment.start_hosts()
         await asyncio.sleep(4)
@@ -68,14 +82,17 @@
         await asyncio.sleep(1.0)
         leaver = "pool-0"
         worker_id = deployment.worker_options[leaver]["id"]
+        store = deployment.store
+        await next_beat(store, worker_id)
         if TROUBLE:
-            deployment.store.carry_out_late(worker_id, LATE_S)
-            while not deployment.store.late_writes:
-                await asyncio.sleep(0.01)
-            record.note(f"a write of {worker_id} gets no answer; carried out in {LATE_S} s")
-        await asyncio.sleep(LEAVES_AFTER_S)
+            link.cut(CUT_S)
+            record.note(f"{worker_id} is cut off from the store, and from nothing else, {CUT_S} s")
+            await asyncio.sleep(CUT_S)
+            await next_beat(store, worker_id)
+            record.note(f"a newer write of {worker_id} arrives")
+        await asyncio.sleep(0.1)
         deployment.workers[leaver].send_signal(signal.SIGUSR2)
-        while not deployment.store.is_removed(worker_id):
+        while not store.is_removed(worker_id):
             await asyncio.sleep(0.005)
         left_at = bed.now()
         record.note(f"the store takes the removal of {worker_id}, which goes on serving")
@@ -83,6 +100,7 @@
         deployment.workers[leaver].terminate()
         record.note(f"{worker_id} exits")
         await asyncio.gather(*callers)
+        link.stop()
         return judge(record, deployment.runs(leaver), results, left_at)
 
 
--- a/review/bed.py
+++ b/review/bed.py
@@ -168,8 +168,6 @@
         self._changed = asyncio.Condition()
         self._last_beat = {}
         self._expiry = None
-        self._late = {}  # key: seconds after which its next write is carried out
-        self.late_writes = set()
 
     async def start(self, ip="127.0.0.1"):
         """Listen, and begin to let entries expire."""
@@ -195,14 +193,9 @@
         data = b"" if value is None else json.dumps(value).encode()
         return await self.append(topic, [bytes((len(raw),)) + raw + data])
 
-    def carry_out_late(self, key, after_s):
-        """Leave a worker's next write without an answer, and carry it out ``after_s`` s later."""
-        self._late[key] = after_s
-
-    async def _write_late(self, record, after_s):
-        await asyncio.sleep(after_s)
-        self._note_beat(record)
-        await self.append("keyed.servers", [record])
+    def last_beat(self, key):
+        """Return when a worker's entry was last written, or None."""
+        return self._last_beat.get(key)
 
     def is_removed(self, key):
         """Return whether the newest record of a worker drops its entry."""
@@ -231,11 +224,6 @@
                 records.append(body[at + 4 : at + 4 + length])
                 at += 4 + length
             if topic == "keyed.servers":
-                key = records[0][1 : 1 + records[0][0]].decode()
-                if key in self._late:
-                    task = asyncio.create_task(self._write_late(records[0], self._late.pop(key)))
-                    self.late_writes.add(task)
-                    await asyncio.sleep(60)  # the caller gives up before
                 self._note_beat(records[0])
             offset = await self.append(topic, records)
             answer = {"offset": offset, "end": offset + len(records)}
@@ -279,6 +267,59 @@
         return {"entries": entries, "has_more": False, "end": len(self.topics[topic])}
 
 
+class CutLink:
+    """The path from one worker to the store, which may be cut for a while.
+
+    What is sent on a new connection during a cut arrives as TCP has it: with the first repeat of
+    the opening packet, 1, 3 or 7 s after it, that falls behind the end of the cut.
+    """
+
+    REPEATS_S = (1.0, 3.0, 7.0)
+
+    def __init__(self, target, record):
+        self._target = target
+        self._record = record
+        self._server = None
+        self._cut_until = 0.0
+        self._tasks = set()
+        self.address = ""
+
+    async def start(self):
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    def stop(self):
+        """Stop listening."""
+        self._server.close()
+
+    def cut(self, for_s):
+        """Let nothing through for ``for_s`` s."""
+        self._cut_until = now() + for_s
+
+    async def _serve(self, reader, writer):
+        opened_at = now()
+        if opened_at < self._cut_until:
+            times = [opened_at + after_s for after_s in self.REPEATS_S]
+            await asyncio.sleep(min(at for at in times if at >= self._cut_until) - opened_at)
+            self._record.note(f"a connection of {now() - opened_at:.1f} s ago gets through the cut")
+        ip, _, port = self._target.partition(":")
+        try:
+            store_reader, store_writer = await asyncio.open_connection(ip, int(port))
+            await asyncio.gather(_pump(reader, store_writer), _pump(store_reader, writer))
+        except OSError:
+            pass
+        finally:
+            writer.close()
+
+
+async def _pump(reader, writer):
+    while data := await reader.read(65536):
+        writer.write(data)
+        await writer.drain()
+    writer.close()
+
+
 class Cloud(HttpStandIn):
     """The platform's API for duties; it checks fences by subject."""
 
--- a/review/worker.py
+++ b/review/worker.py
@@ -37,6 +37,7 @@
         self._beats = 0
         self._leaves_at = None
         self._gone = False
+        self._writes = []
 
     def note(self, what, request_id, **more):
         """Write one line of what was run."""
@@ -55,7 +56,8 @@
         async with server:
             while True:
                 if not self._gone:
-                    self._write = asyncio.create_task(self._register())
+                    # Each on a connection of its own; one that gets no answer holds up no other.
+                    self._writes.append(asyncio.create_task(self._register()))
                 await asyncio.sleep(HEARTBEAT_S)
 
     def _take_notice(self):
@@ -96,7 +98,7 @@
                 b"Host: s\r\nContent-Length: %d\r\n\r\n" % len(body) + body
             )
             try:
-                await asyncio.wait_for(read_head(reader), 1.0)
+                await asyncio.wait_for(read_head(reader), 10.0)
             finally:
                 writer.close()
         except (OSError, TimeoutError):
