--- a/review/4/case.py
+++ b/review/4/case.py
@@ -16,7 +16,7 @@
 EVENT_S, EVENTS = 0.1, 12
 CALLERS = 24
 WORKERS = 5
-CUT_S = 2.2  # of one worker of five from the store
+CUT_S = 2.3  # of one worker of five from the store
 SERVES_ON_S = 4.5  # drain_ms and a little longer, at times many seconds
 
 
