Take no upstream out of use because of another writer's entry

Cause: the directory took any entry with an upstream's address and a later start for proof that the process before it is gone, from any service and for good. Ruled out: that the entry replaces the upstream's own (no directory:gone), and that requests go to the odd upstream (no attempt).

Change: only the answer of another process takes an upstream out of use. The same on related paths: such an entry under an upstream's own key is ignored, also if a host reads it first, and its departure keeps nobody away.

Processes that start again at an address within the life of the old entry cost each host at most one refused attempt more, if all others are out of use too.

--- a/src/cassiawalk/ingressnode/node.py
+++ b/src/cassiawalk/ingressnode/node.py
@@ -88,7 +88,7 @@
         self._draining = False
         self.config = ConfigView()
         self.stopping = StopPlan(clock=clock)
-        self.directory = Directory(clock=clock)
+        self.directory = Directory(clock=clock, is_configured=self.config.has_service)
         self.time = CorrectedTime(clock=boot_clock)
         self.usage = UsageCounts(now=self.time.now, window_s=profile.bounds.usage_window_s)
         self.demand = DemandMeter(clock=clock)
--- a/src/cassiawalk/storeview/config.py
+++ b/src/cassiawalk/storeview/config.py
@@ -201,6 +201,10 @@
         self.current = config
         return True
 
+    def has_service(self, service: ServiceName) -> bool:
+        """Return whether the configuration has a service."""
+        return self.current is not None and service in self.current.services
+
     def fetches_prefixes(self, service: ServiceName) -> bool:
         """Return whether a service's engines can fetch prefix blocks from one another."""
         engine = self.engine_traits(service)
--- a/src/cassiawalk/storeview/directory.py
+++ b/src/cassiawalk/storeview/directory.py
@@ -9,10 +9,13 @@
 from cassiawalk.ids import Offset
 from cassiawalk.ids import ServiceName
 from cassiawalk.ids import UpstreamId
+from cassiawalk.storeview.contests import contest_address
 from cassiawalk.storeview.departures import Departure
 from cassiawalk.storeview.departures import Departures
 from cassiawalk.storeview.departures import is_late
+from cassiawalk.storeview.foreignentries import ForeignEntries
 from cassiawalk.storeview.lateentries import LateEntries
+from cassiawalk.storeview.recentprocesses import RecentProcesses
 from cassiawalk.storeview.speeds import ServiceSpeeds
 from cassiawalk.storeview.upstream import Presence
 from cassiawalk.storeview.upstream import Registration
@@ -22,28 +25,34 @@
 # Upstreams renew their entries. In an outage of the source they cannot, and entries of upstreams
 # that still run expire. Both times count from the source's recovery.
 STALE_GRACE_S = 2.3  # until running upstreams have entries again
-MAX_SAID_LEAVING = 1024
 EXPIRY_WINDOW_S = 0.4  # while removals from the outage are still being read
 # A lapsed upstream is used without an answer of its own for so long after it has been asked.
 UNANSWERED_S = 0.3
 # Shorter gaps in what all hosts know of the source let no entry expire.
 MIN_LAPSE_GAP_S = 2.0
 
-
 UpstreamListener = cabc.Callable[[Upstream], None]
 
 
 class Directory:
     """Upstreams by service. An entry or removal older than the last one applied is ignored.
 
+    An entry of a service that is not configured is another writer's. It is kept, as the service may
+    be added later, but takes no upstream's place until then.
+
     ``changed`` is the offset of the last entry that changed the directory, or of a removal.
     ``loaded_at`` is when the complete list was first read, in monotonic seconds, and ``lists_read``
     how often it was read from the source. ``find_role`` returns what an upstream's version may get;
     None if there are no rollouts.
+
+    :param is_configured: returns whether the configuration has a service.
     """
 
-    def __init__(self, *, clock: Clock) -> None:
+    def __init__(
+        self, *, clock: Clock, is_configured: cabc.Callable[[ServiceName], bool] = lambda _: True
+    ) -> None:
         self._clock = clock
+        self._is_configured = is_configured
         self._by_id: dict[UpstreamId, Upstream] = {}
         self._offsets: dict[UpstreamId, Offset] = {}
         self._by_service: dict[ServiceName, list[Upstream]] = {}
@@ -51,8 +60,9 @@
         self._source_recovered_at: float | None = None
         self.departures = Departures(clock=clock)
         self.late_entries = LateEntries()
+        self.foreign_entries = ForeignEntries()
         self.speeds = ServiceSpeeds(clock=clock)
-        self._said_leaving: dict[str, None] = {}
+        self._said_leaving = RecentProcesses()
         self._is_restored = False
         self._departure_listeners: list[UpstreamListener] = []
         self._leaving_listeners: list[UpstreamListener] = []
@@ -98,9 +108,7 @@
         if upstream.said_leaving:
             return
         upstream.said_leaving = True
-        self._said_leaving[upstream.process] = None
-        while len(self._said_leaving) > MAX_SAID_LEAVING:
-            del self._said_leaving[next(iter(self._said_leaving))]
+        self._said_leaving.add(upstream.process)
         self._begin_to_leave(upstream)
 
     def pause_left_s(self, service: ServiceName) -> float | None:
@@ -169,6 +177,9 @@
         upstream_id = registration.upstream_id
         if offset <= self._offsets.get(upstream_id, Offset(-1)):
             return False
+        if self._is_foreign(registration):
+            self.foreign_entries.note(registration, offset)
+            return False
         if self._is_late(registration):
             known = self._by_id.get(upstream_id)
             is_repeat = known is not None and known.registration.version == registration.version
@@ -189,6 +200,7 @@
         is_changed = was_lapsed or known.registration != registration
         known.registration = registration
         known.heard_at = self._clock.monotonic()
+        known.health.end_doubt()
         if not is_changed:
             return False
         self.advance_to(offset)
@@ -236,10 +248,19 @@
                 self._stale.discard(found.upstream_id)
                 self._discard(found.upstream_id)
 
+    def _is_foreign(self, registration: Registration) -> bool:
+        """Return whether an entry with the id of a known upstream is another writer's."""
+        known = self._by_id.get(registration.upstream_id)
+        if known is None or self._is_configured(registration.service):
+            return False
+        return self._is_configured(known.registration.service)
+
     def _is_late(self, registration: Registration) -> bool:
         """Return whether an entry was written before the last one that is known."""
         now = self._clock.monotonic()
         known = self._by_id.get(registration.upstream_id)
+        if known is not None and not self._is_configured(known.registration.service):
+            return False
         if known is not None:
             last, last_at = known.registration.version, known.heard_at
         else:
@@ -326,7 +347,8 @@
             upstream.said_leaving = upstream.leaving = True
         if upstream.leaving:
             upstream.leaving_since = self._clock.monotonic()
-        self._supersede_at(registration)
+        if self._is_configured(registration.service):
+            contest_address(self._by_id.values(), registration)
         self._by_id[upstream.upstream_id] = upstream
         self.departures.forget(upstream.upstream_id)
         self._by_service.setdefault(registration.service, []).append(upstream)
@@ -340,14 +362,9 @@
             leaving=upstream.leaving,
         )
 
-    def _supersede_at(self, new: Registration) -> None:
-        """Mark upstreams as superseded whose address a later process has now."""
-        for known in self._by_id.values():
-            before = known.registration
-            if before.address == new.address and before.started_ms < new.started_ms:
-                known.superseded = True
-
     def _note_departure(self, registration: Registration) -> None:
+        if not self._is_configured(registration.service):
+            return
         self.departures.note(
             Departure(
                 upstream_id=registration.upstream_id,
--- a/src/cassiawalk/storeview/health.py
+++ b/src/cassiawalk/storeview/health.py
@@ -20,6 +20,7 @@
         self._clock = clock
         self._failures = 0
         self._paused_until = 0.0
+        self._doubted_until = 0.0
         self._refused_until = 0.0
 
     @property
@@ -30,13 +31,22 @@
     @property
     def paused(self) -> bool:
         """Return whether other upstreams should be preferred now."""
-        return self._clock.monotonic() < self._paused_until
+        return self._clock.monotonic() < max(self._paused_until, self._doubted_until)
 
     def note_success(self) -> None:
         """Record a complete answer."""
         self._failures = 0
         self._paused_until = 0.0
         self._refused_until = 0.0
+        self.end_doubt()
+
+    def note_doubt(self, *, for_s: float) -> None:
+        """Prefer other upstreams for ``for_s`` s, as this one may be gone."""
+        self._doubted_until = self._clock.monotonic() + for_s
+
+    def end_doubt(self) -> None:
+        """Record a sign of life, which ends a doubt but no pause."""
+        self._doubted_until = 0.0
 
     def note_refusal(self) -> None:
         """Record that it has refused to run a request."""
--- a/src/cassiawalk/storeview/upstream.py
+++ b/src/cassiawalk/storeview/upstream.py
@@ -75,10 +75,10 @@
     ``leaving`` is also set when its entry is gone; ``leaving_since`` is when it announced that it
     leaves, in monotonic seconds; ``said_leaving`` is set once it has done so in an answer.
     ``reserved_for`` is the only request that may be sent to it, or None. ``pause`` is the time for
-    which it wants no requests of this host. ``superseded`` is set once another process has its
-    address. ``usable_until`` is set while its entry may only have expired, in monotonic seconds.
-    ``heard_at`` is when its last entry was applied, and ``known_since`` its first one, in monotonic
-    seconds.
+    which it wants no requests of this host. ``superseded`` is set once another process has answered
+    at its address. ``usable_until`` is set while its entry may only have expired, in monotonic
+    seconds. ``heard_at`` is when its last entry was applied, and ``known_since`` its first one, in
+    monotonic seconds.
 
     :param speed: what is known of its speed compared with the service's other upstreams.
     :param find_role: returns what its version may get; None if there are no rollouts.
