Watch an isolated run to its end, also if its caller has left

Cause: an isolated run ended as soon as its upstream answered a probe after the caller had left. The upstream ran on and died outside the run, and only a death in the run convicts. Ruled out: that such deaths don't count (refusals named up to 18 of them), and that no isolated run is granted (the runs came between the refusals).

Change: the run lasts until the deadline that the upstream was told, and is asked every 0.3 s whether something listens. A line crash:isolated-run tells of each judgement.

The other tests of crashes and of parts pass.

--- a/src/cassiawalk/crashes/guard.py
+++ b/src/cassiawalk/crashes/guard.py
@@ -86,6 +86,7 @@
         self._evidence = Evidence(host=host, notes=self._notes)
         self._deaths = DeathLog()
         self._running: dict[RequestId, tuple[str, Fingerprint]] = {}
+        # Until when a death of the process counts against the request, in monotonic seconds.
         self._lost: dict[str, dict[Fingerprint, float]] = {}
         self._isolated_runs = IsolatedRuns(
             upstreams=upstreams,
@@ -191,16 +192,22 @@
         if self._evidence.deaths(fingerprint):
             self.spawn(self._clear(fingerprint), name=f"clear-{fingerprint}")
 
-    def note_lost(self, request: GuardedRequest, upstream: GuardedUpstream) -> None:
-        """Record that the connection was lost on which an upstream ran the request."""
+    def note_lost(
+        self, request: GuardedRequest, upstream: GuardedUpstream, *, runs_for_s: float = 0.0
+    ) -> None:
+        """Record that the connection was lost on which an upstream ran the request.
+
+        :param runs_for_s: how much longer the upstream may run it all the same, in seconds.
+        """
         now = self._clock.monotonic()
-        oldest = now - LOST_RETENTION_S
         self._lost = {
             process: kept
             for process, found in self._lost.items()
-            if (kept := {name: at for name, at in found.items() if at > oldest})
+            if (kept := {name: until for name, until in found.items() if until > now})
         }
-        self._lost.setdefault(upstream.process, {})[request.fingerprint] = now
+        until = now + runs_for_s + LOST_RETENTION_S
+        found = self._lost.setdefault(upstream.process, {})
+        found[request.fingerprint] = max(until, found.get(request.fingerprint, until))
 
     def has_lost(self, upstream: GuardedUpstream) -> bool:
         """Return whether requests lost their connection to the upstream recently."""
--- a/src/cassiawalk/ingress/forwarder.py
+++ b/src/cassiawalk/ingress/forwarder.py
@@ -190,6 +190,7 @@
     async def _run_alone(self, job: Job, run: IsolatedRun) -> Refusal | None:
         """Let a suspect request run once, on an upstream that it does not share with others."""
         lost: Upstream | None = None
+        gave_up = False
         run.start()
         try:
             while self._may_send(job):
@@ -205,8 +206,9 @@
                 placement = await self._placer.permit(job, placement)
                 if placement is None:
                     return self._no_upstream(job)
-                lost = placement.upstream  # also if the attempt is cancelled
+                lost, gave_up = placement.upstream, True  # if the attempt is cancelled
                 end, trace = await self._attempt(job, placement)
+                gave_up = False
                 if not end.answer_lost:
                     lost = None
                 if end is AttemptEnd.DELIVERED:
@@ -216,7 +218,7 @@
                     return self._retries_exhausted(job, end, trace.reason)
             return self._not_sent(job)
         finally:
-            ending = self._screening.end_isolated_run(run, job, lost)
+            ending = self._screening.end_isolated_run(run, job, lost, gave_up=gave_up)
             self._screening.spawn(ending, name="isolated-run-end")
 
     async def _attempt(self, job: Job, placement: Placement) -> tuple[AttemptEnd, AnswerTrace]:
--- a/src/cassiawalk/ingress/screening.py
+++ b/src/cassiawalk/ingress/screening.py
@@ -3,6 +3,8 @@
 import collections.abc as cabc
 import dataclasses
 
+import eliot
+
 from cassiawalk.app import Component
 from cassiawalk.clock import Clock
 from cassiawalk.crashes import CrashGuard
@@ -36,6 +38,8 @@
 PROBE_WAIT_S = 0.3
 OUTLIVED_WAIT_S = CONNECT_TIMEOUT_S
 HELD_RETRY_S = 1.0
+RUN_CHECK_INTERVAL_S = 0.3  # a process that crashed is down for longer
+DEATH_MARGIN_S = 0.5  # from the end of a run, or of its connection, to the upstream's death
 SILENCE_JUDGEMENT_S = 6.0  # until the entry of an upstream that fell silent is gone
 # A failure domain is being reclaimed if this many of its reclaimable upstreams, and at least half
 # of them, have announced that they leave. One alone may be leaving for another reason.
@@ -78,16 +82,14 @@
         refusal = self._guard.refusal(job) or self._hold(job)
         if refusal is not None:
             return refusal
-        left_s = max(0.0, job.ends_at - self._clock.monotonic())
-        return await self._guard.screen(job, left_s=left_s, wait_s=ISOLATION_WAIT_S)
+        return await self._guard.screen(job, left_s=self._left_s(job), wait_s=ISOLATION_WAIT_S)
 
     async def _screen_parts(self, job: Job) -> IsolatedRun | Refusal | None:
         """Return a refusal if a part of the prompt crashes upstreams, or a run that tries it."""
         verdict = self._parts.verdict_against(job.shared_parts)
         if verdict is not None:
             if not job.may_have_run and await self._parts.take_trial(verdict):
-                left_s = max(0.0, job.ends_at - self._clock.monotonic())
-                run = await self._guard.isolate(job, left_s=left_s)
+                run = await self._guard.isolate(job, left_s=self._left_s(job))
                 if run is not None:
                     return run
             return Refusal(code=ResultCode.QUARANTINED, detail=self._verdict_detail(verdict))
@@ -147,6 +149,10 @@
         if upstream.is_leaving:
             return True
         self._note_lost_at(job, upstream)
+        return await self._is_there(upstream)
+
+    async def _is_there(self, upstream: Upstream) -> bool | None:
+        """Return whether an upstream that lost a request is alive; None if that is not known."""
         if upstream.leaving:  # its entry is gone already, without an announcement
             self._note_death(upstream)
             return False
@@ -156,15 +162,17 @@
         """Return whether an upstream is known to be there after its connection ended an answer."""
         if upstream.process in self._guard.dead_processes():
             return False
-        left_s = max(0.0, job.ends_at - self._clock.monotonic())
-        wait_s = min(OUTLIVED_WAIT_S, left_s / 2)
+        wait_s = min(OUTLIVED_WAIT_S, self._left_s(job) / 2)
         return await self._endings.judge(upstream, wait_s=wait_s) is Wholeness.WHOLE
 
     def note_unanswered(self, job: Job, upstream: Upstream) -> None:
-        """Record that the wait for an answer was given up, as that of an upstream gone silent."""
+        """Record that the wait for an answer was given up, as its caller left or its time is over.
+
+        The upstream may be gone, or may go on to run the request until its deadline.
+        """
         if upstream.is_leaving:
             return
-        self._note_lost_at(job, upstream)
+        self._note_lost_at(job, upstream, runs_for_s=self._left_s(job))
         if upstream.leaving:
             self._note_death(upstream)
 
@@ -174,18 +182,42 @@
             self._note_death(upstream)
 
     async def end_isolated_run(
-        self, run: IsolatedRun, job: Job, lost_upstream: Upstream | None
+        self, run: IsolatedRun, job: Job, lost_upstream: Upstream | None, *, gave_up: bool
     ) -> None:
         """Release an isolated run once it is known whether the upstream died in it.
 
         :param lost_upstream: the upstream if the answer was lost, else None.
+        :param gave_up: whether the wait for the answer was given up. An upstream may go on to run a
+            request whose connection was closed, until the request's deadline.
         """
         try:
-            if lost_upstream is not None and not await self.note_lost(job, lost_upstream):
-                await self._guard.confirm_death(lost_upstream, timeout_s=SILENCE_JUDGEMENT_S)
+            if lost_upstream is not None:
+                runs_for_s = self._left_s(job) if gave_up else 0.0
+                await self._judge_isolated_run(job, lost_upstream, runs_for_s=runs_for_s)
         finally:
             await run.close()
 
+    async def _judge_isolated_run(self, job: Job, upstream: Upstream, *, runs_for_s: float) -> None:
+        """Wait until the upstream has died of a run, or the run must have ended without that."""
+        ends_at = self._clock.monotonic() + runs_for_s + DEATH_MARGIN_S
+        is_alive = await self.note_lost(job, upstream)
+        while is_alive and not upstream.is_leaving and self._clock.monotonic() < ends_at:
+            await self._clock.sleep(RUN_CHECK_INTERVAL_S)
+            is_alive = await self._is_there(upstream)
+        if not is_alive:
+            await self._guard.confirm_death(upstream, timeout_s=SILENCE_JUDGEMENT_S)
+        eliot.log_message(
+            message_type="crash:isolated-run",
+            request_id=job.request_id,
+            fingerprint=job.fingerprint,
+            process=upstream.process,
+            watched_s=round(runs_for_s + DEATH_MARGIN_S, 3),
+            outlived=is_alive,
+        )
+
+    def _left_s(self, job: Job) -> float:
+        return max(0.0, job.ends_at - self._clock.monotonic())
+
     async def _is_alive(self, upstream: Upstream, *, wait_s: float) -> bool | None:
         """Return whether an upstream is still at its address; None if it is not known in time."""
         asked_at_s = self._clock.wall()
@@ -203,8 +235,8 @@
         if self._guard.has_lost(upstream):
             self._note_death(upstream)
 
-    def _note_lost_at(self, job: Job, upstream: Upstream) -> None:
-        self._guard.note_lost(job, upstream)
+    def _note_lost_at(self, job: Job, upstream: Upstream, *, runs_for_s: float = 0.0) -> None:
+        self._guard.note_lost(job, upstream, runs_for_s=runs_for_s)
         if job.shared_parts:
             self._parts.note_lost(job.shared_parts, job.progress, upstream)
 
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -51,6 +51,8 @@
     :param events: the number of events in a stream.
     :param event_s: the time between two events, in seconds.
     :param crash_on: a request whose body contains this crashes it; None for no request.
+    :param crash_after_s: how long such a request runs before the crash, also if its connection is
+        closed meanwhile, in seconds.
     :param crash_on_parts: a request with one of these parts in its prompt crashes it.
     :param crash_after_events: how many events of such an answer are sent before the crash.
     :param prefill_s: the time until the head of an answer to a prompt, in seconds.
@@ -71,6 +73,7 @@
         events: int = 5,
         event_s: float = 0.02,
         crash_on: bytes | None = None,
+        crash_after_s: float = 0.0,
         crash_on_parts: cabc.Container[str] = (),
         crash_after_events: int = 0,
         prefill_s: float = 0.0,
@@ -85,6 +88,8 @@
         self._events = events
         self._event_s = event_s
         self._crash_on = crash_on
+        self._crash_after_s = crash_after_s
+        self._doomed: set[asyncio.Task[None]] = set()
         self._crash_on_parts = crash_on_parts
         self._crash_after_events = crash_after_events
         self._prefill_s = prefill_s
@@ -118,8 +123,9 @@
 
     async def stop(self) -> None:
         """Stop for good, also during a crash."""
-        if self._crash is not None:
-            self._crash.cancel()
+        for task in (self._crash, *self._doomed):
+            if task is not None:
+                task.cancel()
         await super().stop()
 
     async def register(self, state: str = "ready") -> None:
@@ -169,6 +175,21 @@
             self.crashed_at.append(time.monotonic())
             self._crash = asyncio.create_task(self._come_back(reset=reset))
 
+    async def _run_to_crash(self) -> None:
+        """Crash after a while, unless another crash comes before."""
+        if self._crash_after_s:
+            doomed = asyncio.create_task(self._crash_later(self.upstream_id))
+            self._doomed.add(doomed)
+            doomed.add_done_callback(self._doomed.discard)
+            await asyncio.shield(doomed)
+        else:
+            self.crash()
+
+    async def _crash_later(self, upstream_id: str) -> None:
+        await asyncio.sleep(self._crash_after_s)
+        if self.upstream_id == upstream_id:
+            self.crash()
+
     async def _come_back(self, *, reset: bool) -> None:
         former_id = self.upstream_id
         self._is_back = False
@@ -212,7 +233,7 @@
         self.runs.append(run)
         self.workspaces.append((header_value(exchange.headers, b"x-tenant") or b"").decode())
         if self._crash_on is not None and self._crash_on in exchange.body:
-            self.crash()
+            await self._run_to_crash()
             return
         if self._fails_every and len(self.runs) % self._fails_every:
             exchange.answer(500, [echoed], b"")
--- a/tests/crash_callers.py
+++ b/tests/crash_callers.py
@@ -33,15 +33,26 @@
         self.crashing: list[Reply] = []
         self.others: list[Reply] = []
 
-    async def send(self, path: str, body: bytes, *, host: int | None = None) -> Reply:
-        """Send one request to a host, by default to the next one in turn."""
+    async def send(
+        self,
+        path: str,
+        body: bytes,
+        *,
+        host: int | None = None,
+        leaves_after_s: float | None = None,
+    ) -> Reply:
+        """Send one request to a host, by default to the next one in turn.
+
+        :param leaves_after_s: when the caller closes its connection; None if it waits.
+        """
         number = next(self._numbers)
         request_id = f"q-{number}"
         hosts = self._fleet.hosts
         chosen = hosts[(number if host is None else host) % len(hosts)]
         began_at = time.monotonic()
         try:
-            answer = await chosen.request(build_request(request_id, path, body=body))
+            async with asyncio.timeout(leaves_after_s):
+                answer = await chosen.request(build_request(request_id, path, body=body))
             status, got = answer.status, answer.body
         except CALLER_ERRORS:
             status, got = 0, b""
@@ -49,11 +60,18 @@
             request_id=request_id, status=status, body=got, took_s=time.monotonic() - began_at
         )
 
-    async def repeat_crashing(self, path: str, *, for_s: float, every_s: float = 0.25) -> None:
+    async def repeat_crashing(
+        self,
+        path: str,
+        *,
+        for_s: float,
+        every_s: float = 0.25,
+        leaves_after_s: float | None = None,
+    ) -> None:
         """Send the crashing request again and again, each time after the last one has ended."""
         ends_at = time.monotonic() + for_s
         while time.monotonic() < ends_at:
-            self.crashing.append(await self.send(path, CRASH))
+            self.crashing.append(await self.send(path, CRASH, leaves_after_s=leaves_after_s))
             await asyncio.sleep(every_s)
 
     async def repeat_others(self, path: str, *, for_s: float, every_s: float = 0.02) -> None:
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -287,8 +287,9 @@
             lost = None if ok else chosen
             return ok
         finally:
-            ending = process.parts.screening.end_isolated_run(run, t.cast(t.Any, job), lost)
-            process.parts.screening.spawn(ending, name="end")
+            screening = process.parts.screening
+            ending = screening.end_isolated_run(run, t.cast(t.Any, job), lost, gave_up=False)
+            screening.spawn(ending, name="end")
 
     async def _run(
         self,
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -236,6 +236,22 @@
     assert not harness.note_store.notes()
 
 
+# Guards against a death that counts for nothing, as the caller had left long before it.
+@pytest.mark.parametrize(("runs_for_s", "suspect"), [(15.0, True), (0.0, False)])
+async def test_death_counts_against_a_request_as_long_as_it_may_have_run(
+    runs_for_s: float, suspect: bool
+) -> None:
+    harness = Harness(upstreams=("a", "b"), rng=random.Random(1), domains="ns")
+    lost, other = harness.record(prompt="x"), harness.record(prompt="y")
+    harness.guard.note_lost(lost, harness.view("a"), runs_for_s=runs_for_s)
+    await asyncio.sleep(12.0)
+    harness.guard.note_lost(other, harness.view("b"))
+    harness.guard.note_death(harness.view("a"))
+    await asyncio.sleep(1.0)
+    assert harness.guard.is_suspect(lost.fingerprint) is suspect
+    assert not harness.guard.is_suspect(other.fingerprint)
+
+
 async def test_lease_is_held_by_one_request_at_a_time() -> None:
     harness = Harness(upstreams=("a",), rng=random.Random(1))
     isolation_leases = IsolationLeases(
