Take an answer that is reset during its request for a broken one

Ruled out: resets and closes without an end of the stream before them, and all answers with a length or in chunks, which were broken already (0 of the other cases).

Cause: this host closed the connection at the end of the stream, so that a reset after it was never seen; the upstream, asked whether it lives, did.

Change: the connection stays open. Such an answer is whole only if the upstream's system has taken the whole request and no reset has come by the time the upstream has been asked. The same in the client of the store and of health checks.

--- a/src/cassiawalk/http1/client.py
+++ b/src/cassiawalk/http1/client.py
@@ -7,8 +7,10 @@
 
 from cassiawalk.http1.answerevents import AnswerBroken
 from cassiawalk.http1.answerevents import AnswerData
+from cassiawalk.http1.answerevents import AnswerEnd
 from cassiawalk.http1.answerevents import AnswerHead
 from cassiawalk.http1.connection import UpstreamConnection
+from cassiawalk.http1.framing import Ending
 from cassiawalk.http1.heads import Headers
 from cassiawalk.http1.heads import header_value
 from cassiawalk.http1.pool import ConnectError
@@ -144,4 +146,7 @@
         event = await conn.next_event()
     if isinstance(event, AnswerBroken):
         raise CallError(event.reason, sent=True)
+    assert isinstance(event, AnswerEnd)
+    if event.ending is Ending.CLOSED and not await conn.has_taken_request():
+        raise CallError("the connection was reset after the end of its stream", sent=True)
     return CompleteAnswer(status=head.status, body=b"".join(parts), headers=head.headers)
--- a/src/cassiawalk/http1/connection.py
+++ b/src/cassiawalk/http1/connection.py
@@ -23,12 +23,15 @@
 from cassiawalk.http1.pacing import BYTE_S
 from cassiawalk.http1.pacing import PIECE_S
 from cassiawalk.http1.pacing import Pacer
+from cassiawalk.http1.stalls import unacknowledged_bytes
+from cassiawalk.sockets import is_reset
 
 # What is queued for a slow caller before reading is paused.
 MAX_QUEUED_EVENTS = 256
 MAX_QUEUED_BYTES = 262144
 SLICE_BYTES = 4096  # parsed at once, before it is checked whether to go on
 MAX_INFORMATIONAL = 16  # answers with a status of 1xx before a final one
+TAKEN_CHECK_S = 0.01
 MAX_FOREIGN = 16  # answers to other requests before this one's
 
 
@@ -99,6 +102,7 @@
         self._events.clear()
         self._queued_bytes = self._passed_over = self.answer_bytes = 0
         self._answer_started = self._skipping = False
+        self._framing = Framing.LENGTH
         data = self._start_exchange_state(body)
         self._transport.write(data)
 
@@ -131,6 +135,30 @@
             and self._transport.get_write_buffer_size() == 0
         )
 
+    @property
+    def is_reset(self) -> bool:
+        """Return whether the connection was reset, also if its stream had ended before."""
+        if self.closed:
+            return self._lost is Ending.RESET
+        return is_reset(self._transport.get_extra_info("socket"))
+
+    async def has_taken_request(self) -> bool:
+        """Return whether an upstream that has ended its stream takes the rest of the request.
+
+        If it has closed the connection instead, it resets it when more of the request arrives.
+        """
+        while not self.is_reset:
+            if self.closed or not self._untaken_bytes:
+                return True
+            await asyncio.sleep(TAKEN_CHECK_S)
+        return False
+
+    @property
+    def _untaken_bytes(self) -> int:
+        """Return how much of the request the upstream's system has not acknowledged."""
+        fd = self._transport.get_extra_info("socket").fileno()
+        return self._transport.get_write_buffer_size() + unacknowledged_bytes(fd)
+
     def close(self) -> None:
         """Close at once; an upstream treats this as cancellation of the request."""
         self._unparsed.clear()
@@ -185,11 +213,15 @@
             self._fail_answer(f"not a valid HTTP answer: {exc}", Ending.INVALID)
 
     def eof_received(self) -> bool:
-        """Note the end of the stream, which also ends an answer that announces no length."""
-        self._eof = True
+        """Note the end of the stream, which also ends an answer that announces no length.
+
+        The connection is then kept open, as the upstream may reset it yet.
+        """
+        ends_answer = self._request is not None and self._framing is Framing.CONNECTION
+        self._eof = self._close_after = True
         if self._resumption is None and not self._unparsed:
             self._handle_ended()
-        return False
+        return ends_answer
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Mark the connection closed; an answer under way ends once what arrived is parsed."""
--- a/src/cassiawalk/ingress/attempt.py
+++ b/src/cassiawalk/ingress/attempt.py
@@ -166,12 +166,19 @@
         """Return the next event of a body that is passed on.
 
         An end that only the connection tells is taken for the death of the upstream unless that is
-        known to be alive.
+        known to be alive, and for a break if the connection is reset after it.
         """
         event = await self._next_event(conn)
         if not isinstance(event, AnswerEnd) or event.ending is not Ending.CLOSED:
             return event
-        if await self._screening.has_outlived(self._job, self._upstream):
+        has_outlived = await conn.has_taken_request() and await self._screening.has_outlived(
+            self._job, self._upstream
+        )
+        if conn.is_reset:
+            self.trace.ending = Ending.RESET
+            reason = "the connection was reset after the end of its stream"
+            return AnswerBroken(reason=reason, ending=Ending.RESET)
+        if has_outlived:
             return event
         reason = "the upstream was not there when its connection had ended the answer"
         return AnswerBroken(reason=reason, ending=event.ending)
--- a/src/cassiawalk/sockets.py
+++ b/src/cassiawalk/sockets.py
@@ -60,11 +60,22 @@
 
     Where the system does not tell, it counts as there.
     """
+    return _tcp_state(sock) in (_TCP_CLOSED, _TCP_CLOSE_WAIT)
+
+
+def is_reset(sock: _HasOptions) -> bool:
+    """Return whether an open socket's connection was reset, also if its stream had ended before.
+
+    Where the system does not tell, it was not.
+    """
+    return _tcp_state(sock) == _TCP_CLOSED
+
+
+def _tcp_state(sock: _HasOptions) -> int | None:
     try:
-        state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
     except OSError:
-        return False
-    return state in (_TCP_CLOSED, _TCP_CLOSE_WAIT)
+        return None
 
 
 def since_received_s(sock: _HasOptions) -> float:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -358,7 +358,7 @@
 async def test_repeat_in_chunks_is_known_as_the_request_that_died_before(size: int) -> None:
     async with IngressBed(config(route(RetryRule.ONCE, max_attempts=1))) as bed:
         lost: list[str] = []
-        bed.guard.note_lost = lambda job, _: lost.append(job.fingerprint)  # type: ignore
+        bed.guard.note_lost = lambda job, *_, **__: lost.append(job.fingerprint)  # type: ignore
         await bed.add(_reset, "u-1")
         body = b"x" * size
         await (await bed.caller()).request(post(b"q1", body))
