Take an answer with a status that HTTP does not have for a lost one

Checked here first: the ingress passed on 600 to 999 (8 of 44 cases), and the client of the store took them (2 of 11); 000 to 099 and statuses without three digits were lost ones already. The own interface took each number for the status of a plain service's answer, 000 too (9 of 11).

Cause: the parser bounds statuses below 200 only; the client library of the own interface takes any digits. Change: both check for three digits up to 599. The request may have run, so that one that may be repeated goes to another upstream, and others get 502.

--- a/src/cassiawalk/clients/_http.py
+++ b/src/cassiawalk/clients/_http.py
@@ -14,6 +14,8 @@
 ANSWER_TIMEOUT_S = 10.0
 MAX_CONNECTIONS = 512
 _NO_CONTENT = 204
+_FINAL_STATUSES = range(200, 600)
+_STATUS_DIGITS = 3
 
 # aiosonic raises ValueError for a truncated chunked answer, and IncompleteReadError (an EOFError)
 # for a truncated answer with a length.
@@ -62,11 +64,14 @@
 
 
 async def complete_body(res: aiosonic.HttpResponse) -> bytes:
-    """Return the body of an answer, and refuse one whose end can't be known.
+    """Return the body of an answer, and refuse one whose status or end can't be known.
 
-    :raises ValueError: if the head announces neither a length nor chunks; aiosonic reads a
-        truncated head as such an answer with an empty body.
+    :raises ValueError: if the status is none of HTTP's, or the head announces neither a length nor
+        chunks; aiosonic reads a truncated head as such an answer with an empty body.
     """
+    status = res.response_initial["code"]
+    if len(status) != _STATUS_DIGITS or int(status) not in _FINAL_STATUSES:
+        raise ValueError(f"status {status} is not one of 200 to 599")
     framed = "content-length" in res.headers or "transfer-encoding" in res.headers
     if not framed and res.status_code != _NO_CONTENT:
         raise ValueError("the answer's head announces no body length")
--- a/src/cassiawalk/http1/connection.py
+++ b/src/cassiawalk/http1/connection.py
@@ -31,6 +31,7 @@
 MAX_QUEUED_BYTES = 262144
 SLICE_BYTES = 4096  # parsed at once, before it is checked whether to go on
 MAX_INFORMATIONAL = 16  # answers with a status of 1xx before a final one
+MAX_STATUS = 599
 TAKEN_CHECK_S = 0.01
 MAX_FOREIGN = 16  # answers to other requests before this one's
 
@@ -303,6 +304,9 @@
 
     def _handle_head(self, event: h11.Response) -> None:
         assert self._request is not None and self._is_foreign is not None
+        if event.status_code > MAX_STATUS:
+            self._fail_answer(f"status {event.status_code} is beyond {MAX_STATUS}", Ending.INVALID)
+            return
         headers = list(event.headers.raw_items())
         self._framing = answer_framing(
             method=self._request.method, status=event.status_code, headers=headers
