Tell a process that started again under its id by the store

Cause: after the end, the host asks who is at the address, and the health check names an id only. The directory tells two processes of one id apart by their start; the judgement did not ask it. Ruled out: that no check is made in a stall (with a new id the streams are broken).

Without a stall nothing changes.

--- a/src/cassiawalk/ingress/endings.py
+++ b/src/cassiawalk/ingress/endings.py
@@ -2,7 +2,8 @@
 
 Such an answer has neither a length nor chunks. The end of its connection is that of the answer if
 the upstream closed it, and that of the upstream if it died. The upstream is asked after the end: if
-the same process answers, it has outlived its answer.
+the same process answers, it has outlived its answer. One that has started again under its id
+answers alike, so that after a stall of this host the store has to list the same process too.
 """
 
 import asyncio
@@ -39,18 +40,23 @@
     :param witness: who was found at its address.
     :param asked_after_s: the time from the end of the answer to the question, in seconds.
     :param stalled: whether this host did not run for a while around the end.
+    :param is_current: whether the store lists no later process under the upstream's id; None if
+        that is not known. Without a stall there was no time to start again.
     """
 
     witness: Witness
     asked_after_s: float
     stalled: bool
+    is_current: bool | None = None
 
 
 def judge(evidence: Evidence) -> Wholeness:
     """Return whether an answer was whole."""
     match evidence.witness:
-        case Witness.SAME:
+        case Witness.SAME if evidence.is_current or not evidence.stalled:
             return Wholeness.WHOLE
+        case Witness.SAME if evidence.is_current is False:
+            return Wholeness.BROKEN
         case Witness.OTHER | Witness.NOBODY:
             return Wholeness.BROKEN
         case Witness.SOMEONE if evidence.asked_after_s <= PROMPT_S and not evidence.stalled:
@@ -90,12 +96,16 @@
     return True
 
 
+async def _is_not_known(_: Upstream) -> bool | None:
+    return None
+
+
 class Endings(Component):
     """Asks upstreams after the ends of their answers.
 
     As long as no other process can be there, it is enough that something listens. Else the health
     check tells who it is. ``may_ask`` is called before each check, and ``on_judged`` with each
-    judgement and the witness it goes by.
+    judgement and the witness it goes by. ``is_current`` returns what ``Evidence`` holds.
     """
 
     def __init__(
@@ -108,6 +118,7 @@
         self._next: dict[str, _Question] = {}
         self._running: dict[str, _Question] = {}
         self.may_ask: cabc.Callable[[Upstream], cabc.Awaitable[bool]] = _may_always_ask
+        self.is_current: cabc.Callable[[Upstream], cabc.Awaitable[bool | None]] = _is_not_known
         self.on_judged: cabc.Callable[[Wholeness, Witness], None] = lambda *_: None
 
     async def judge(self, upstream: Upstream, *, wait_s: float) -> Wholeness:
@@ -116,6 +127,9 @@
         :param wait_s: how long the question may take, in seconds.
         """
         evidence = await self.find(upstream, wait_s=wait_s)
+        if evidence.witness is Witness.SAME and evidence.stalled:
+            is_current = await self.is_current(upstream)
+            evidence = dataclasses.replace(evidence, is_current=is_current)
         found = judge(evidence)
         self.on_judged(found, evidence.witness)
         return found
--- a/src/cassiawalk/ingressnode/node.py
+++ b/src/cassiawalk/ingressnode/node.py
@@ -333,6 +333,7 @@
         self.store.serve(self.peer_server)
         self.store.copier.add_check(self.stalls.look)
         self.endings.may_ask = self.placer.may_check
+        self.endings.is_current = self.store.listing.is_current
         self.store.lapses.may_ask = self.placer.may_check
         self.store.lapses.on_limit = self.limits.book.note_answer
         if self.rollouts is not None:
--- a/src/cassiawalk/ingressnode/storeparts.py
+++ b/src/cassiawalk/ingressnode/storeparts.py
@@ -21,6 +21,7 @@
 from cassiawalk.storeview.followers import DirectoryFollower
 from cassiawalk.storeview.freshness import Freshness
 from cassiawalk.storeview.lapses import LapseChecker
+from cassiawalk.storeview.listing import ProcessListing
 from cassiawalk.storeview.source import PlatformSource
 
 # With a heartbeat interval it stays under the age at which other hosts read the store themselves.
@@ -78,6 +79,9 @@
         self.copier.directory_follower = self._follow_directory(directory)
         self.copier.add_check(self.copier.config_follower.check_turn)
         self.copier.add_check(self.copier.directory_follower.check_turn)
+        self.listing = ProcessListing(
+            directory=directory, age_s=lambda: self.directory_freshness.age_s, clock=boot_clock
+        )
         self.departures = DepartureInquiry(
             directory=directory, heartbeats=heartbeats, links=links, clock=clock
         )
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -45,8 +45,8 @@
     that it asks for then, as written in its answers. ``rejected`` lists these requests. While
     ``says_leaving`` is set, all of its answers say that it leaves. ``limits``, if set, is the limit
     that its answers name, as written in them, and ``checks_at`` has the times of health checks, in
-    monotonic seconds. ``leaving`` is set once it has
-    announced that it leaves, or has deleted its entry.
+    monotonic seconds. ``leaving`` is set once it has announced that it leaves, or has deleted its
+    entry. While ``keeps_id`` is set, it comes back from a crash under the id that it had.
 
     :param events: the number of events in a stream.
     :param event_s: the time between two events, in seconds.
@@ -113,6 +113,7 @@
         self.checks_at: list[float] = []
         self.rejected: list[UpstreamRun] = []
         self.leaving = False
+        self.keeps_id = False
         self.crashed_at: list[float] = []
         self.part_crashes_at: list[float] = []
 
@@ -167,7 +168,7 @@
         await self._store.put("keyed.servers", self.upstream_id, None)
 
     def crash(self, *, reset: bool = True) -> None:
-        """End all connections; come back under a new id after ``down_s`` s.
+        """End all connections; come back after ``down_s`` s, see ``keeps_id``.
 
         :param reset: whether the connections are reset; else they are closed in order.
         """
@@ -195,10 +196,12 @@
         self._is_back = False
         await self.restart(down_s=self.down_s, reset=reset)
         self._is_back = True
-        self.upstream_id = f"i-{next(self._numbers)}"
+        if not self.keeps_id:
+            self.upstream_id = f"i-{next(self._numbers)}"
         self.begin_life()
         await self.register()
-        await self._store.put("keyed.servers", former_id, None)
+        if not self.keeps_id:
+            await self._store.put("keyed.servers", former_id, None)
 
     async def handle(self, exchange: Exchange) -> None:
         """Run one request; 421 if it is meant for another upstream."""
--- a/tests/ingress_bed.py
+++ b/tests/ingress_bed.py
@@ -58,6 +58,7 @@
 from cassiawalk.storeview.directory import Directory
 from cassiawalk.storeview.upstream import Presence
 from cassiawalk.storeview.upstream import Registration
+from cassiawalk.storeview.upstream import Upstream
 from standins.raw_caller import Answer as Answer
 from standins.raw_caller import Caller as Caller
 from standins.raw_caller import find_header
@@ -215,6 +216,11 @@
         side.write(answer(arrival.request_id, arrival.body or b"empty"))
 
 
+async def _is_current(_: Upstream) -> bool:
+    """Return what hosts find of an upstream that never starts again."""
+    return True
+
+
 class IngressBed:
     """The ingress between a caller's socket and scripted upstreams, without peers or a store."""
 
@@ -338,6 +344,7 @@
             stalls=self.stalls,
             clock=clock,
         )
+        self.endings.is_current = _is_current
         self.screening = Screening(
             guard=self.guard,
             parts=self.parts,
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from cassiawalk.ids import Offset
 from cassiawalk.ids import ServiceName
 from cassiawalk.ingress.endings import PROMPT_S
 from cassiawalk.ingress.endings import STALL_S
@@ -14,10 +15,12 @@
 from cassiawalk.ingress.endings import Wholeness
 from cassiawalk.ingress.endings import judge
 from cassiawalk.storeview.config import ConfigView
+from cassiawalk.storeview.directory import Directory
 from cassiawalk.storeview.inquiry import UpstreamInquiry
 from cassiawalk.storeview.inquiry import UpstreamReport
 from cassiawalk.storeview.inquiry import UpstreamState
 from cassiawalk.storeview.inquiry import Witness
+from cassiawalk.storeview.listing import ProcessListing
 from cassiawalk.storeview.upstream import Registration
 from cassiawalk.storeview.upstream import Upstream
 from tests.fakes import FakeClock
@@ -27,25 +30,49 @@
 
 
 @pytest.mark.parametrize(
-    ("witness", "asked_after_s", "stalled", "expected"),
+    ("witness", "asked_after_s", "stalled", "is_current", "expected"),
     [
-        (Witness.SAME, 0.0, False, WHOLE),
-        (Witness.SAME, 5.0, True, WHOLE),
-        (Witness.OTHER, 0.0, False, BROKEN),
-        (Witness.NOBODY, 0.0, False, BROKEN),
-        (Witness.SOMEONE, PROMPT_S / 2, False, WHOLE),
-        (Witness.SOMEONE, PROMPT_S * 2, False, UNKNOWN),  # another process may be there by now
-        (Witness.SOMEONE, 0.0, True, UNKNOWN),
-        (Witness.UNKNOWN, 0.0, False, UNKNOWN),
+        (Witness.SAME, 0.0, False, None, WHOLE),
+        (Witness.SAME, 5.0, True, True, WHOLE),
+        (Witness.SAME, 5.0, True, False, BROKEN),  # it has started again under its id
+        (Witness.SAME, 5.0, True, None, UNKNOWN),
+        (Witness.OTHER, 0.0, False, None, BROKEN),
+        (Witness.OTHER, 0.0, True, True, BROKEN),
+        (Witness.NOBODY, 0.0, False, None, BROKEN),
+        (Witness.SOMEONE, PROMPT_S / 2, False, None, WHOLE),
+        (Witness.SOMEONE, PROMPT_S * 2, False, None, UNKNOWN),  # another one may be there by now
+        (Witness.SOMEONE, 0.0, True, None, UNKNOWN),
+        (Witness.UNKNOWN, 0.0, False, None, UNKNOWN),
     ],
 )
 def test_answer_is_whole_only_if_its_process_has_outlived_it(
-    witness: Witness, asked_after_s: float, stalled: bool, expected: Wholeness
+    witness: Witness,
+    asked_after_s: float,
+    stalled: bool,
+    is_current: bool | None,
+    expected: Wholeness,
 ) -> None:
-    evidence = Evidence(witness=witness, asked_after_s=asked_after_s, stalled=stalled)
+    evidence = Evidence(
+        witness=witness, asked_after_s=asked_after_s, stalled=stalled, is_current=is_current
+    )
     assert judge(evidence) is expected
 
 
+@pytest.mark.parametrize(
+    ("age_s", "started_ms", "expected"),
+    [(0.0, 1, True), (0.0, 2, False), (10.0, 1, None), (10.0, 2, False)],
+)
+async def test_process_is_current_if_the_newest_entries_list_no_later_one(
+    age_s: float, started_ms: int, expected: bool | None
+) -> None:
+    clock = FakeClock()
+    directory = Directory(clock=clock)
+    directory.put(entry(started_ms=started_ms), Offset(1))
+    listing = ProcessListing(directory=directory, age_s=lambda: age_s, clock=clock)
+    upstream = Upstream(registration=entry(started_ms=1), clock=clock)
+    assert await listing.is_current(upstream) is expected
+
+
 def test_host_that_was_stopped_knows_for_a_while() -> None:
     clock = FakeClock()
     stalls = StallWatch(boot_clock=clock)
@@ -77,6 +104,10 @@
         return "/h"
 
 
+async def _is_current(_: Upstream) -> bool:
+    return True
+
+
 async def test_question_is_shared_only_by_answers_that_ended_before_it() -> None:
     """Guards against an answer that is taken for whole by a question that began before its end."""
     clock = FakeClock()
@@ -84,6 +115,7 @@
     stalls = StallWatch(boot_clock=clock)
     clock.now += STALL_S * 2  # so that the upstream is asked, and not only its address tried
     endings = Endings(inquiry=inquiry, config=Config(), stalls=stalls, clock=clock)
+    endings.is_current = _is_current
     upstream = Upstream(registration=entry(), clock=clock)
     first = [asyncio.create_task(endings.judge(upstream, wait_s=5.0)) for _ in range(2)]
     await asyncio.sleep(0.01)
--- a/tests/test_unframed_upstreams.py
+++ b/tests/test_unframed_upstreams.py
@@ -28,6 +28,7 @@
 
 UPSTREAMS = 5
 REPEAT_S = 9.0
+FROZEN_S = 2.0  # past the end of the streams that are under way
 AT_ONCE = 4  # so that every upstream is used
 CUT_AT_ONCE = 8
 EVENTS = 5
@@ -164,16 +165,18 @@
         assert got.body == WHOLE or not got.looks_complete
 
 
+# Guards against a new process at the address, also under the id, that answers for the dead one.
+@pytest.mark.parametrize("keeps_id", [False, True])
 @pytest.mark.parametrize("down_s", [0.1, 0.3, 1.0])
 async def test_streams_that_a_crash_cut_while_the_host_was_frozen_do_not_end_as_complete(
-    fleet: PlatformFleet, down_s: float
+    fleet: PlatformFleet, down_s: float, keeps_id: bool
 ) -> None:
-    """Guards against a new process at the address that answers for the dead one (ORDER)."""
     host = fleet.hosts[0]
 
     async def crash(upstream: UnframedUpstream) -> None:
         host.process.send_signal(signal.SIGSTOP)
         upstream.down_s = down_s
+        upstream.keeps_id = keeps_id
         upstream.crash(reset=False)
         await wait_until(lambda: upstream.is_up)
         host.process.send_signal(signal.SIGCONT)
@@ -182,6 +185,20 @@
         assert got.body == WHOLE or not got.looks_complete
 
 
+async def test_streams_that_ended_while_the_host_was_frozen_are_whole(
+    fleet: PlatformFleet,
+) -> None:
+    host = fleet.hosts[0]
+
+    async def freeze(_: UnframedUpstream) -> None:
+        host.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(FROZEN_S)
+        host.process.send_signal(signal.SIGCONT)
+
+    for got in await _cut_by(fleet, freeze):
+        assert (got.body, got.looks_complete) == (WHOLE, True)
+
+
 @pytest.mark.parametrize("announces", [True, False])
 async def test_whole_answers_of_an_upstream_that_leaves_in_order_are_delivered(
     fleet: PlatformFleet, announces: bool
