--- a/src/cassiawalk/ingress/forwarder.py
+++ b/src/cassiawalk/ingress/forwarder.py
@@ -17,7 +17,6 @@
 from cassiawalk.ingress.budgets import RetryBudgets
 from cassiawalk.ingress.codec import Demand
 from cassiawalk.ingress.codec import HeadCodec
-from cassiawalk.ingress.decisions import Decision
 from cassiawalk.ingress.decisions import Verdict
 from cassiawalk.ingress.intake import Intake
 from cassiawalk.ingress.intake import RefusedError
@@ -26,9 +25,10 @@
 from cassiawalk.ingress.outcome import AttemptEnd
 from cassiawalk.ingress.permitting import PermittedPlacer
 from cassiawalk.ingress.placementresult import Placement
-from cassiawalk.ingress.queueing import CODES
 from cassiawalk.ingress.queueing import RequestQueues
 from cassiawalk.ingress.queueing import Turn
+from cassiawalk.ingress.refusals import STOPPING_RETRY_S
+from cassiawalk.ingress.refusals import Refusals
 from cassiawalk.ingress.report import IngressReport
 from cassiawalk.ingress.screening import Screening
 from cassiawalk.ingress.stopping import StopPlan
@@ -39,11 +39,6 @@
 from cassiawalk.storeview.directory import Directory
 from cassiawalk.storeview.upstream import Upstream
 
-NO_UPSTREAM_RETRY_S = 0.4
-FULL_RETRY_S = 0.3
-STOPPING_RETRY_S = 0.05
-MIN_RETURN_SPREAD_S = 0.5  # over which callers return when upstreams want requests again
-
 
 class Forwarder(Component, ExchangeHandler):
     """Serves each request from its head to the end of its answer."""
@@ -66,6 +61,7 @@
         stopping: StopPlan,
         rng: random.Random,
     ) -> None:
+        self._refusals = Refusals(directory=directory, placer=placer, stopping=stopping, rng=rng)
         self._screening = screening
         self._stopping = stopping
         self._limits_in_use: set[asyncio.Timeout] = set()
@@ -95,7 +91,7 @@
             self._refuse(exchange, None, Refusal(code=ResultCode.BAD_REQUEST, detail=exc.reason))
             return
         if not self._stopping.can_finish(job.ends_at):
-            self._finish(job, self._host_stops(job))
+            self._finish(job, self._refusals.host_stops(job))
             return
         self._budgets.note_request(job.service)
         self._meter.note(job.service, job.unshared_tokens)
@@ -127,7 +123,7 @@
             async with limit:
                 refusal = await self._run_attempts(job)
         except TimeoutError:
-            refusal = self._timed_out(job)
+            refusal = self._refusals.timed_out(job)
         except asyncio.CancelledError:
             self._report.note_caller_left(job)
             raise
@@ -148,14 +144,14 @@
                 return await self._run_alone(job, admitted)
             placement = await self._placer.place(job)
             if placement is None:
-                return self._no_upstream(job)
+                return self._refusals.no_upstream(job)
             if placement.permit is not None and not self._placer.has_room(job, placement):
-                return self._upstreams_full(job, placement)
+                return self._refusals.upstreams_full(job, placement)
             turn = self._queues.ask(job, placement)
             if turn.has_waited and await self._queues.wait(turn) is None:
                 return self._not_sent(job)
             if turn.decision.verdict is Verdict.REJECT:
-                return self._rejected(job, turn.decision)
+                return self._refusals.rejected(job, turn.decision)
             try:
                 if turn.has_waited:
                     found = await self._look_again(job, turn)
@@ -174,7 +170,7 @@
                 await self._note_lost(job, placement.upstream)
             job.tried.add(placement.upstream.upstream_id)
             if not await self._may_retry(job, end):
-                return self._retries_exhausted(job, end, trace.reason)
+                return self._refusals.retries_exhausted(job, end, trace.reason)
         return self._not_sent(job)
 
     async def _look_again(self, job: Job, turn: Turn) -> Placement | Refusal | IsolatedRun:
@@ -185,7 +181,7 @@
         placement = turn.placement
         if placement is None or not placement.upstream.takes_work:
             placement = await self._placer.place(job)
-        return self._no_upstream(job) if placement is None else placement
+        return self._refusals.no_upstream(job) if placement is None else placement
 
     async def _run_alone(self, job: Job, run: IsolatedRun) -> Refusal | None:
         """Let a suspect request run once, on an upstream that it does not share with others."""
@@ -200,12 +196,12 @@
                     avoided=self._screening.deaths_in(job),
                 )
                 if placement is None:
-                    return self._no_upstream(job)
+                    return self._refusals.no_upstream(job)
                 if not await run.reserve(placement.upstream):
-                    return self._not_alone(job)
+                    return self._refusals.not_alone(job)
                 placement = await self._placer.permit(job, placement)
                 if placement is None:
-                    return self._no_upstream(job)
+                    return self._refusals.no_upstream(job)
                 lost, gave_up = placement.upstream, True  # if the attempt is cancelled
                 end, trace = await self._attempt(job, placement)
                 gave_up = False
@@ -215,7 +211,7 @@
                     return None
                 job.tried.add(placement.upstream.upstream_id)
                 if not end.surely_not_run or not await self._may_retry(job, end):
-                    return self._retries_exhausted(job, end, trace.reason)
+                    return self._refusals.retries_exhausted(job, end, trace.reason)
             return self._not_sent(job)
         finally:
             ending = self._screening.end_isolated_run(run, job, lost, gave_up=gave_up)
@@ -297,80 +293,15 @@
         )
         return False
 
-    def _no_upstream(self, job: Job) -> Refusal:
-        pause_s = self._directory.pause_left_s(job.service)
-        if pause_s is not None:
-            detail = f"all upstreams of {job.service} ask for time, {pause_s:.1f} s at least"
-            spread_s = self._rng.uniform(0.0, max(MIN_RETURN_SPREAD_S, pause_s / 2))
-            return self._unanswered(job, ResultCode.QUEUE_FULL, detail, pause_s + spread_s)
-        return_s = self._placer.return_after_s(job)
-        if return_s is not None:
-            detail = f"the limits that upstreams of {job.service} name are used up"
-            return self._unanswered(job, ResultCode.QUEUE_FULL, detail, return_s)
-        detail = f"no upstream of {job.service} accepts requests"
-        return self._unanswered(job, ResultCode.NO_UPSTREAM, detail, NO_UPSTREAM_RETRY_S)
-
-    def _not_alone(self, job: Job) -> Refusal:
-        detail = f"another suspect request runs where {job.fingerprint} could run alone"
-        return self._unanswered(job, ResultCode.SUSPECT, detail, FULL_RETRY_S)
-
-    def _upstreams_full(self, job: Job, placement: Placement) -> Refusal:
-        load = placement.upstream.load
-        detail = f"upstreams of {job.service} are full; the one chosen has {load.total} requests"
-        return self._unanswered(job, ResultCode.QUEUE_FULL, detail, FULL_RETRY_S)
-
-    def _rejected(self, job: Job, decision: Decision) -> Refusal:
-        retry_after_s = decision.retry_after_s
-        assert retry_after_s is not None
-        detail = (
-            f"{decision.reason.value}: {decision.taken} requests at {decision.room.slots} slots of"
-            f" {job.service}, {decision.waiting} wait here, expected in"
-            f" {decision.wait_s + decision.expected_s:.3f} s"
-        )
-        return self._unanswered(job, CODES[decision.reason], detail, retry_after_s)
-
-    def _retries_exhausted(self, job: Job, end: AttemptEnd, reason: str) -> Refusal:
-        detail = f"attempt {job.sends} ended as {end.value}: {reason}"
-        return self._unanswered(job, ResultCode.QUEUE_FULL, detail, FULL_RETRY_S)
-
     def _may_send(self, job: Job) -> bool:
         return not job.exchange.caller_left and self._stopping.can_finish(job.ends_at)
 
     def _not_sent(self, job: Job) -> Refusal:
         """Refuse a request for which ``_may_send`` was False."""
         if not job.exchange.caller_left:
-            return self._host_stops(job)
+            return self._refusals.host_stops(job)
         detail = "the caller left before the request was sent"
-        return self._unanswered(job, ResultCode.ABANDONED, detail, STOPPING_RETRY_S)
-
-    def _host_stops(self, job: Job) -> Refusal:
-        """Refuse a request that is at no upstream now."""
-        if job.may_have_run or job.started:
-            return self._cut_by_stop()
-        detail = "this host stops before the request's time limit"
-        return Refusal(code=ResultCode.DRAINING, detail=detail, retry_after_s=STOPPING_RETRY_S)
-
-    def _cut_by_stop(self) -> Refusal:
-        detail = "this host stops, and the request had been sent to an upstream"
-        return Refusal(code=ResultCode.HOST_STOPPED, detail=detail)
-
-    def _timed_out(self, job: Job) -> Refusal:
-        if self._stopping.cuts(job.ends_at):
-            return self._cut_by_stop() if job.sends else self._host_stops(job)
-        if job.may_have_run or job.sends:
-            detail = "the time limit was reached after the request had been sent to an upstream"
-            return Refusal(code=ResultCode.DEADLINE_PASSED_RUNNING, detail=detail)
-        detail = "the time limit was reached before the request was sent to an upstream"
-        return Refusal(code=ResultCode.DEADLINE_PASSED_WAITING, detail=detail)
-
-    def _unanswered(
-        self, job: Job, not_run: ResultCode, detail: str, retry_after_s: float
-    ) -> Refusal:
-        """Return a refusal that says "not run" only if no attempt can have run the request."""
-        if job.may_have_run or job.started:
-            code = ResultCode.RETRIES_EXHAUSTED
-            return Refusal(code=code, detail=detail, execution=Execution.UNKNOWN)
-        return Refusal(code=not_run, detail=detail, retry_after_s=retry_after_s)
+        return self._refusals.unanswered(job, ResultCode.ABANDONED, detail, STOPPING_RETRY_S)
 
     def _finish(self, job: Job, refusal: Refusal | None) -> None:
         """Finish the exchange; an upstream's answer takes precedence over a refusal."""
