--- a/src/cassiawalk/ingress/report.py
+++ b/src/cassiawalk/ingress/report.py
@@ -16,6 +16,7 @@
 from cassiawalk.http1 import Closure
 from cassiawalk.http1 import Exchange
 from cassiawalk.ids import WorkspaceName
+from cassiawalk.ingress.attemptlog import log_attempt
 from cassiawalk.ingress.codec import Demand
 from cassiawalk.ingress.decisions import Decision
 from cassiawalk.ingress.decisions import Verdict
@@ -180,40 +181,7 @@
         ending = None if trace.ending is None else trace.ending.value
         if framing is not None:
             self._answers.inc({"service": job.service, "framing": framing, "ending": str(ending)})
-        load = placement.upstream.load
-        eliot.log_message(
-            message_type="request:attempt",
-            request_id=job.request_id,
-            route=job.route.name,
-            revision=job.revision,
-            fingerprint=job.fingerprint if end.answer_lost else None,
-            parts=[part.part_id for part in job.demand.shared_prefix] if end.answer_lost else None,
-            progress=job.progress.value,
-            upstream=placement.upstream.upstream_id,
-            expected_first_s=round(placement.first_s, 4),
-            first_s=None if trace.first_s is None else round(trace.first_s, 4),
-            unread_tokens=placement.unread_tokens,
-            candidates=placement.candidates,
-            pending_tokens=placement.pending_tokens,
-            choice=placement.choice.value,
-            slowness=round(placement.slowness, 2),
-            pace=round(placement.pace, 2),
-            report_age_s=None if load.reported is None else round(load.report_age_s, 3),
-            holder=None if placement.holder is None else placement.holder.upstream_id,
-            wait_s=round(placement.wait_s, 4),
-            prefix=None if prefix is None else prefix.way.value,
-            prefix_saving_s=None if prefix is None else round(prefix.saving_s, 4),
-            prefix_delay_s=None if prefix is None else round(prefix.delay_s, 4),
-            own=load.own,
-            others=load.others,
-            end=end.value,
-            reason=trace.reason,
-            framing=framing,
-            ending=ending,
-            incomplete_bytes=trace.incomplete_bytes,
-            limit_per_s=trace.limit_per_s,
-            age_s=round(self._age_s(job), 4),
-        )
+        log_attempt(job, placement, end, trace, age_s=self._age_s(job))
 
     def note_ended(
         self, job: Job, placement: Placement, end: AttemptEnd | None, attempt: AttemptTimes
