Move the record of running requests out of the crash guard

What runs where, and what may run on after its connection was lost, is a class of its own. The tests of crashes pass as before.

--- a/src/cassiawalk/crashes/guard.py
+++ b/src/cassiawalk/crashes/guard.py
@@ -23,11 +23,11 @@
 from cassiawalk.crashes.report import log_changed_blame
 from cassiawalk.crashes.report import log_death
 from cassiawalk.crashes.report import quarantine_detail
+from cassiawalk.crashes.running import RunningRequests
 from cassiawalk.crashes.subjects import GuardedRequest
 from cassiawalk.crashes.subjects import GuardedUpstream
 from cassiawalk.ids import Fingerprint
 from cassiawalk.ids import HostId
-from cassiawalk.ids import RequestId
 from cassiawalk.peer import Note
 from cassiawalk.peer import NoteSharing
 from cassiawalk.peer import NoteStore
@@ -40,7 +40,6 @@
 SETTLE_DELAY_S = 0.2
 QUARANTINE_DELAY_S = 1.0
 LEASE_RETRY_S = 0.25
-LOST_RETENTION_S = 8.0  # longer than it takes until the entry of a dead upstream is removed
 # With this many other deaths in a domain within seconds, no request comes under suspicion by it.
 CERTAIN_DOMAIN_DEATHS = 3
 # From so many deaths on a request is isolated also if failures of domains explain them: several
@@ -90,9 +89,7 @@
         self._notes = CrashNotes(note_store=note_store, sharing=sharing, clock=clock)
         self._evidence = Evidence(host=host, notes=self._notes)
         self._deaths = DeathLog()
-        self._running: dict[RequestId, tuple[str, Fingerprint]] = {}
-        # Until when a death of the process counts against the request, in monotonic seconds.
-        self._lost: dict[str, dict[Fingerprint, float]] = {}
+        self._running = RunningRequests(clock=clock)
         self._isolated_runs = IsolatedRuns(
             upstreams=upstreams,
             on_released=on_released,
@@ -113,11 +110,8 @@
     @contextlib.contextmanager
     def running(self, request: GuardedRequest, upstream: GuardedUpstream) -> cabc.Iterator[None]:
         """Count the request as running on an upstream while the context is open."""
-        self._running[request.request_id] = (upstream.process, request.fingerprint)
-        try:
+        with self._running.running(request, upstream):
             yield
-        finally:
-            self._running.pop(request.request_id, None)
 
     def refusal(self, request: GuardedRequest) -> Refusal | None:
         """Return the refusal of a quarantined request, or None if it is not quarantined."""
@@ -215,19 +209,11 @@
 
         :param runs_for_s: how much longer the upstream may run it all the same, in seconds.
         """
-        now = self._clock.monotonic()
-        self._lost = {
-            process: kept
-            for process, found in self._lost.items()
-            if (kept := {name: until for name, until in found.items() if until > now})
-        }
-        until = now + runs_for_s + LOST_RETENTION_S
-        found = self._lost.setdefault(upstream.process, {})
-        found[request.fingerprint] = max(until, found.get(request.fingerprint, until))
+        self._running.note_lost(request, upstream, runs_for_s=runs_for_s)
 
     def has_lost(self, upstream: GuardedUpstream) -> bool:
         """Return whether requests lost their connection to the upstream recently."""
-        return upstream.process in self._lost
+        return self._running.has_lost(upstream)
 
     def dead_processes(self) -> set[str]:
         """Return the processes of whose death this host or another one has noticed lately."""
@@ -243,7 +229,7 @@
             process=process,
             failure_domain=upstream.failure_domain,
             at=self._clock.wall(),
-            running=self._running_on(process),
+            running=self._running.on(process),
         )
         self._deaths.add(death)
         task = self.spawn(self._explain_death(upstream, death), name=f"death-{process}")
@@ -288,10 +274,6 @@
         if task is not None:
             await asyncio.wait([task])
 
-    def _running_on(self, process: str) -> frozenset[Fingerprint]:
-        running = {name for found, name in self._running.values() if found == process}
-        return frozenset(running | self._lost.get(process, {}).keys())
-
     def _is_quarantined(self, fingerprint: Fingerprint) -> bool:
         until_s = self._quarantines.until_s(fingerprint)
         if until_s is not None:
@@ -320,8 +302,8 @@
         if upstream.is_leaving:
             self._deaths.remove(death.process)
             return
-        running = death.running | self._running_on(death.process)
-        self._lost.pop(death.process, None)  # the same death may be noticed in several ways
+        running = death.running | self._running.on(death.process)
+        self._running.forget_lost(death.process)  # the same death may be noticed in several ways
         death = dataclasses.replace(death, running=running)
         self._log_death(death)
         if self._isolated_runs.announced_fingerprints(death.process):
