--- a/src/cassiawalk/fleet/heartbeats.py
+++ b/src/cassiawalk/fleet/heartbeats.py
@@ -17,16 +17,13 @@
 from cassiawalk.app import Component
 from cassiawalk.clients import HostEntry
 from cassiawalk.clock import Clock
-from cassiawalk.fleet.aggregates import ConsumptionTotals
-from cassiawalk.fleet.aggregates import HostAggregate
 from cassiawalk.fleet.aggregates import sum_amounts
 from cassiawalk.fleet.confirmations import Confirmations
 from cassiawalk.fleet.heartbeat import Heartbeat
 from cassiawalk.fleet.hosts import HostRegistry
 from cassiawalk.fleet.hosts import entry_of
 from cassiawalk.fleet.hubs import HubRanking
-from cassiawalk.fleet.hubsums import sum_of_fleet
-from cassiawalk.fleet.hubsums import sum_of_spokes
+from cassiawalk.fleet.hubsums import HubSums
 from cassiawalk.fleet.livehosts import LIVE_TIMEOUT_S
 from cassiawalk.fleet.livehosts import LiveHosts
 from cassiawalk.fleet.recordkeeper import FleetView
@@ -85,9 +82,7 @@
         self._hub_ranking = HubRanking(host=host, records=records, clock=clock)
         self._pending_calls: set[HostId] = set()
         self._send_requested = asyncio.Event()
-        self._consumption = ConsumptionTotals()
-        self._lent = ConsumptionTotals()
-        self._hub_consumption = ConsumptionTotals()
+        self._sums = HubSums()
         self._is_counted = False
         self._entries: cabc.Mapping[HostId, HostEntry] = {}
         self._other_hosts: list[HostId] = []
@@ -179,7 +174,7 @@
 
     def prefill_demand(self, service: ServiceName) -> float:
         """Return the prefill demand on the other hosts, in prompt tokens per second."""
-        live = [self.peers[host].heartbeat for host in self.live_hosts]
+        live = self._live_heartbeats()
         if self.full_mesh:
             return sum(heartbeat.reading.get(service, 0.0) for heartbeat in live)
         own = [
@@ -216,7 +211,7 @@
         live = self._live.anywhere()
         return dataclasses.replace(
             own,
-            rest=self._aggregate_of_others(own, sender),
+            rest=self._sums.of_others(own, sender, self._live_heartbeats()),
             share=self._share_of(live),
             hosts=len(live) + 1,
         )
@@ -252,32 +247,12 @@
         own = self.confirmations.add_to(self._compose(), receiver)
         if self.full_mesh or not self.is_hub:
             return own
-        return dataclasses.replace(own, counted=self._aggregate(without=""))
-
-    def _aggregate(self, *, without: str) -> HostAggregate:
-        """Return the aggregate of the hosts whose primary hub is this one.
-
-        :param without: the process to leave out, or an empty string.
-        """
-        live = [self.peers[host].heartbeat for host in self.live_hosts]
-        spokes = [
-            heartbeat for heartbeat in live if heartbeat.first and heartbeat.process != without
-        ]
-        return sum_of_spokes(
-            spokes,
-            self._consumption.total(without=without),
-            self._lent.total(without=without),
+        return dataclasses.replace(
+            own, counted=self._sums.of_spokes(self._live_heartbeats(), without="")
         )
 
-    def _aggregate_of_others(self, own: Heartbeat, sender: Heartbeat) -> HostAggregate:
-        """Return the aggregate of all hosts except the sender."""
-        live = [self.peers[host].heartbeat for host in self.live_hosts if host != sender.host]
-        return sum_of_fleet(
-            own=own,
-            spokes=self._aggregate(without=sender.process),
-            hubs=[heartbeat for heartbeat in live if heartbeat.counted is not None],
-            drawn=self._hub_consumption.total(without=sender.process),
-        )
+    def _live_heartbeats(self) -> list[Heartbeat]:
+        return [self.peers[host].heartbeat for host in self.live_hosts]
 
     async def _run_heartbeats(self) -> None:
         while True:
@@ -384,13 +359,7 @@
         )
         self._live.note(heartbeat)
         self.confirmations.note(heartbeat)
-        if heartbeat.first:
-            self._consumption.note(heartbeat.process, heartbeat.drawn, is_new=heartbeat.is_new)
-            self._lent.note(heartbeat.process, heartbeat.lent, is_new=heartbeat.is_new)
-        if heartbeat.counted is not None:
-            counted = heartbeat.counted.drawn
-            self._hub_consumption.note(heartbeat.process, heartbeat.drawn, is_new=heartbeat.is_new)
-            self._hub_consumption.note(f"{heartbeat.process}/counted", counted)
+        self._sums.note(heartbeat)
         for listener in self._listeners:
             listener(heartbeat)
 
--- a/src/cassiawalk/fleet/hubsums.py
+++ b/src/cassiawalk/fleet/hubsums.py
@@ -3,6 +3,7 @@
 import collections.abc as cabc
 
 from cassiawalk.fleet.aggregates import EMPTY_AGGREGATE
+from cassiawalk.fleet.aggregates import ConsumptionTotals
 from cassiawalk.fleet.aggregates import HostAggregate
 from cassiawalk.fleet.aggregates import sum_amounts
 from cassiawalk.fleet.aggregates import sum_use
@@ -52,3 +53,49 @@
         use=sum_use(part.use for part in parts),
         reading={},
     )
+
+
+class HubSums:
+    """What a hub adds up, with the quota consumption of all hosts that it ever heard of."""
+
+    def __init__(self) -> None:
+        self._drawn = ConsumptionTotals()
+        self._lent = ConsumptionTotals()
+        self._drawn_by_hubs = ConsumptionTotals()
+
+    def note(self, heartbeat: Heartbeat) -> None:
+        """Take the quota consumption in a heartbeat of another host into account."""
+        process, is_new = heartbeat.process, heartbeat.is_new
+        if heartbeat.first:
+            self._drawn.note(process, heartbeat.drawn, is_new=is_new)
+            self._lent.note(process, heartbeat.lent, is_new=is_new)
+        if heartbeat.counted is not None:
+            self._drawn_by_hubs.note(process, heartbeat.drawn, is_new=is_new)
+            self._drawn_by_hubs.note(f"{process}/counted", heartbeat.counted.drawn)
+
+    def of_spokes(self, live: cabc.Iterable[Heartbeat], *, without: str) -> HostAggregate:
+        """Return the aggregate of the hosts whose primary hub this one is.
+
+        :param live: the heartbeats of all live hosts.
+        :param without: the process to leave out, or an empty string.
+        """
+        spokes = [found for found in live if found.first and found.process != without]
+        return sum_of_spokes(
+            spokes, self._drawn.total(without=without), self._lent.total(without=without)
+        )
+
+    def of_others(
+        self, own: Heartbeat, sender: Heartbeat, live: cabc.Sequence[Heartbeat]
+    ) -> HostAggregate:
+        """Return the aggregate of all hosts except the sender of a heartbeat.
+
+        :param own: this host's heartbeat.
+        :param live: the heartbeats of all live hosts.
+        """
+        others = [found for found in live if found.host != sender.host]
+        return sum_of_fleet(
+            own=own,
+            spokes=self.of_spokes(live, without=sender.process),
+            hubs=[found for found in others if found.counted is not None],
+            drawn=self._drawn_by_hubs.total(without=sender.process),
+        )
