Keep the order and the bounds of entries of other writers

Found by reading as a newcomer: the departure of an entry whose service is not configured was not noted, so that its offset was kept for ever, one for each key that another writer ever used; and the order of entries was not kept while no configuration was known. Both in tests now: the departure is noted without the entry's number, and only an entry of a configured service goes before one that is not. The socket's question whether a connection was reset has a name of its own beside the connection's.

test_contested_upstreams has a test for each of the two; the tests of entries, copies and early answers pass.

--- a/src/cassiawalk/http1/connection.py
+++ b/src/cassiawalk/http1/connection.py
@@ -24,7 +24,7 @@
 from cassiawalk.http1.pacing import PIECE_S
 from cassiawalk.http1.pacing import Pacer
 from cassiawalk.http1.stalls import unacknowledged_bytes
-from cassiawalk.sockets import is_reset
+from cassiawalk.sockets import is_connection_reset
 
 # What is queued for a slow caller before reading is paused.
 MAX_QUEUED_EVENTS = 256
@@ -141,7 +141,7 @@
         """Return whether the connection was reset, also if its stream had ended before."""
         if self.closed:
             return self._lost is Ending.RESET
-        return is_reset(self._transport.get_extra_info("socket"))
+        return is_connection_reset(self._transport.get_extra_info("socket"))
 
     async def has_taken_request(self) -> bool:
         """Return whether an upstream that has ended its stream takes the rest of the request.
--- a/src/cassiawalk/sockets.py
+++ b/src/cassiawalk/sockets.py
@@ -63,7 +63,7 @@
     return _tcp_state(sock) in (_TCP_CLOSED, _TCP_CLOSE_WAIT)
 
 
-def is_reset(sock: _HasOptions) -> bool:
+def is_connection_reset(sock: _HasOptions) -> bool:
     """Return whether an open socket's connection was reset, also if its stream had ended before.
 
     Where the system does not tell, it was not.
--- a/src/cassiawalk/storeview/config.py
+++ b/src/cassiawalk/storeview/config.py
@@ -202,8 +202,8 @@
         return True
 
     def has_service(self, service: ServiceName) -> bool:
-        """Return whether the configuration has a service."""
-        return self.current is not None and service in self.current.services
+        """Return whether the configuration has a service, or none is known yet."""
+        return self.current is None or service in self.current.services
 
     def fetches_prefixes(self, service: ServiceName) -> bool:
         """Return whether a service's engines can fetch prefix blocks from one another."""
--- a/src/cassiawalk/storeview/directory.py
+++ b/src/cassiawalk/storeview/directory.py
@@ -177,11 +177,11 @@
         upstream_id = registration.upstream_id
         if offset <= self._offsets.get(upstream_id, Offset(-1)):
             return False
-        if self._is_foreign(registration):
+        known = self._by_id.get(upstream_id)
+        if known is not None and self._displaces(known.registration, registration):
             self.foreign_entries.note(registration, offset)
             return False
         if self._is_late(registration):
-            known = self._by_id.get(upstream_id)
             is_repeat = known is not None and known.registration.version == registration.version
             if not is_repeat:
                 self.late_entries.note(registration, offset, is_known=known is not None)
@@ -189,7 +189,6 @@
         self._offsets[upstream_id] = offset
         was_lapsed = upstream_id in self._stale
         self._stale.discard(upstream_id)
-        known = self._by_id.get(upstream_id)
         is_numbered = registration.version is not None
         if self._is_restored and not is_numbered and self._has_begun_to_leave(known, registration):
             return False
@@ -248,18 +247,15 @@
                 self._stale.discard(found.upstream_id)
                 self._discard(found.upstream_id)
 
-    def _is_foreign(self, registration: Registration) -> bool:
-        """Return whether an entry with the id of a known upstream is another writer's."""
-        known = self._by_id.get(registration.upstream_id)
-        if known is None or self._is_configured(registration.service):
-            return False
-        return self._is_configured(known.registration.service)
+    def _displaces(self, one: Registration, other: Registration) -> bool:
+        """Return whether only the first of two entries with one id is of a configured service."""
+        return self._is_configured(one.service) and not self._is_configured(other.service)
 
     def _is_late(self, registration: Registration) -> bool:
         """Return whether an entry was written before the last one that is known."""
         now = self._clock.monotonic()
         known = self._by_id.get(registration.upstream_id)
-        if known is not None and not self._is_configured(known.registration.service):
+        if known is not None and self._displaces(registration, known.registration):
             return False
         if known is not None:
             last, last_at = known.registration.version, known.heard_at
@@ -363,13 +359,12 @@
         )
 
     def _note_departure(self, registration: Registration) -> None:
-        if not self._is_configured(registration.service):
-            return
+        is_foreign = not self._is_configured(registration.service)
         self.departures.note(
             Departure(
                 upstream_id=registration.upstream_id,
                 started_ms=registration.started_ms,
-                version=registration.version,
+                version=None if is_foreign else registration.version,
                 removed=self.offset_of(registration.upstream_id),
                 at=self._clock.monotonic(),
             )
--- a/tests/test_contested_upstreams.py
+++ b/tests/test_contested_upstreams.py
@@ -16,6 +16,7 @@
 from cassiawalk.ingress.job import Job
 from cassiawalk.ingress.placement import Placer
 from cassiawalk.storeview.contests import CONTESTED_S
+from cassiawalk.storeview.departures import KEPT_S
 from cassiawalk.storeview.directory import Directory
 from cassiawalk.storeview.promptparts import PartId
 from cassiawalk.storeview.promptparts import PromptPart
@@ -147,3 +148,22 @@
     known.add(SERVICE)
     assert ready(directory) == [ID]
     assert directory.get(UpstreamId("u-1")) is not None
+
+
+def test_foreign_entries_that_come_and_go_are_forgotten() -> None:
+    clock = FakeClock()
+    directory = _directory(clock)
+    for number in range(3):
+        upstream_id = UpstreamId(f"odd-{number}")
+        odd = entry(upstream_id, address=f"127.0.0.1:{number}", service=FOREIGN)
+        directory.put(odd, Offset(3 * number + 1))
+        directory.remove(upstream_id, Offset(3 * number + 2))
+        clock.now += KEPT_S + 1.0
+    assert directory.offset_of(UpstreamId("odd-0")) == Offset(-1)
+
+
+def test_entries_keep_their_order_before_their_service_is_configured() -> None:
+    directory = Directory(clock=FakeClock(), is_configured=lambda _: False)
+    directory.put(_numbered(entry(presence=Presence.LEAVING), 9), Offset(1))
+    assert not directory.put(_numbered(entry(), 8), Offset(2))
+    assert ready(directory) == []
