--- a/tests/test_contract_log.py
+++ b/tests/test_contract_log.py
@@ -129,7 +129,7 @@
             chunked_reply(b'{"off', status=CREATED, ended=False), AppendUnknown, id="chunk cut"
         ),
         pytest.param(http_reply(b"{}", status=CREATED), AppendUnknown, id="no offset"),
-        pytest.param(http_reply(b"[1]", status=CREATED), AppendUnknown, id="not a map"),
+        pytest.param(http_reply(b"[1]", status=CREATED), AppendUnknown, id="not-a-map"),
         pytest.param(http_reply(b"{", status=CREATED), AppendUnknown, id="not JSON"),
         pytest.param(b"garbage\r\n\r\n", AppendUnknown, id="not HTTP"),
         pytest.param(http_reply(b"", status="500 X"), AppendUnknown, id="status 500"),
--- a/tests/test_unnamed_refusals.py
+++ b/tests/test_unnamed_refusals.py
@@ -29,8 +29,13 @@
         side.write(answer(arrival.request_id, event(1)))
 
 
+def _refusal_id(value: bytes) -> str:
+    """Return the id of a status or a header, without spaces."""
+    return value.decode().split(":")[0].strip() or "none"
+
+
 @pytest.mark.parametrize("rule", RULES)
-@pytest.mark.parametrize(("status", "more"), REFUSALS)
+@pytest.mark.parametrize(("status", "more"), REFUSALS, ids=_refusal_id)
 async def test_unnamed_refusal_on_a_used_connection_is_not_believed(
     status: bytes, more: bytes, rule: RetryRule
 ) -> None:
