Pass on an upstream's "not run" only with a proof of it

What callers saw: an upstream ran a closure and failed it with 503, without X-Not-Executed.

Cause: complete answers were passed on unchecked, so that an upstream's status became the host's own promise. Besides, X-Not-Executed counted whatever its value and on any status, and the crash guard's refusals looked at lost answers only, not at those that an upstream had answered with a failure.

Change: 408, 429 and 503 without a proof are read and withheld. The request counts as run: it gets its next attempt where it may run again, else 502, "unknown", without signature, marker and Retry-After. The log line of the attempt names the upstream's status. A proof is a marker that says yes on a 4xx status or 503, or the status 421.

One field less in a job: started and may_have_run always meant the same for what callers are told.

--- a/src/cassiawalk/ingress/attempt.py
+++ b/src/cassiawalk/ingress/attempt.py
@@ -157,6 +157,7 @@
     async def _next_event(self, conn: UpstreamConnection) -> AnswerEvent:
         event = await conn.next_event()
         if isinstance(event, AnswerHead):
+            self.trace.status = event.status
             self.trace.framing = event.framing
         elif isinstance(event, AnswerEnd | AnswerBroken):
             self.trace.ending = event.ending
@@ -189,15 +190,17 @@
             return self._broken(head)
         assert isinstance(head, AnswerHead)
         metadata = self._codec.parse_answer_head(head.status, head.headers)
-        if metadata.promises_not_run and metadata.request_id is None and conn.requests > 1:
+        if metadata.claims_not_run and metadata.request_id is None and conn.requests > 1:
             # It may be a copy of an earlier answer on this connection; the request may run now.
             conn.close()
             return self._lose_answer("a refusal that names no request came on a used connection")
         self._note_availability(metadata)
         if metadata.load is not None:
             self._upstream.load.note_reported_load(metadata.load)
-        if metadata.not_run or metadata.wrong_upstream:
+        if metadata.not_run:
             return await self._read_refusal(conn, head, metadata)
+        if metadata.claims_not_run:
+            return await self._withhold(conn, head)
         good = 200 <= head.status < 300
         if good and not metadata.signed:
             return self._lose_answer("the answer reports success without the upstream's signature")
@@ -228,7 +231,7 @@
     async def _read_refusal(
         self, conn: UpstreamConnection, head: AnswerHead, metadata: AnswerMetadata
     ) -> AttemptEnd:
-        """Read a refusal to its end, so that the connection can be reused."""
+        """Read a refusal that proves that the request has not run."""
         self.trace.reason = f"the upstream refused with status {head.status}"
         if metadata.wrong_upstream:
             self.trace.reason = "another upstream answered at this address"
@@ -236,14 +239,35 @@
             self._upstream.health.note_failure(definite=True)
         else:
             self._upstream.health.note_refusal()
+        await self._skip_body(conn)
+        return AttemptEnd.NOT_RUN
+
+    async def _withhold(self, conn: UpstreamConnection, head: AnswerHead) -> AttemptEnd:
+        """Read an answer that callers would take for a proof that the request has not run."""
+        self._note_started()
+        broken = await self._skip_body(conn)
+        if broken is not None:
+            return self._broken(broken)
+        self.trace.reason = f"the upstream's status {head.status} is no proof that it has not run"
+        if head.status >= 500:
+            self._upstream.health.note_failure()
+        else:
+            self._upstream.health.note_refusal()
+        return AttemptEnd.FAILED
+
+    async def _skip_body(self, conn: UpstreamConnection) -> AnswerBroken | None:
+        """Read a body that is not passed on to its end, so that the connection can be reused.
+
+        :return: how the answer broke off; None if it did not, or was too long to be read.
+        """
         event = await self._next_event(conn)
         while isinstance(event, AnswerData):
             if conn.answer_bytes > MAX_REFUSAL_BYTES:
                 self._upstream.health.note_failure()
                 conn.close()
-                break
+                return None
             event = await self._next_event(conn)
-        return AttemptEnd.NOT_RUN
+        return event if isinstance(event, AnswerBroken) else None
 
     def _reject_rest(self, conn: UpstreamConnection, head: AnswerHead) -> AttemptEnd:
         """Give up an answer that can't go on with the stream whose head the caller has."""
@@ -373,8 +397,8 @@
     def _note_started(self) -> None:
         if self.trace.first_s is None:
             self.trace.first_s = self._clock.monotonic() - self.started_at
-        if not self._job.started:
-            self._job.started = True
+        if not self._job.may_have_run:
+            self._job.may_have_run = True
             self._report.note_started(self._job)
 
     def _broken(self, event: AnswerBroken) -> AttemptEnd:
@@ -386,7 +410,6 @@
         self.trace.reason = reason
         if faulty:
             self._upstream.health.note_failure()
-        self._job.may_have_run = True
         self._note_started()
         return AttemptEnd.BROKEN_MIDWAY if self._job.head_sent else AttemptEnd.BROKEN
 
--- a/src/cassiawalk/ingress/attemptlog.py
+++ b/src/cassiawalk/ingress/attemptlog.py
@@ -44,6 +44,7 @@
         others=load.others,
         end=end.value,
         reason=trace.reason,
+        status=trace.status,
         framing=None if trace.framing is None else trace.framing.value,
         ending=None if trace.ending is None else trace.ending.value,
         incomplete_bytes=trace.incomplete_bytes,
--- a/src/cassiawalk/ingress/codec.py
+++ b/src/cassiawalk/ingress/codec.py
@@ -68,8 +68,9 @@
 
     :param request_id: the id of the request that is answered, if stated.
     :param signed: whether the answer carries the upstream's signature.
-    :param not_run: whether the upstream states that it has not run the request.
-    :param promises_not_run: whether the answer says in any way that the request has not run.
+    :param not_run: whether the answer proves that the upstream has not run the request.
+    :param claims_not_run: whether the answer says in any way, also without a proof, that the
+        request has not run.
     :param wrong_upstream: whether another upstream than the addressed one has answered.
     :param load: the upstream's load, if stated.
     :param leaving: whether the upstream states that it leaves.
@@ -83,7 +84,7 @@
     request_id: RequestId | None
     signed: bool
     not_run: bool
-    promises_not_run: bool
+    claims_not_run: bool
     wrong_upstream: bool
     load: ReportedLoad | None
     leaving: bool = False
--- a/src/cassiawalk/ingress/job.py
+++ b/src/cassiawalk/ingress/job.py
@@ -42,8 +42,7 @@
     :param caller_deadline_at: when the caller gives up, in monotonic seconds.
     :param ends_at: the earlier of ``caller_deadline_at`` and the route's time limit.
     :param sends: how often the request was sent to an upstream.
-    :param may_have_run: whether an upstream may have run the request without a complete answer.
-    :param started: whether an upstream is known or assumed to have begun to run the request.
+    :param may_have_run: whether an upstream is known or assumed to have begun to run the request.
     :param buffered: the last complete answer; it is sent if no later attempt succeeds.
     :param sent_status: the status in the head that was sent to the caller as it arrived.
     :param sent_events: whether events of a stream were sent to the caller.
@@ -67,7 +66,6 @@
     ends_at: float
     sends: int = 0
     may_have_run: bool = False
-    started: bool = False
     buffered: BufferedAnswer | None = None
     sent_status: int | None = None
     sent_events: bool = False
--- a/src/cassiawalk/ingress/outcome.py
+++ b/src/cassiawalk/ingress/outcome.py
@@ -15,8 +15,8 @@
     - DELIVERED: the answer was complete.
     - UNSENT: the request was not sent.
     - NOT_RUN: the upstream refused to run the request, or another upstream answered.
-    - FAILED: the answer was complete, with a status of 500 or more; or it was none that could go on
-      with a stream.
+    - FAILED: the answer was complete, with a status of 500 or more, or claimed without a proof that
+      the request has not run; or it was none that could go on with a stream.
     - BROKEN: the answer was lost or unusable before any of it was sent to the caller.
     - BROKEN_MIDWAY: the answer was lost after a part of it had been sent to the caller.
     """
@@ -46,6 +46,7 @@
     :param reason: why the attempt failed; empty if it did not.
     :param first_s: time to the head or first event of the answer in seconds; None if none came.
     :param began_at: when the first event came, in monotonic seconds; None if none came.
+    :param status: the status of the answer; None if no head came.
     :param framing: how the answer was framed; None if no head came.
     :param ending: how the answer ended; None if the attempt gave it up or did not read on.
     :param limit_per_s: the limit that the answer's head named, in requests a second; None if none.
@@ -55,6 +56,7 @@
     reason: str = ""
     first_s: float | None = None
     began_at: float | None = None
+    status: int | None = None
     framing: Framing | None = None
     ending: Ending | None = None
     limit_per_s: float | None = None
--- a/src/cassiawalk/ingress/queueing.py
+++ b/src/cassiawalk/ingress/queueing.py
@@ -232,7 +232,7 @@
 def _asked(job: Job, now: float) -> Asked:
     exchange = job.exchange
     target_at = exchange.received_at + job.route.target_latency_s
-    if job.may_have_run or job.started:
+    if job.may_have_run:
         # Its rejection would say nothing of use to the caller, so a late answer is better.
         target_at = job.ends_at
     return Asked(
--- a/src/cassiawalk/ingress/refusals.py
+++ b/src/cassiawalk/ingress/refusals.py
@@ -82,7 +82,7 @@
 
     def host_stops(self, job: Job) -> Refusal:
         """Refuse a request that is at no upstream now."""
-        if job.may_have_run or job.started:
+        if job.may_have_run:
             return self._cut_by_stop()
         detail = "this host stops before the request's time limit"
         return Refusal(code=ResultCode.DRAINING, detail=detail, retry_after_s=STOPPING_RETRY_S)
@@ -95,7 +95,7 @@
         """Refuse a request whose time is over."""
         if self._stopping.cuts(job.ends_at):
             return self._cut_by_stop() if job.sends else self.host_stops(job)
-        if job.may_have_run or job.sends:
+        if job.sends:
             detail = "the time limit was reached after the request had been sent to an upstream"
             return Refusal(code=ResultCode.DEADLINE_PASSED_RUNNING, detail=detail)
         detail = "the time limit was reached before the request was sent to an upstream"
@@ -105,7 +105,7 @@
         self, job: Job, not_run: ResultCode, detail: str, retry_after_s: float
     ) -> Refusal:
         """Return a refusal that says "not run" only if no attempt can have run the request."""
-        if job.may_have_run or job.started:
+        if job.may_have_run:
             code = ResultCode.RETRIES_EXHAUSTED
             return Refusal(code=code, detail=detail, execution=Execution.UNKNOWN)
         return Refusal(code=not_run, detail=detail, retry_after_s=retry_after_s)
--- a/src/cassiawalk/platform/codec.py
+++ b/src/cassiawalk/platform/codec.py
@@ -36,6 +36,7 @@
 
 _LENGTH = b"content-length"
 _LOAD_NAME = b"X-Server-Load"
+_NOT_RUN_NAME = b"X-Not-Executed"
 
 
 class PlatformHeadCodec(HeadCodec):
@@ -93,12 +94,17 @@
         unreadable = said.unreadable
         if stated is not None and load is None:
             unreadable += (header_text(_LOAD_NAME, stated),)
+        marks = _not_run_marks(headers)
+        unread_marks = marks - names.NOT_EXECUTED_YES
+        unreadable += tuple(header_text(_NOT_RUN_NAME, mark) for mark in sorted(unread_marks))
+        wrong_upstream = status == names.WRONG_UPSTREAM_STATUS
+        is_marked = bool(marks) and not unread_marks and _may_bear_mark(status)
         return AnswerMetadata(
             request_id=None if request_id is None else RequestId(request_id.decode("latin-1")),
             signed=names.SIGNATURE in found,
-            not_run=names.NOT_EXECUTED in found,
-            promises_not_run=names.NOT_EXECUTED in found or status in NOT_RUN_STATUSES,
-            wrong_upstream=status == names.WRONG_UPSTREAM_STATUS,
+            not_run=is_marked or wrong_upstream,
+            claims_not_run=bool(marks & names.NOT_EXECUTED_YES) or status in NOT_RUN_STATUSES,
+            wrong_upstream=wrong_upstream,
             load=load,
             leaving=said.leaving,
             pause_s=said.pause_s,
@@ -107,8 +113,11 @@
         )
 
     def build_caller_head(self, headers: Headers) -> Headers:
-        """Return an answer's head without headers of the upstream's connection."""
-        return forwardable(headers)
+        """Return an answer's head without headers of the upstream's connection.
+
+        An answer that is passed on was run for, whatever an unreadable marker says.
+        """
+        return [field for field in forwardable(headers) if field[0].lower() != names.NOT_EXECUTED]
 
     def build_refusal(self, demand: Demand | None, refusal: Refusal) -> tuple[int, Headers, bytes]:
         """Return status, head and body of a refusal in the platform's format."""
@@ -138,6 +147,17 @@
     return status
 
 
+def _not_run_marks(headers: Headers) -> frozenset[bytes]:
+    """Return the values of the headers that say whether the request was run."""
+    found = (value for name, value in headers if name.lower() == names.NOT_EXECUTED)
+    return frozenset(value.strip().lower() for value in found)
+
+
+def _may_bear_mark(status: int) -> bool:
+    """Return whether a marker "not run" can be true with a status; other answers were run for."""
+    return 400 <= status < 500 or status == NOT_RUN_STATUS
+
+
 def _unique_headers(headers: Headers) -> dict[bytes, bytes]:
     """Return the headers by lower-case name; those that cassiawalk acts on must be unique."""
     found: dict[bytes, bytes] = {}
--- a/src/cassiawalk/platform/names.py
+++ b/src/cassiawalk/platform/names.py
@@ -40,6 +40,7 @@
 # Headers of answers.
 SIGNATURE = b"x-response-seal"
 NOT_EXECUTED = b"x-not-executed"
+NOT_EXECUTED_YES = frozenset((b"1", b"true", b"yes"))  # other values state nothing
 UPSTREAM_ID = b"x-instance-id"  # in answers of the health check only
 LOAD = b"x-server-load"  # running, waiting, slots, and the pace in percent if known
 REQUEST_ID_OUT = b"X-Request-Id"
