Say "not run" on the own interface only where that is certain

What callers saw: a plain service's 408, 421 or 429 became the answer, and for an at-most-once request the recorded one; a refusal after a run had status 503 beside "ran": "ran", as had 5003 beside "unknown".

Statuses below 500 counted as results, and the status of a problem document came from its code alone.

Change: a service's 408, 421 and 429 count as failures, as 500 does. The status of a refusal is chosen by its code and by whether the request ran, for both entries in one place. 5003 is 502.

--- a/src/cassiawalk/caller/problem.py
+++ b/src/cassiawalk/caller/problem.py
@@ -7,6 +7,7 @@
 
 from cassiawalk.requests import Failed
 from cassiawalk.results import CODES
+from cassiawalk.results import http_status
 
 PROBLEM_MEDIA_TYPE = "application/problem+json"
 
@@ -17,7 +18,7 @@
     body: dict[str, t.Any] = {
         "type": f"urn:cassiawalk:result:{int(failure.code)}",
         "title": info.meaning,
-        "status": info.status,
+        "status": http_status(failure.code, failure.ran),
         "detail": failure.detail,
         "code": int(failure.code),
         "name": failure.code.name.lower(),
@@ -37,7 +38,7 @@
         headers["Retry-After"] = str(math.ceil(failure.retry_after_s))
     return JSONResponse(
         problem_body(failure, request_id),
-        status_code=CODES[failure.code].status,
+        status_code=http_status(failure.code, failure.ran),
         headers=headers,
         media_type=PROBLEM_MEDIA_TYPE,
     )
--- a/src/cassiawalk/clients/service.py
+++ b/src/cassiawalk/clients/service.py
@@ -5,6 +5,9 @@
 
 from cassiawalk.clients.engine import LoadReport
 from cassiawalk.ids import RequestId
+from cassiawalk.results import NOT_RUN_STATUSES
+
+SERVER_ERROR_STATUS = 500  # and above
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -30,6 +33,15 @@
     status: int
     body: bytes
 
+    @property
+    def is_result(self) -> bool:
+        """Return whether the status may be passed on to the caller of the request.
+
+        A failure may not, nor may a status that would say to the caller that nothing has run:
+        services are not asked to say so, and have no way to prove it.
+        """
+        return self.status < SERVER_ERROR_STATUS and self.status not in NOT_RUN_STATUSES
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class CallFailed:
--- a/src/cassiawalk/dispatch/call.py
+++ b/src/cassiawalk/dispatch/call.py
@@ -25,7 +25,6 @@
 from cassiawalk.routing import UpstreamState
 
 RETRY_AFTER_S = 1.0
-_SERVER_ERROR = 500
 _DEPARTURE_STATES = (UpstreamState.LEAVING, UpstreamState.GONE)
 
 
@@ -129,8 +128,7 @@
 
 
 def _is_result(outcome: CallOutcome) -> t.TypeGuard[CallAnswered]:
-    """Return whether the service answered with a status below 500."""
-    return isinstance(outcome, CallAnswered) and outcome.status < _SERVER_ERROR
+    return isinstance(outcome, CallAnswered) and outcome.is_result
 
 
 def _with_execution(refusal: Refusal, ran: bool) -> Refusal:
--- a/src/cassiawalk/dispatch/once.py
+++ b/src/cassiawalk/dispatch/once.py
@@ -40,7 +40,6 @@
 RELEASE_RETRY_S = 1.0
 MAX_CLAIM_AGE_RATIO = 0.5
 UNREACHABLE_RETRY_S = 5.0
-_SERVER_ERROR = 500
 
 # States in which the outcome is unknown, with the delay in seconds after which a caller may ask
 # again; None if a retry cannot resolve the state.
@@ -212,7 +211,7 @@
     async def _settle(
         self, record: RequestRecord, claim: Claim, outcome: CallAnswered | CallFailed
     ) -> Refusal | None:
-        if isinstance(outcome, CallAnswered) and outcome.status < _SERVER_ERROR:
+        if isinstance(outcome, CallAnswered) and outcome.is_result:
             await self._record_outcome(claim, outcome)
             return _answer(record, outcome)
         found = await self._look_up.find(record)
@@ -238,11 +237,11 @@
 def _answer(
     record: RequestRecord, answered: CallAnswered, *, recorded: bool = False
 ) -> Refusal | None:
-    """Add the answer to the record, or return a refusal for a status of 500 and above.
+    """Add the answer to the record, or return a refusal if its status is not that of a result.
 
     After such a status it is unknown whether the call was executed.
     """
-    if answered.status >= _SERVER_ERROR:
+    if not answered.is_result:
         return Refusal(
             code=ResultCode.UPSTREAM_REJECTED,
             detail=f"the upstream answered with status {answered.status}",
--- a/src/cassiawalk/platform/codec.py
+++ b/src/cassiawalk/platform/codec.py
@@ -13,18 +13,16 @@
 from cassiawalk.platform import names
 from cassiawalk.platform.availability import header_text
 from cassiawalk.platform.availability import read_availability
-from cassiawalk.results import CODES
+from cassiawalk.results import NOT_RUN_STATUSES
 from cassiawalk.results import Execution
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
+from cassiawalk.results import http_status
 from cassiawalk.storeview.load import ReportedLoad
 from cassiawalk.storeview.promptparts import PartId
 from cassiawalk.storeview.promptparts import PromptPart
 
-# On this platform, each of these statuses promises that the request has not run and never will.
-NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 UNKNOWN_KEY_STATUS = 401
-MAY_HAVE_RUN_STATUS = 502  # instead of a status that would wrongly promise "not run"
 NOT_RUN_STATUS = 503  # instead of another 5xx status if the request has not run
 
 USUAL_PACE = 100.0  # the stated pace of a machine that is as fast as usual
@@ -139,11 +137,9 @@
 def _status(refusal: Refusal) -> int:
     if refusal.code is ResultCode.WRONG_TOKEN:
         return UNKNOWN_KEY_STATUS
-    status = CODES[refusal.code].status
+    status = http_status(refusal.code, refusal.ran)
     if refusal.ran is Execution.NOT_RUN and status >= 500:
         return NOT_RUN_STATUS
-    if refusal.ran is not Execution.NOT_RUN and status in NOT_RUN_STATUSES:
-        return MAY_HAVE_RUN_STATUS
     return status
 
 
--- a/src/cassiawalk/results.py
+++ b/src/cassiawalk/results.py
@@ -13,6 +13,11 @@
     UNKNOWN = "unknown"
 
 
+# Each of these HTTP statuses says to a caller that its request has not run and never will.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+MAY_HAVE_RUN_STATUS = 502  # instead of a status that would wrongly say so
+
+
 class ResultCode(enum.IntEnum):
     """Every way in which a request or a command can end."""
 
@@ -201,7 +206,7 @@
         500, _UNKNOWN, True, "A fault inside cassiawalk ended the request.", "Report the log line."
     ),
     ResultCode.RECLAIMED: _info(
-        503, _UNKNOWN, True, "The host left before the request could be moved.", "Run-book on loss."
+        502, _UNKNOWN, True, "The host left before the request could be moved.", "Run-book on loss."
     ),
     ResultCode.COMMAND_ACCEPTED: _info(
         200, _RAN, False, "The command is in the configuration.", "None."
@@ -227,6 +232,14 @@
 }
 
 
+def http_status(code: ResultCode, ran: Execution) -> int:
+    """Return the HTTP status of a refusal, which says "not run" only if that is certain."""
+    status = CODES[code].status
+    if ran is not Execution.NOT_RUN and status in NOT_RUN_STATUSES:
+        return MAY_HAVE_RUN_STATUS
+    return status
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Refusal:
     """The final answer to a request that has no result.
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -8,6 +8,7 @@
 from cassiawalk.once import ClaimDecision
 from cassiawalk.once import Unavailable
 from cassiawalk.requests import Result
+from cassiawalk.results import NOT_RUN_STATUSES
 from cassiawalk.results import Execution
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
@@ -151,6 +152,17 @@
             ResultCode.UPSTREAM_REJECTED,
         ),
         pytest.param(ERROR, "/outcomes", FOUND, FOUND.body, FOUND.body),
+        # Guards against a service's "not run" that is told to the caller without a proof.
+        *(
+            pytest.param(
+                CallAnswered(status=status, body=b""),
+                "",
+                NOT_FOUND,
+                ResultCode.UPSTREAM_REJECTED,
+                ResultCode.UPSTREAM_REJECTED,
+            )
+            for status in sorted(NOT_RUN_STATUSES)
+        ),
     ],
 )
 async def test_call_with_unknown_outcome_is_never_sent_again(
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -18,12 +18,12 @@
 from cassiawalk.ids import WorkspaceName
 from cassiawalk.ingress.codec import AttemptHeaders
 from cassiawalk.ingress.codec import Demand
-from cassiawalk.platform.codec import NOT_RUN_STATUSES
 from cassiawalk.platform.codec import PlatformHeadCodec
 from cassiawalk.platform.config import decode_config
 from cassiawalk.platform.host import main
 from cassiawalk.platform.registrations import decode_registration
 from cassiawalk.platform.settings import load_settings
+from cassiawalk.results import NOT_RUN_STATUSES
 from cassiawalk.results import Execution
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
--- a/tests/test_upstream_calls.py
+++ b/tests/test_upstream_calls.py
@@ -6,6 +6,7 @@
 from cassiawalk.clients import CallAnswered
 from cassiawalk.clients import CallFailed
 from cassiawalk.clients import CallOutcome
+from cassiawalk.results import NOT_RUN_STATUSES
 from cassiawalk.results import Execution
 from cassiawalk.results import Refusal
 from cassiawalk.results import ResultCode
@@ -27,6 +28,11 @@
         pytest.param(OK, UpstreamState.SERVING, (1, 0), id="answered"),
         pytest.param(NOT_FOUND, UpstreamState.SERVING, (1, 0), id="answered-with-a-client-error"),
         pytest.param(BROKEN, UpstreamState.SERVING, (1, 1), id="server-error"),
+        # Guards against a service's "not run" that is told to the caller without a proof.
+        *(
+            pytest.param(CallAnswered(status=status, body=b""), UpstreamState.SERVING, (1, 1))
+            for status in sorted(NOT_RUN_STATUSES)
+        ),
         pytest.param(LOST, UpstreamState.SUSPECT, (1, 1), id="answer-lost"),
         pytest.param(NOT_SENT, UpstreamState.SUSPECT, (1, 1), id="not-sent"),
     ],
@@ -49,6 +55,14 @@
     ("outcome", "code", "ran"),
     [
         (BROKEN, ResultCode.UPSTREAM_REJECTED, Execution.RAN),
+        *(
+            (
+                CallAnswered(status=status, body=b""),
+                ResultCode.UPSTREAM_REJECTED,
+                Execution.RAN,
+            )
+            for status in sorted(NOT_RUN_STATUSES)
+        ),
         (LOST, ResultCode.RETRIES_EXHAUSTED, Execution.RAN),
         (NOT_SENT, ResultCode.RETRIES_EXHAUSTED, Execution.NOT_RUN),
     ],
