Confirm knowledge only by complete reads, as of their question

What callers could see: an upstream whose entry had lapsed in an outage was taken for gone though its renewal was in the rest of a read, or later than what the host knew; and a key or path was refused for good by a configuration that was confirmed by a part of a read, or as of the end of a slow one.

Change: only a complete read confirms anything, and after its time has been recorded. Stale entries are removed once knowledge from after their time limit lacks them; until then an upstream is used only while it says that it serves, as before. One method records as of when the configuration is known.

--- a/src/cassiawalk/ingressnode/storeparts.py
+++ b/src/cassiawalk/ingressnode/storeparts.py
@@ -86,7 +86,11 @@
             directory=directory, heartbeats=heartbeats, links=links, clock=clock
         )
         self.lapses = LapseChecker(
-            directory=directory, config=config, inquiry=source.inquiry, clock=clock
+            directory=directory,
+            config=config,
+            inquiry=source.inquiry,
+            clock=clock,
+            age_s=lambda: self.directory_freshness.age_s,
         )
 
     def serve(self, server: PeerServer) -> None:
--- a/src/cassiawalk/storeview/config.py
+++ b/src/cassiawalk/storeview/config.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 import functools
+import math
 
 from cassiawalk.http1 import CallerLimits
 from cassiawalk.ids import FailureDomain
@@ -201,6 +202,14 @@
         self.current = config
         return True
 
+    def note_checked(self, at: float) -> None:
+        """Record that the revision in force was the newest at a time, in monotonic seconds.
+
+        An infinite time in the past says that it is not known.
+        """
+        if math.isfinite(at) and (self.checked_at is None or at > self.checked_at):
+            self.checked_at = at
+
     def has_service(self, service: ServiceName) -> bool:
         """Return whether the configuration has a service, or none is known yet."""
         return self.current is None or service in self.current.services
--- a/src/cassiawalk/storeview/copying.py
+++ b/src/cassiawalk/storeview/copying.py
@@ -2,7 +2,6 @@
 
 import collections.abc as cabc
 import dataclasses
-import math
 import random
 import zlib
 
@@ -299,9 +298,7 @@
 
     def _update_checked_at(self) -> None:
         """Record as of when the configuration is known to be the newest."""
-        checked_at = self._clock.monotonic() - self._config_freshness.age_s
-        if self._view.checked_at is None or checked_at > self._view.checked_at:
-            self._view.checked_at = checked_at if math.isfinite(checked_at) else None
+        self._view.note_checked(self._clock.monotonic() - self._config_freshness.age_s)
 
     def _is_newer(self, heartbeat: Heartbeat) -> bool:
         known_through = self.directory_follower.known_through
--- a/src/cassiawalk/storeview/directory.py
+++ b/src/cassiawalk/storeview/directory.py
@@ -292,9 +292,13 @@
         for upstream_id in [known for known in self._by_id if known not in present]:
             self.remove(upstream_id, offset)
 
-    def remove_stale(self) -> None:
-        """Remove stale entries if they have not been renewed ``STALE_GRACE_S`` s after recovery."""
-        if not self._stale or self._since_recovery_s() < STALE_GRACE_S:
+    def remove_stale(self, *, age_s: float = 0.0) -> None:
+        """Remove stale entries that were not renewed ``STALE_GRACE_S`` s after the recovery.
+
+        :param age_s: how old the knowledge of all entries is, in seconds; renewals since may be
+            unknown.
+        """
+        if not self._stale or self._since_recovery_s() - age_s < STALE_GRACE_S:
             return
         for upstream_id in self._stale:
             self._discard(upstream_id)
--- a/src/cassiawalk/storeview/follow.py
+++ b/src/cassiawalk/storeview/follow.py
@@ -121,7 +121,9 @@
             self._handle_recovery(batch)
             self._options.on_read()
             self._apply(batch)
-            self._confirm(batch, asked_at)
+            if _is_complete(batch):
+                self._confirm(batch, asked_at)
+                self.on_caught_up()
             await self._clock.sleep(self._options.pause_s)
 
     def check_turn(self) -> None:
@@ -150,8 +152,6 @@
 
     def _confirm(self, batch: KeyedList | KeyedChanges, asked_at: float) -> None:
         """Record as of when all records are known: a read that waited shows that none came."""
-        if isinstance(batch, KeyedChanges) and (batch.missed or not batch.complete):
-            return
         if isinstance(batch, KeyedChanges) and not batch.records:
             self.freshness.confirm(min(self.freshness.now(), asked_at + self._wait_s))
             return
@@ -178,7 +178,6 @@
         else:
             self.on_read_before(batch.end)
         self._next = batch.end
-        self.on_caught_up()
         if self.version() != before:
             self._options.on_change()
 
@@ -242,7 +241,12 @@
         """Called when the source has returned from an older copy, before its list is read."""
 
     def on_caught_up(self) -> None:
-        """Called after each successful read, when all records up to now have been applied."""
+        """Called after a complete read has been applied, and ``freshness`` tells as of when."""
 
     def on_source_recovered(self, batch: KeyedList | KeyedChanges) -> None:
         """Called when the source answers again after an outage, before ``batch`` is applied."""
+
+
+def _is_complete(batch: KeyedList | KeyedChanges) -> bool:
+    """Return whether a read held all records that there were when the source answered it."""
+    return isinstance(batch, KeyedList) or (batch.complete and not batch.missed)
--- a/src/cassiawalk/storeview/followers.py
+++ b/src/cassiawalk/storeview/followers.py
@@ -94,8 +94,8 @@
         return -1 if self._view.current is None else self._view.current.revision
 
     def on_caught_up(self) -> None:
-        """Record that there is no newer revision."""
-        self._view.checked_at = self._clock.monotonic()
+        """Record as of when there is no newer revision."""
+        self._view.note_checked(self._clock.monotonic() - self.freshness.age_s)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -171,7 +171,7 @@
             self._keep_only({UpstreamId(key) for key in changes.present}, changes.through)
         self._directory.known.advance_to(changes.through)
         self._directory.note_loaded()
-        self._directory.remove_stale()
+        self._remove_stale()
 
     def on_batch(self, batch: KeyedList | KeyedChanges) -> None:
         """Count renewals anew."""
@@ -251,7 +251,10 @@
 
     def on_caught_up(self) -> None:
         """Remove stale entries that were not renewed in time."""
-        self._directory.remove_stale()
+        self._remove_stale()
+
+    def _remove_stale(self) -> None:
+        self._directory.remove_stale(age_s=self.freshness.age_s)
 
     def on_restored(self) -> None:
         """Expect an older copy of the list, in which upstreams may be missing or be back."""
--- a/src/cassiawalk/storeview/lapses.py
+++ b/src/cassiawalk/storeview/lapses.py
@@ -30,11 +30,20 @@
 
     ``may_ask`` is called before each question; if it returns False, the upstream is not asked.
     ``on_limit`` is called with the process of an upstream that serves, and the limit it names.
+
+    :param age_s: returns how old this host's knowledge of the upstreams' entries is, in seconds.
     """
 
     def __init__(
-        self, *, directory: Directory, config: ConfigView, inquiry: UpstreamInquiry, clock: Clock
+        self,
+        *,
+        directory: Directory,
+        config: ConfigView,
+        inquiry: UpstreamInquiry,
+        clock: Clock,
+        age_s: cabc.Callable[[], float] = lambda: 0.0,
     ) -> None:
+        self._age_s = age_s
         self.on_limit: cabc.Callable[[str, float | None], None] = lambda *_: None
         self.may_ask: cabc.Callable[[Upstream], cabc.Awaitable[bool]] = _may_always_ask
         self._directory = directory
@@ -59,7 +68,7 @@
             if state is UpstreamState.SERVING:
                 self._directory.keep_lapsed(upstream, for_s=KEPT_S)
             await self._clock.sleep(ASK_INTERVAL_S)
-            self._directory.remove_stale()
+            self._directory.remove_stale(age_s=self._age_s())
 
     async def _ask(self, upstream: Upstream) -> UpstreamState:
         path = self._config.health_path(upstream.registration.service)
--- a/tests/test_known_through.py
+++ b/tests/test_known_through.py
@@ -11,10 +11,19 @@
 
 from cassiawalk.clients import KeyedChanges
 from cassiawalk.clients import KeyedList
+from cassiawalk.clients import KeyedLog
 from cassiawalk.clients import KeyedRecord
 from cassiawalk.clients import ReadFailed
 from cassiawalk.ids import Offset
+from cassiawalk.platform.registrations import decode_registration
 from cassiawalk.platform.store import PlatformStore as StoreClient
+from cassiawalk.storeview.config import ConfigView
+from cassiawalk.storeview.directory import STALE_GRACE_S
+from cassiawalk.storeview.directory import Directory
+from cassiawalk.storeview.follow import ReadOptions
+from cassiawalk.storeview.follow import StreamFollower
+from cassiawalk.storeview.followers import ConfigFollower
+from cassiawalk.storeview.followers import DirectoryFollower
 from cassiawalk.storeview.freshness import Claims
 from cassiawalk.storeview.freshness import Freshness
 from standins.platform import PlatformStore
@@ -224,3 +233,116 @@
         again = await client.newest(stream="keyed.servers")
     assert isinstance(found, ReadFailed)
     assert isinstance(again, KeyedList)
+
+
+class _Batches(KeyedLog):
+    """Answers reads with the given batches, each after ``delay_s``."""
+
+    def __init__(self, clock: FakeClock, *batches: KeyedList | KeyedChanges) -> None:
+        self._clock = clock
+        self._batches = list(batches)
+        self.delay_s = 0.0
+        self.are_read = asyncio.Event()
+
+    async def _next(self) -> KeyedList | KeyedChanges:
+        if not self._batches:
+            self.are_read.set()
+            await asyncio.Event().wait()
+        self._clock.now += self.delay_s
+        return self._batches.pop(0)
+
+    async def newest(self, *, stream: str) -> KeyedList | ReadFailed:
+        return t.cast(KeyedList, await self._next())
+
+    async def changes(
+        self, *, stream: str, start: Offset, wait_s: float = 0.0
+    ) -> KeyedChanges | ReadFailed:
+        return t.cast(KeyedChanges, await self._next())
+
+    async def put(self, *, stream: str, key: str, value: bytes | None) -> bool:
+        raise NotImplementedError
+
+
+OPTIONS = ReadOptions(stream="s", wait_s=0.0, pause_s=0.0)
+
+
+async def _read_all(follower: StreamFollower, log: _Batches) -> None:
+    await follower.start()
+    async with asyncio.timeout(5):
+        await log.are_read.wait()
+    await follower.stop()
+
+
+# Guards against upstreams that are taken for gone before all renewals have been read.
+async def test_entry_whose_renewal_is_in_the_next_batch_is_not_removed() -> None:
+    clock = FakeClock()
+    directory = Directory(clock=clock)
+    rest = KeyedChanges(records=(record("u-1", 10, sequence=2),), end=Offset(11))
+    log = _Batches(
+        clock,
+        KeyedList(records=(record("u-1", 1, sequence=1),), end=Offset(2)),
+        KeyedChanges(records=(record("u-1", 2, state=None),), end=Offset(3)),
+        KeyedChanges(records=(record("u-2", 3),), end=Offset(4), complete=False),
+        rest,
+    )
+    follower = DirectoryFollower(
+        log=log,
+        options=OPTIONS,
+        decode=decode_registration,
+        directory=directory,
+        clock=clock,
+        rng=random.Random(1),
+    )
+    gone: list[str] = []
+    directory.add_departure_listener(lambda found: gone.append(found.upstream_id))
+
+    def pass_time() -> None:
+        if directory.changed == 2:
+            clock.now += STALE_GRACE_S + 0.1
+
+    directory.note_source_recovered()
+    directory.add_lapse_listener(lambda _: pass_time())
+    await _read_all(follower, log)
+    assert gone == []
+    assert {found.upstream_id for found in directory.upstreams()} == {"u-1", "u-2"}
+
+
+# Guards against a configuration that counts as confirmed by a read that holds a part of the stream,
+# or as of the end of a slow one.
+@pytest.mark.parametrize(("complete", "expected"), [(True, 1002.0), (False, 1000.0)])
+async def test_configuration_is_confirmed_as_of_the_question(
+    complete: bool, expected: float
+) -> None:
+    clock, view = FakeClock(), ConfigView()
+    clock.now = 1000.0
+    log = _Batches(
+        clock,
+        KeyedList(records=(), end=Offset(2)),
+        KeyedChanges(records=(record("other", 2),), end=Offset(3), complete=complete),
+    )
+    log.delay_s = 2.0
+    follower = ConfigFollower(
+        log=log,
+        options=OPTIONS,
+        key="config",
+        decode=lambda _: t.cast(t.Any, None),
+        view=view,
+        clock=clock,
+        rng=random.Random(1),
+    )
+    await _read_all(follower, log)
+    assert clock.now == 1004.0
+    assert view.checked_at == expected
+
+
+# Guards against upstreams that are taken for gone by knowledge from before they were back.
+def test_stale_entry_is_removed_only_by_knowledge_from_after_its_time() -> None:
+    host = Host()
+    host.follower.apply_record(record("u-1", 1))
+    host.directory.note_source_recovered()
+    host.follower.apply_record(record("u-1", 2, state=None))
+    t.cast(FakeClock, host.directory._clock).now += STALE_GRACE_S + 0.1
+    host.directory.remove_stale(age_s=0.2)
+    assert host.state() == {"u-1": False}
+    host.directory.remove_stale(age_s=0.05)
+    assert host.state() == {}
