Check in the logs what hosts know after a change between two pages

The test looked at requests only, so a host that went on to use an upstream that had left could pass by placement. It also replays which upstreams each host uses, by its log.

--- a/tests/test_paged_lists.py
+++ b/tests/test_paged_lists.py
@@ -64,6 +64,20 @@
         await (upstream.register("draining") if announces else upstream.deregister())
 
 
+def _used(fleet: PlatformFleet, host: Host) -> set[str]:
+    """Return the upstreams that a host uses, by its log."""
+    used: set[str] = set()
+    for line in fleet.lines(host):
+        match line.get("event"):
+            case "host:started":
+                used.clear()
+            case "directory:joined" | "directory:presence" if not line["leaving"]:
+                used.add(line["upstream"])
+            case "directory:joined" | "directory:presence" | "directory:gone":
+                used.discard(line["upstream"])
+    return used
+
+
 # Guards against requests that go on to upstreams which left between two pages of a list, from the
 # host that read it and from those that copied from it.
 @pytest.mark.parametrize("announces", [True, False])
@@ -85,6 +99,9 @@
             await wait_until(host.ready)
         async with callers(fleet.hosts) as statuses:
             await asyncio.sleep(WATCHED_S)
+        left = {found.upstream_id for found in _leavers(fleet)}
+        kept = {host.name: _used(fleet, host) & left for host in fleet.hosts}
+    assert not any(kept.values()), kept
     late = [
         run for found in _leavers(fleet) for run in found.runs if run.at > left_at[0] + NEWS_LIMIT_S
     ]
@@ -110,13 +127,9 @@
         (host,) = await _add(fleet)
         await wait_until(lambda: joined_at)
         await asyncio.sleep(joined_at[0] + NEWS_LIMIT_S - time.monotonic())
-        known = [
-            line["upstream"]
-            for line in fleet.lines(host)
-            if line.get("event") == "directory:joined"
-        ]
-    assert "a-first" in known
-    assert len(known) == UPSTREAMS + 1
+        used = _used(fleet, host)
+    assert "a-first" in used
+    assert len(used) == UPSTREAMS + 1
 
 
 async def _calls(directory: pathlib.Path, *, between_pages: bool) -> collections.Counter[str]:
