Take an entry that lacks a field for another writer's

Cause: an entry whose version is a number, and one without the time that its upstream stays cold, were read all the same, on purpose, as the fields are of no use here. They were then taken for a later process of the upstream.

Change: a field that each entry has, by the platform's page, must be there and be of its type; else the entry names no upstream, and the one before it holds. A host that starts and can read no entry under a key tells others that the key exists, as they would take the upstream for gone else.

Tests: test_rollout_book.py asked that an entry be read whatever its version is.

--- a/benchmarks/idle_fleet.py
+++ b/benchmarks/idle_fleet.py
@@ -45,6 +45,8 @@
                 "slots": 32,
                 "state": "ready",
                 "sequence": sequence,
+                "version": "v1",
+                "cold_remaining_ms": 0,
                 "born": 1,
             }
             await fleet.store.put("keyed.servers", f"u-{number}", entry)
--- a/src/cassiawalk/platform/registrations.py
+++ b/src/cassiawalk/platform/registrations.py
@@ -10,7 +10,6 @@
 from cassiawalk.ids import UpstreamId
 from cassiawalk.ids import VersionName
 from cassiawalk.platform import _fields as fields
-from cassiawalk.rollouts.types import NO_VERSION
 from cassiawalk.storeview.upstream import Presence
 from cassiawalk.storeview.upstream import Registration
 
@@ -31,6 +30,12 @@
 
 
 def _registration(key: str, row: fields.JsonObject) -> Registration:
+    """Return the upstream that a row describes.
+
+    :raises WireError: if a field that each entry has is missing or of another type. Such an entry
+        is another writer's, also where the field is of no use here.
+    """
+    fields.number_field(row, "cold_remaining_ms")
     state = fields.string_field(row, "state")
     if state not in _PRESENCE_OF_STATE:
         raise WireError(f"field 'state' is {state!r}, not one of {sorted(_PRESENCE_OF_STATE)}")
@@ -46,8 +51,8 @@
         reclaimable=fields.boolean_field(row, "use_spot"),
         # A time span from the writing of the entry, not a point in time.
         leaves_s=None if leaves_ms is None else fields.number_field(row, "leaves_ms") / 1000,
-        service_version=_version(row),
-        sequence=None if row.get("sequence") is None else _bounded(row, "sequence", MAX_SEQUENCE),
+        service_version=VersionName(fields.string_field(row, "version")),
+        sequence=_bounded(row, "sequence", MAX_SEQUENCE),
     )
 
 
@@ -62,12 +67,6 @@
     return address
 
 
-def _version(row: fields.JsonObject) -> VersionName:
-    # An entry with a version of another type is used all the same, as where there are no rollouts.
-    found = row.get("version")
-    return NO_VERSION if found is None else VersionName(str(found))
-
-
 def _bounded(row: fields.JsonObject, name: str, most: int, default: int | None = None) -> int:
     found = fields.integer_field(row, name, default)
     if abs(found) > most:
--- a/src/cassiawalk/storeview/followers.py
+++ b/src/cassiawalk/storeview/followers.py
@@ -132,6 +132,7 @@
         self._directory = directory
         self._raw: dict[str, KeyedRecord] = {}
         self._removed: dict[str, Offset] = {}
+        self._unreadable: set[str] = set()  # keys whose newest entry names no upstream here
         self._removals_known_after = Offset(-1)
         # Of the current batch.
         self._renewals: collections.Counter[str] = collections.Counter()
@@ -152,7 +153,7 @@
             return DirectoryChanges(records=changed, through=self.known_through)
         return DirectoryChanges(
             records=changed,
-            present=tuple(record.key for record in present),
+            present=(*(record.key for record in present), *self._unreadable),
             through=self.known_through,
         )
 
@@ -198,7 +199,9 @@
         self._renewals[record.key] += 1
         registration = self._decode(record.key, record.value)
         if registration is None:
+            self._unreadable.add(record.key)
             return
+        self._unreadable.discard(record.key)
         newer = record.offset > self._directory.offset_of(upstream_id)
         changed = self._directory.put(registration, record.offset, gapless=gapless)
         is_taken = newer and record.offset == self._directory.offset_of(upstream_id)
@@ -218,6 +221,7 @@
 
     def _record_removal(self, key: str, offset: Offset) -> None:
         self._raw.pop(key, None)
+        self._unreadable.discard(key)
         self._removed[key] = offset
         while len(self._removed) > MAX_REMOVALS_KEPT:
             forgotten = self._removed.pop(next(iter(self._removed)))
@@ -228,6 +232,8 @@
         for key in [key for key in self._raw if key not in present]:
             if self._directory.offset_of(UpstreamId(key)) < through:
                 self._record_removal(key, through)
+        self._unreadable &= set(present)
+        self._unreadable |= set(present) - self._raw.keys()
         self._directory.reconcile(present, through)
         self._removals_known_after = max(self._removals_known_after, through)
 
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -137,9 +137,9 @@
 
     def entry(self, state: str = "ready") -> dict[str, t.Any]:
         """Return the newest entry, as it would be with the given state."""
-        version = {} if self._version is None else {"version": self._version}
         return {
-            **version,
+            "version": self._version or "",
+            "cold_remaining_ms": 0,
             "service": self._service,
             "address": self.public_address,
             "zone": self._zone,
--- a/tests/test_copying.py
+++ b/tests/test_copying.py
@@ -84,6 +84,7 @@
     value = None
     if state is not None:
         entry = {"service": SERVICE, "address": "10.0.0.1:80", "zone": "z", "slots": 4}
+        entry |= {"version": "v1", "cold_remaining_ms": 0}
         value = orjson.dumps({**entry, "state": state, "sequence": sequence})
     return KeyedRecord(key=key, value=value, offset=Offset(offset))
 
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -54,6 +54,9 @@
     "slots": 8,
     "state": "ready",
     "born": 1,
+    "version": "v1",
+    "cold_remaining_ms": 0,
+    "sequence": 1,
     "leaves_ms": 2000,
     "use_spot": True,
 }
--- a/tests/test_known_through.py
+++ b/tests/test_known_through.py
@@ -186,6 +186,8 @@
         "state": state,
         "sequence": sequence,
         "born": 1,
+        "version": "v1",
+        "cold_remaining_ms": 0,
     }
 
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -22,6 +22,9 @@
     "slots": 4,
     "state": "ready",
     "born": 1,
+    "version": "v1",
+    "cold_remaining_ms": 0,
+    "sequence": 1,
 }
 FIELDS = [
     *({"address": f"127.0.0.1:{port}"} for port in (0, -1, 70_000, 10**30, "x", "")),
@@ -31,6 +34,9 @@
     *({"state": value} for value in ("gone", 1, None)),
     *({"service": value} for value in ("", 1, None, "a\0b")),
     {"zone": 1},
+    *({"version": value} for value in (1, None, [])),
+    *({"cold_remaining_ms": value} for value in ("0", None, {})),
+    *({"sequence": value} for value in ("1", 1.5, None, 10**300)),
     {"leaves_ms": "soon"},
 ]
 RAW = [
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -67,6 +67,9 @@
     "slots": 64,
     "state": "ready",
     "born": 17,
+    "version": "v1",
+    "cold_remaining_ms": 0,
+    "sequence": 3,
 }
 SETTINGS = {
     "node_name": "n-1",
--- a/tests/test_rollout_book.py
+++ b/tests/test_rollout_book.py
@@ -173,13 +173,15 @@
     assert decode_order(record, 1.0) is None
 
 
-@pytest.mark.parametrize(("version", "known_as"), [(None, ""), ("v2", "v2"), (2, "2"), ([], "[]")])
-def test_entry_is_read_whatever_its_version_is(version: object, known_as: str) -> None:
-    """Guards against upstreams that are lost for a field that only rollouts need."""
+@pytest.mark.parametrize(
+    ("version", "known_as"), [("", ""), ("v2", "v2"), (None, None), (2, None), ([], None)]
+)
+def test_entry_is_read_if_its_version_is_text(version: object, known_as: str | None) -> None:
+    """Guards against entries of other writers, which name no upstream."""
     entry = {"service": "models", "address": "10.0.0.1:80", "zone": "z", "slots": 4}
-    data = orjson.dumps({**entry, "state": "ready", "born": 1, "version": version})
-    found = decode_registration("u-1", data)
-    assert found is not None and found.service_version == known_as
+    entry |= {"state": "ready", "born": 1, "sequence": 1, "cold_remaining_ms": 0}
+    found = decode_registration("u-1", orjson.dumps({**entry, "version": version}))
+    assert (None if found is None else found.service_version) == known_as
 
 
 def test_order_and_status_have_the_fields_of_the_platform() -> None:
