Keep an upstream that writes its entries against those of another writer

What callers could see: a complete entry under an upstream's key, of another service or at another address, with a later start, hid the upstream for as long as it was renewed and 20 s more; and an entry under a key of its own at an upstream's address cost a caller with one attempt his only one for each new start that it named, though an answer had proved it wrong.

An upstream never changes its service, nor its address while it runs, so such an entry contradicts one that is still written.

Change: such an entry is ignored while the upstream is heard: for 20 s where the service differs, for 3 s where the address does, counted from the store's recovery after an outage. An entry at an address where another process has answered for one before it under its key is passed over until it has answered itself, and contests nobody.

Ruled out: a switch back after two entries of the earlier process. A held-up entry of a process that is gone looks the same, and hosts that copy see one entry only.

--- a/src/cassiawalk/storeview/contests.py
+++ b/src/cassiawalk/storeview/contests.py
@@ -1,4 +1,4 @@
-"""Upstreams whose address a later process states as its own.
+"""Upstreams whose address or id another entry states as its own.
 
 The entry of that process is no proof that they are gone: it may be another writer's. A request
 tells, as it names the process that it is meant for and runs on no other one. Until then other
@@ -10,6 +10,7 @@
 
 import eliot
 
+from cassiawalk.storeview.departures import EARLIER_START_S
 from cassiawalk.storeview.upstream import Registration
 from cassiawalk.storeview.upstream import Upstream
 
@@ -31,3 +32,25 @@
             service=new.service,
             for_s=CONTESTED_S,
         )
+
+
+def contradicts(known: Upstream, new: Registration, *, silent_for_s: float) -> bool:
+    """Return whether an entry can't be of an upstream of its id that goes on to write its own.
+
+    An upstream never changes its service, nor its address while it runs. Another one may have taken
+    its id only if it is gone, and then it writes no more.
+
+    :param silent_for_s: for how long the upstream has written nothing, in seconds.
+    """
+    own = known.registration
+    if own.version is None or new.version is None or known.leaving:
+        return False
+    if own.service != new.service:
+        return silent_for_s < EARLIER_START_S
+    return own.address != new.address and silent_for_s < CONTESTED_S
+
+
+def is_disproved(known: Upstream, new: Registration) -> bool:
+    """Return whether another process has answered at the address at which a new one is listed."""
+    is_wrong = known.superseded or known.health.is_unproven
+    return is_wrong and known.registration.address == new.address
--- a/src/cassiawalk/storeview/directory.py
+++ b/src/cassiawalk/storeview/directory.py
@@ -10,6 +10,8 @@
 from cassiawalk.ids import ServiceName
 from cassiawalk.ids import UpstreamId
 from cassiawalk.storeview.contests import contest_address
+from cassiawalk.storeview.contests import contradicts
+from cassiawalk.storeview.contests import is_disproved
 from cassiawalk.storeview.departures import Departure
 from cassiawalk.storeview.departures import Departures
 from cassiawalk.storeview.departures import is_late
@@ -186,7 +188,7 @@
         if offset <= self._offsets.get(upstream_id, Offset(-1)):
             return False
         known = self._by_id.get(upstream_id)
-        if known is not None and self._displaces(known.registration, registration):
+        if known is not None and self._is_foreign(known, registration):
             self.foreign_entries.note(registration, offset)
             return False
         if self._is_late(registration):
@@ -261,6 +263,16 @@
                 self._stale.discard(found.upstream_id)
                 self._discard(found.upstream_id)
 
+    def _is_foreign(self, known: Upstream, registration: Registration) -> bool:
+        """Return whether an entry under an upstream's id is another writer's."""
+        if self._displaces(known.registration, registration):
+            return True
+        if not self._is_configured(known.registration.service):
+            return False
+        heard_s = self._clock.monotonic() - known.heard_at
+        silent_for_s = min(heard_s, self._since_recovery_s())  # it can't write in an outage
+        return contradicts(known, registration, silent_for_s=silent_for_s)
+
     def _displaces(self, one: Registration, other: Registration) -> bool:
         """Return whether only the first of two entries with one id is of a configured service."""
         return self._is_configured(one.service) and not self._is_configured(other.service)
@@ -357,7 +369,9 @@
             upstream.said_leaving = upstream.leaving = True
         if upstream.leaving:
             upstream.leaving_since = self._clock.monotonic()
-        if self._is_configured(registration.service):
+        if known is not None and is_disproved(known, registration):
+            upstream.health.note_unproven()
+        elif self._is_configured(registration.service):
             contest_address(self._by_id.values(), registration)
         self._by_id[upstream.upstream_id] = upstream
         self.departures.forget(upstream.upstream_id)
--- a/src/cassiawalk/storeview/health.py
+++ b/src/cassiawalk/storeview/health.py
@@ -14,6 +14,8 @@
     The second failure in a row pauses the upstream. Each further one doubles the pause, up to
     ``MAX_PAUSE_S``. One complete answer ends the pause and resets the count. An upstream that
     refuses to run a request is sound, but its open connections are no advantage for a while.
+
+    ``is_unproven`` is set from ``note_unproven`` until the first complete answer.
     """
 
     def __init__(self, *, clock: Clock) -> None:
@@ -22,6 +24,7 @@
         self._paused_until = 0.0
         self._doubted_until = 0.0
         self._refused_until = 0.0
+        self.is_unproven = False
 
     @property
     def has_refused(self) -> bool:
@@ -31,19 +34,25 @@
     @property
     def paused(self) -> bool:
         """Return whether other upstreams should be preferred now."""
-        return self._clock.monotonic() < max(self._paused_until, self._doubted_until)
+        now = self._clock.monotonic()
+        return self.is_unproven or now < max(self._paused_until, self._doubted_until)
 
     def note_success(self) -> None:
         """Record a complete answer."""
         self._failures = 0
         self._paused_until = 0.0
         self._refused_until = 0.0
+        self.is_unproven = False
         self.end_doubt()
 
     def note_doubt(self, *, for_s: float) -> None:
         """Prefer other upstreams for ``for_s`` s, as this one may be gone."""
         self._doubted_until = self._clock.monotonic() + for_s
 
+    def note_unproven(self) -> None:
+        """Prefer other upstreams until this one has answered, as its entry is likely wrong."""
+        self.is_unproven = True
+
     def end_doubt(self) -> None:
         """Record a sign of life, which ends a doubt but no pause."""
         self._doubted_until = 0.0
--- a/tests/test_contested_upstreams.py
+++ b/tests/test_contested_upstreams.py
@@ -16,6 +16,7 @@
 from cassiawalk.ingress.job import Job
 from cassiawalk.ingress.placement import Placer
 from cassiawalk.storeview.contests import CONTESTED_S
+from cassiawalk.storeview.departures import EARLIER_START_S
 from cassiawalk.storeview.departures import KEPT_S
 from cassiawalk.storeview.directory import Directory
 from cassiawalk.storeview.promptparts import PartId
@@ -133,6 +134,71 @@
     assert [found.upstream_id for found in directory.departures] == []
 
 
+# Guards against an upstream that is hidden, or gets another service's requests, by an entry under
+# its id that another writer renews.
+@pytest.mark.parametrize("presence", list(Presence))
+@pytest.mark.parametrize(
+    "odd",
+    [
+        {"service": ServiceName("other")},
+        {"address": "127.0.0.1:2"},
+        {"service": ServiceName("other"), "address": "127.0.0.1:2"},
+    ],
+    ids=["service", "address", "both"],
+)
+def test_upstream_that_renews_its_entry_is_not_replaced(
+    odd: dict[str, t.Any], presence: Presence
+) -> None:
+    clock = FakeClock()
+    directory = _directory(clock)
+    directory.put(_numbered(entry(), 1), Offset(1))
+    known = directory.get(ID)
+    for number in range(2, 40):
+        clock.now += 0.6
+        own = number % 2 == 0
+        found = entry() if own else entry(started_ms=LATER_MS + number, presence=presence, **odd)
+        directory.put(_numbered(found, number), Offset(number))
+        assert directory.get(ID) is known
+        assert ready(directory) == [ID]
+    directory.put(_numbered(entry(presence=Presence.LEAVING), 40), Offset(40))
+    assert ready(directory) == []
+
+
+@pytest.mark.parametrize(
+    ("odd", "silent_s"),
+    [
+        ({"service": ServiceName("other")}, EARLIER_START_S),
+        ({"address": "10.0.0.1:2"}, CONTESTED_S),
+    ],
+    ids=["service", "address"],
+)
+def test_upstream_that_writes_no_more_is_replaced(odd: dict[str, t.Any], silent_s: float) -> None:
+    clock = FakeClock()
+    directory = _directory(clock)
+    directory.put(_numbered(entry(), 1), Offset(1))
+    later = entry(started_ms=LATER_MS, **odd)
+    clock.now += silent_s - 0.1
+    assert not directory.put(_numbered(later, 1), Offset(2))
+    clock.now += 0.2
+    assert directory.put(_numbered(later, 2), Offset(3))
+    found = directory.get(ID)
+    assert found is not None and found.registration.started_ms == LATER_MS
+
+
+# Guards against a caller's only attempt for each new start of an entry that was found wrong.
+def test_entry_that_an_answer_proved_wrong_is_not_believed_again() -> None:
+    directory, sound = _contested()
+    odd = directory.get(OTHER)
+    assert odd is not None
+    odd.superseded = True
+    directory.put(_numbered(entry(), 2), Offset(3))
+    for number in range(5):
+        directory.put(entry(OTHER, started_ms=LATER_MS + 1 + number), Offset(4 + number))
+        found = directory.get(OTHER)
+        assert found is not None and found.health.paused
+        assert not sound.health.paused
+
+
 def test_foreign_entry_that_has_gone_keeps_no_upstream_of_its_id_away() -> None:
     directory = _directory()
     directory.put(_numbered(entry(started_ms=LATER_MS, service=FOREIGN), 9), Offset(1))
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -20,6 +20,7 @@
 WATCHED_S = 3.0
 RENEWAL_S = 0.4
 MIN_ANSWERS = 50
+UNUSED_ADDRESS = "127.0.0.1:9"
 SERVED_AFTER_S = 3.0  # from the renewal of the entries
 
 Entry = dict[str, t.Any]
@@ -106,3 +107,65 @@
 
 async def _is_served(host: Host) -> bool:
     return (await host.request(build_request("q"))).status == 200
+
+
+def _incomplete(entry_of_upstream: Entry) -> Entry:
+    odd = {**_later(entry_of_upstream), "address": UNUSED_ADDRESS, "version": 1}
+    del odd["cold_remaining_ms"]
+    return odd
+
+
+def _elsewhere(entry_of_upstream: Entry) -> Entry:
+    return {**_later(entry_of_upstream), "address": UNUSED_ADDRESS}
+
+
+# Guards against sound upstreams that are hidden by entries of another writer under their ids, which
+# it renews as they do theirs.
+@pytest.mark.parametrize("odd", [_incomplete, _elsewhere])
+async def test_all_are_served_while_another_writer_renews_entries_under_the_ids(
+    fleet: PlatformFleet, odd: cabc.Callable[[Entry], Entry]
+) -> None:
+    entries = [odd(upstream.entry()) for upstream in fleet.upstreams]
+    for upstream in fleet.upstreams:
+        await upstream.register()
+    async with callers(fleet.hosts) as statuses:
+        for number in range(round(WATCHED_S / RENEWAL_S)):
+            await asyncio.sleep(RENEWAL_S)
+            for upstream, found in zip(fleet.upstreams, entries, strict=True):
+                await upstream.write({**found, "sequence": number + 1})
+                await upstream.register()
+    assert len(statuses) > MIN_ANSWERS
+    assert set(statuses) == {200}
+
+
+# Guards against sound upstreams that other hosts drop, as one that has just started can't read the
+# newest entry under their ids.
+async def test_all_are_served_after_a_host_started_with_unreadable_entries(
+    fleet: PlatformFleet,
+) -> None:
+    for upstream in fleet.upstreams:
+        await upstream.write(_incomplete(upstream.entry()))
+    host = await fleet.add_host()
+    await wait_until(lambda: any(line["event"] == "host:started" for line in fleet.lines(host)))
+    async with callers(fleet.hosts[:HOSTS]) as statuses:
+        await asyncio.sleep(WATCHED_S)
+    assert len(statuses) > MIN_ANSWERS
+    assert set(statuses) == {200}
+
+
+# Guards against a caller's only attempt for each new start of an entry that was found wrong.
+async def test_entries_that_answers_proved_wrong_cost_no_more_attempts(
+    fleet: PlatformFleet,
+) -> None:
+    async with callers(fleet.hosts) as statuses:
+        for number in range(round(2 * WATCHED_S / RENEWAL_S)):
+            for upstream in fleet.upstreams:
+                later = _later(upstream.entry())
+                odd = {**later, "born": later["born"] + number, "sequence": number + 1}
+                await fleet.store.put("keyed.servers", f"x-{upstream.upstream_id}", odd)
+                await upstream.register()
+            await asyncio.sleep(RENEWAL_S)
+    refused = sum(status != 200 for status in statuses)
+    assert len(statuses) > 2 * MIN_ANSWERS
+    # Each host finds out by a request that the entry's process is not there.
+    assert refused <= HOSTS * UPSTREAMS
