--- a/standins/unframed_upstream.py
+++ b/standins/unframed_upstream.py
@@ -183,7 +183,10 @@
         if not reset:
             self._writer.close()
             return
-        set_reset_on_close(self._writer.get_extra_info("socket"))
+        sock = self._writer.get_extra_info("socket")
+        if sock.fileno() < 0:  # it has been closed, though its answer is not done with yet
+            return
+        set_reset_on_close(sock)
         self._writer.transport.abort()
 
     def close_idle(self) -> None:
--- a/tests/test_unframed_upstreams.py
+++ b/tests/test_unframed_upstreams.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from standins.platform import PlatformStore
 from standins.platform_fleet import ONCE
 from standins.platform_fleet import SAFE
 from standins.platform_fleet import STREAM
@@ -233,3 +234,23 @@
     await callers.repeat_crashing(STREAM, for_s=REPEAT_S)
     assert len(callers.crashes_at()) >= 3
     assert callers.late_retries() <= MAX_LATE_RETRIES
+
+
+# Guards against a crash that ends with an error of the stand-in, which then goes on listening.
+async def test_stand_in_crashes_though_a_connection_has_just_been_closed() -> None:
+    upstream = UnframedUpstream(store=PlatformStore(), service="models", down_s=0.05)
+    await upstream.start()
+    ip, _, port = upstream.address.rpartition(":")
+    _, writer = await asyncio.open_connection(ip, int(port))
+    connections = upstream._listener.connections
+    await wait_until(lambda: connections)
+    (conn,) = connections
+    conn.abort()
+    await wait_until(lambda: not connections)
+    connections.add(conn)  # as in the step in which its answer ends
+    former_id = upstream.upstream_id
+    upstream.crash()
+    await wait_until(lambda: upstream.is_up)
+    assert upstream.upstream_id != former_id
+    writer.close()
+    await upstream.stop()
