Look up the deaths of each part once when parts are accused

What callers saw: a host stood still for as long as it compared the accused parts of prompts with one another.

Cause: accuse looked up the deaths of every other group for each group, on the loop that serves.

Change: the deaths of each group are looked up once, and what any group explains is one set for all. The decisions are the same: the union over the other groups and a group's own deaths is that over all.

--- a/src/cassiawalk/crashes/blame.py
+++ b/src/cassiawalk/crashes/blame.py
@@ -228,7 +228,7 @@
 
         :param verdicts: parts that are refused already; deaths that they explain count no more.
         """
-        explained = {parts: set(self.deaths_with(parts, early=False)) for parts in verdicts}
+        explained = self._deaths_of(verdicts)
         cases = {
             part: case
             for part, processes in self._by_part.items()
@@ -239,12 +239,13 @@
         for part, case in cases.items():
             group = self._companions(part, cases, self._unexplained(part, explained))
             groups[group] = max(case, groups.get(group, case))
-        groups = {parts: case for parts, case in groups.items() if not self._is_wide(parts, groups)}
-        explaining = [*verdicts, *groups]
+        deaths_of = self._deaths_of(groups)
+        groups = {parts: case for parts, case in groups.items() if not _is_wide(parts, deaths_of)}
+        blamed = set().union(*explained.values(), *(deaths_of[parts] for parts in groups))
         groups = {
             parts: case
             for parts, case in groups.items()
-            if not self._is_as_usual(parts, [other for other in explaining if other != parts])
+            if not self._is_as_usual(deaths_of[parts], blamed)
         }
         strongest = max(groups.values(), default=None)
         leading = [parts for parts, case in groups.items() if case == strongest]
@@ -255,26 +256,22 @@
             for parts in sorted(leading, key=sorted)
         ]
 
-    def _is_as_usual(self, parts: Parts, explaining: cabc.Iterable[Parts]) -> bool:
-        """Return whether as many upstreams died without these parts as with them, lately.
+    def _deaths_of(self, found: cabc.Iterable[Parts]) -> dict[Parts, set[str]]:
+        """Return the processes that died under requests with each of the given parts."""
+        return {parts: set(self.deaths_with(parts, early=False)) for parts in found}
 
-        :param explaining: other parts that are refused or accused, and explain deaths.
+    def _is_as_usual(self, processes: cabc.Collection[str], explained: cabc.Container[str]) -> bool:
+        """Return whether as many upstreams died lately for no known reason as of these parts.
+
+        :param processes: those that died under requests with the parts.
+        :param explained: those that died under requests with any part that is refused or accused.
         """
-        explained = set(self.deaths_with(parts, early=False))
-        own = self._distinct(explained)[-RATE_DEATHS:]
-        for other in explaining:
-            explained.update(self.deaths_with(other, early=False))
+        own = self._distinct(processes)[-RATE_DEATHS:]
         since_s = own[0].at_s - LOOK_BACK_S
         others = [name for name in self._deaths if name not in explained]
         without = [death for death in self._distinct(others) if death.at_s >= since_s]
         return len(without) >= len(own)
 
-    def _is_wide(self, parts: Parts, groups: cabc.Iterable[Parts]) -> bool:
-        """Return whether more parts together explain the same deaths and so refuse less."""
-        narrower = [other for other in groups if parts < other]
-        deaths = set(self.deaths_with(parts, early=False)) if narrower else set()
-        return any(deaths <= set(self.deaths_with(other, early=False)) for other in narrower)
-
     def deaths_with(self, parts: Parts, *, early: bool) -> list[str]:
         """Return the processes that died under a request with all of these parts.
 
@@ -387,6 +384,11 @@
             self._acquitted.pop(part, None)
 
 
+def _is_wide(parts: Parts, deaths_of: cabc.Mapping[Parts, set[str]]) -> bool:
+    """Return whether more parts together explain the same deaths and so refuse less."""
+    return any(parts < other and deaths_of[parts] <= deaths for other, deaths in deaths_of.items())
+
+
 def _has_beginning(part: PartId, death: _Death) -> bool:
     return any(
         part in request.parts and request.progress is Progress.BEGINNING
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -280,3 +280,23 @@
         case.blame.note_told(part, HostId("h-2"), survival)
     case.now_s += LATE_SETTLE_S
     assert case.accused() == []
+
+
+# Guards against a host that stands still while it looks for one part at fault among many.
+@pytest.mark.parametrize("count", [16, 63])
+def test_deaths_are_looked_up_a_few_times_for_each_part(
+    count: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    case = Case()
+    for _ in range(count):
+        case.die(*[(f"part-{number}",) for number in range(count)])
+    look_up = case.blame.deaths_with
+    looked_up: list[Parts] = []
+
+    def deaths_with(parts: Parts, *, early: bool) -> list[str]:
+        looked_up.append(parts)
+        return look_up(parts, early=early)
+
+    monkeypatch.setattr(case.blame, "deaths_with", deaths_with)
+    assert len(case.accused()) == count
+    assert len(looked_up) <= 4 * count
