Keep a connection to an upstream that takes no data for a while

What callers saw: an upload of 4 MB was cut with 502 after 3 s as its upstream read nothing, though its deadline and the route's limit were far.

Cause: TCP_USER_TIMEOUT, set to find broken paths, counts also while the upstream's buffers are full and it acknowledges each probe.

Evidence: tests/test_long_requests.py, nothing read for 4 s, then all: 2 of 2 cases got 502 before, and again with only the watch taken out.

Change: for requests over 64 KB the host asks the kernel how many segments or probes in a row were not acknowledged, and ends the connection after four, which takes 3 s with the shortest time-outs. Where the kernel does not tell, its limit stays, as for short requests.

A path that drops packets was not played.

--- a/src/cassiawalk/http1/connection.py
+++ b/src/cassiawalk/http1/connection.py
@@ -23,6 +23,7 @@
 from cassiawalk.http1.pacing import BYTE_S
 from cassiawalk.http1.pacing import PIECE_S
 from cassiawalk.http1.pacing import Pacer
+from cassiawalk.http1.pathwatch import PathWatch
 from cassiawalk.http1.stalls import unacknowledged_bytes
 from cassiawalk.sockets import is_connection_reset
 
@@ -33,6 +34,7 @@
 MAX_INFORMATIONAL = 16  # answers with a status of 1xx before a final one
 MAX_STATUS = 599
 TAKEN_CHECK_S = 0.01
+LONG_REQUEST_BYTES = 65536  # more than upstreams buffer that read nothing
 MAX_FOREIGN = 16  # answers to other requests before this one's
 
 
@@ -83,6 +85,12 @@
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         enable_keepalive(sock)
+        self._path_watch = PathWatch(
+            loop=self._loop,
+            sock=sock,
+            is_sending=lambda: self._request is not None and self._untaken_bytes > 0,
+            on_broken=self.close,
+        )
 
     def send(
         self,
@@ -106,6 +114,8 @@
         self._framing = Framing.LENGTH
         data = self._start_exchange_state(body)
         self._transport.write(data)
+        if len(data) > LONG_REQUEST_BYTES:
+            self._path_watch.start()
 
     async def next_event(self) -> AnswerEvent:
         """Return the next event of the answer, in order."""
@@ -227,6 +237,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Mark the connection closed; an answer under way ends once what arrived is parsed."""
         self.closed = True
+        self._path_watch.stop()
         self._lost = Ending.CLOSED if exc is None else Ending.RESET
         if self._resumption is None and not self._unparsed:
             self._handle_ended()
