--- a/src/cassiawalk/storeview/directory.py
+++ b/src/cassiawalk/storeview/directory.py
@@ -1,7 +1,6 @@
 """The directory of registered upstreams, built from their entries on the platform."""
 
 import collections.abc as cabc
-import math
 
 import eliot
 
@@ -18,21 +17,17 @@
 from cassiawalk.storeview.foreignentries import ForeignEntries
 from cassiawalk.storeview.knownthrough import KnownThrough
 from cassiawalk.storeview.lateentries import LateEntries
+from cassiawalk.storeview.outages import SourceOutages
 from cassiawalk.storeview.recentprocesses import RecentProcesses
 from cassiawalk.storeview.speeds import ServiceSpeeds
 from cassiawalk.storeview.upstream import Presence
 from cassiawalk.storeview.upstream import Registration
 from cassiawalk.storeview.upstream import RoleFinder
 from cassiawalk.storeview.upstream import Upstream
+from cassiawalk.storeview.upstream import is_other_process
 
-# Upstreams renew their entries. In an outage of the source they cannot, and entries of upstreams
-# that still run expire. Both times count from the source's recovery.
-STALE_GRACE_S = 2.3  # until running upstreams have entries again
-EXPIRY_WINDOW_S = 0.4  # while removals from the outage are still being read
 # A lapsed upstream is used without an answer of its own for so long after it has been asked.
 UNANSWERED_S = 0.3
-# Shorter gaps in what all hosts know of the source let no entry expire.
-MIN_LAPSE_GAP_S = 2.0
 
 UpstreamListener = cabc.Callable[[Upstream], None]
 
@@ -60,13 +55,12 @@
         self._offsets: dict[UpstreamId, Offset] = {}
         self._by_service: dict[ServiceName, list[Upstream]] = {}
         self._stale: set[UpstreamId] = set()
-        self._source_recovered_at: float | None = None
+        self.outages = SourceOutages(clock=clock)
         self.departures = Departures(clock=clock)
         self.late_entries = LateEntries()
         self.foreign_entries = ForeignEntries()
         self.speeds = ServiceSpeeds(clock=clock)
         self._said_leaving = RecentProcesses()
-        self._is_restored = False
         self._departure_listeners: list[UpstreamListener] = []
         self._leaving_listeners: list[UpstreamListener] = []
         self._lapse_listeners: list[UpstreamListener] = []
@@ -161,7 +155,7 @@
 
     def note_source_recovered(self) -> None:
         """Record that the source answers again after an outage."""
-        self._source_recovered_at = self._clock.monotonic()
+        self.outages.note_recovered()
 
     def note_restored(self) -> None:
         """Expect the list of an older copy of the source.
@@ -169,12 +163,12 @@
         What upstreams wrote last is missing there until they have written it again. Until then, an
         upstream that is missing is kept as stale, and one that was leaving or gone stays so.
         """
-        self._is_restored = True
-        self.note_source_recovered()
+        self.outages.is_restored = True
+        self.outages.note_recovered()
 
     def end_restoration(self) -> None:
         """Record that the list of the older copy has been applied."""
-        self._is_restored = False
+        self.outages.is_restored = False
 
     def put(self, registration: Registration, offset: Offset, *, gapless: bool = True) -> bool:
         """Apply an entry and return whether it changed anything.
@@ -199,10 +193,9 @@
         self._offsets[upstream_id] = offset
         was_lapsed = upstream_id in self._stale
         self._stale.discard(upstream_id)
-        is_numbered = registration.version is not None
-        if self._is_restored and not is_numbered and self._has_begun_to_leave(known, registration):
+        if self._has_begun_to_leave(known, registration):
             return False
-        if known is None or _is_other_process(known.registration, registration):
+        if known is None or is_other_process(known.registration, registration):
             self._replace(known, registration)
             self.known.note_change(offset, gapless=gapless)
             return True
@@ -240,7 +233,7 @@
         self.known.note_change(offset, gapless=gapless)
         if upstream_id not in self._by_id:
             return
-        expired = may_have_expired and self._may_be_expiry()
+        expired = may_have_expired and self.outages.may_explain_removals
         if expired and not self._by_id[upstream_id].leaving:
             self._note_lapsed(self._by_id[upstream_id])
             return
@@ -270,7 +263,7 @@
         if not self._is_configured(known.registration.service):
             return False
         heard_s = self._clock.monotonic() - known.heard_at
-        silent_for_s = min(heard_s, self._since_recovery_s())  # it can't write in an outage
+        silent_for_s = min(heard_s, self.outages.since_recovery_s)  # it can't write in an outage
         return contradicts(known, registration, silent_for_s=silent_for_s)
 
     def _displaces(self, one: Registration, other: Registration) -> bool:
@@ -310,27 +303,21 @@
         :param age_s: how old the knowledge of all entries is, in seconds; renewals since may be
             unknown.
         """
-        if not self._stale or self._since_recovery_s() - age_s < STALE_GRACE_S:
+        if not self.outages.has_grace_ended(age_s=age_s):
             return
         for upstream_id in self._stale:
             self._discard(upstream_id)
         self._stale.clear()
 
     def _has_begun_to_leave(self, known: Upstream | None, entry: Registration) -> bool:
-        """Return whether an entry is of a process that was seen to leave or to be gone."""
-        if known is not None and not _is_other_process(known.registration, entry):
+        """Return whether an older copy lists a process that was seen to leave or to be gone."""
+        if not self.outages.is_restored or entry.version is not None:
+            return False
+        if known is not None and not is_other_process(known.registration, entry):
             return known.leaving
         departure = self.departures.get(entry.upstream_id)
         return departure is not None and departure.started_ms == entry.started_ms
 
-    def _may_be_expiry(self) -> bool:
-        return self._is_restored or self._since_recovery_s() < EXPIRY_WINDOW_S
-
-    def _since_recovery_s(self) -> float:
-        if self._source_recovered_at is None:
-            return math.inf
-        return self._clock.monotonic() - self._source_recovered_at
-
     def _apply_presence(self, known: Upstream, registration: Registration) -> None:
         leaving = known.said_leaving or registration.presence is Presence.LEAVING
         if leaving and not known.leaving:
@@ -411,12 +398,3 @@
         upstream.pool.close()
         self._by_service[upstream.registration.service].remove(upstream)
         eliot.log_message(message_type="directory:gone", upstream=upstream_id)
-
-
-def _is_other_process(known: Registration, new: Registration) -> bool:
-    """Return whether two entries with the same id belong to different processes."""
-    return (known.started_ms, known.address, known.service) != (
-        new.started_ms,
-        new.address,
-        new.service,
-    )
--- a/src/cassiawalk/storeview/followers.py
+++ b/src/cassiawalk/storeview/followers.py
@@ -17,10 +17,10 @@
 from cassiawalk.ids import UpstreamId
 from cassiawalk.storeview.config import ConfigView
 from cassiawalk.storeview.config import IngressConfig
-from cassiawalk.storeview.directory import MIN_LAPSE_GAP_S
 from cassiawalk.storeview.directory import Directory
 from cassiawalk.storeview.follow import ReadOptions
 from cassiawalk.storeview.follow import StreamFollower
+from cassiawalk.storeview.outages import MIN_LAPSE_GAP_S
 from cassiawalk.storeview.upstream import Registration
 
 MAX_REMOVALS_KEPT = 256
--- a/src/cassiawalk/storeview/upstream.py
+++ b/src/cassiawalk/storeview/upstream.py
@@ -66,6 +66,15 @@
     return f"{entry.upstream_id}/{entry.started_ms}"
 
 
+def is_other_process(known: Registration, new: Registration) -> bool:
+    """Return whether two entries with the same id belong to different processes."""
+    return (known.started_ms, known.address, known.service) != (
+        new.started_ms,
+        new.address,
+        new.service,
+    )
+
+
 RoleFinder = cabc.Callable[["Upstream"], Role]
 
 
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -6,9 +6,9 @@
 from cassiawalk.ids import Offset
 from cassiawalk.ids import ServiceName
 from cassiawalk.ids import UpstreamId
-from cassiawalk.storeview.directory import EXPIRY_WINDOW_S
-from cassiawalk.storeview.directory import STALE_GRACE_S
 from cassiawalk.storeview.directory import Directory
+from cassiawalk.storeview.outages import EXPIRY_WINDOW_S
+from cassiawalk.storeview.outages import STALE_GRACE_S
 from cassiawalk.storeview.upstream import Presence
 from cassiawalk.storeview.upstream import Registration
 from tests.fakes import FakeClock
--- a/tests/test_known_through.py
+++ b/tests/test_known_through.py
@@ -18,7 +18,6 @@
 from cassiawalk.platform.registrations import decode_registration
 from cassiawalk.platform.store import PlatformStore as StoreClient
 from cassiawalk.storeview.config import ConfigView
-from cassiawalk.storeview.directory import STALE_GRACE_S
 from cassiawalk.storeview.directory import Directory
 from cassiawalk.storeview.follow import ReadOptions
 from cassiawalk.storeview.follow import StreamFollower
@@ -26,6 +25,7 @@
 from cassiawalk.storeview.followers import DirectoryFollower
 from cassiawalk.storeview.freshness import Claims
 from cassiawalk.storeview.freshness import Freshness
+from cassiawalk.storeview.outages import STALE_GRACE_S
 from standins.platform import PlatformStore
 from tests.fakes import FakeClock
 from tests.test_copying import Host
--- a/tests/test_lapses.py
+++ b/tests/test_lapses.py
@@ -17,7 +17,6 @@
 from cassiawalk.storeview.config import ConfigView
 from cassiawalk.storeview.config import RetryRule
 from cassiawalk.storeview.config import ServiceConfig
-from cassiawalk.storeview.directory import STALE_GRACE_S
 from cassiawalk.storeview.directory import UNANSWERED_S
 from cassiawalk.storeview.directory import Directory
 from cassiawalk.storeview.inquiry import UpstreamInquiry
@@ -25,6 +24,7 @@
 from cassiawalk.storeview.inquiry import UpstreamState
 from cassiawalk.storeview.lapses import KEPT_S
 from cassiawalk.storeview.lapses import LapseChecker
+from cassiawalk.storeview.outages import STALE_GRACE_S
 from cassiawalk.storeview.upstream import Presence
 from cassiawalk.storeview.upstream import Registration
 from standins.platform_fleet import PlatformFleet
