--- a/src/cassiawalk/http1/keepalive.py
+++ b/src/cassiawalk/http1/keepalive.py
@@ -1,7 +1,8 @@
 """Socket options with which the kernel finds broken network paths."""
 
 import socket
-import typing as t
+
+from cassiawalk.sockets import HasOptions
 
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -9,10 +10,6 @@
 UNACKED_TIMEOUT_MS = 3000  # for data that the upstream does not acknowledge
 
 
-class _HasOptions(t.Protocol):
-    def setsockopt(self, level: int, name: int, value: int, /) -> None: ...
-
-
 def enable_keepalive(sock: socket.socket) -> None:
     """Make the kernel close the connection when its peer stops responding, in use or idle."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -22,7 +19,7 @@
     set_unacked_limit(sock, limited=True)
 
 
-def set_unacked_limit(sock: _HasOptions, *, limited: bool) -> None:
+def set_unacked_limit(sock: HasOptions, *, limited: bool) -> None:
     """Make the kernel close the connection while sent data is not taken for long, or not."""
     limit_ms = UNACKED_TIMEOUT_MS if limited else 0
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
--- a/src/cassiawalk/http1/pathwatch.py
+++ b/src/cassiawalk/http1/pathwatch.py
@@ -7,26 +7,15 @@
 
 import asyncio
 import collections.abc as cabc
-import socket
-import typing as t
 
 from cassiawalk.http1.keepalive import set_unacked_limit
+from cassiawalk.sockets import HasOptions
+from cassiawalk.sockets import unanswered_segments
 
 CHECK_INTERVAL_S = 0.5
 # Retransmissions or probes in a row; with the shortest time-outs, four take 3 s.
 MAX_UNANSWERED = 4
 
-# The first bytes of the kernel's struct tcp_info.
-_RETRANSMISSIONS = 2
-_PROBES = 3
-_INFO_BYTES = 8
-
-
-class _HasOptions(t.Protocol):
-    def getsockopt(self, level: int, name: int, size: int, /) -> bytes: ...
-
-    def setsockopt(self, level: int, name: int, value: int, /) -> None: ...
-
 
 class PathWatch:
     """Watches a connection in place of the kernel while data is on its way.
@@ -39,7 +28,7 @@
         self,
         *,
         loop: asyncio.AbstractEventLoop,
-        sock: _HasOptions,
+        sock: HasOptions,
         is_sending: cabc.Callable[[], bool],
         on_broken: cabc.Callable[[], None],
     ) -> None:
@@ -51,7 +40,7 @@
 
     def start(self) -> None:
         """Begin to watch, unless begun; the kernel goes on if it does not tell what it sees."""
-        if self._handle is not None or self._unanswered() is None:
+        if self._handle is not None or unanswered_segments(self._sock) is None:
             return
         set_unacked_limit(self._sock, limited=False)
         self._handle = self._loop.call_later(CHECK_INTERVAL_S, self._check)
@@ -67,17 +56,7 @@
         if not self._is_sending():
             set_unacked_limit(self._sock, limited=True)
             return
-        if (self._unanswered() or 0) >= MAX_UNANSWERED:
+        if (unanswered_segments(self._sock) or 0) >= MAX_UNANSWERED:
             self._on_broken()
             return
         self._handle = self._loop.call_later(CHECK_INTERVAL_S, self._check)
-
-    def _unanswered(self) -> int | None:
-        """Return how many segments in a row were not acknowledged; None if that is not told."""
-        try:
-            info = self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _INFO_BYTES)
-        except OSError:
-            return None
-        if len(info) < _INFO_BYTES:
-            return None
-        return max(info[_RETRANSMISSIONS], info[_PROBES])
--- a/src/cassiawalk/platform/codec.py
+++ b/src/cassiawalk/platform/codec.py
@@ -92,16 +92,16 @@
         unreadable = said.unreadable
         if stated is not None and load is None:
             unreadable += (header_text(_LOAD_NAME, stated),)
-        marks = _not_run_marks(headers)
-        unread_marks = marks - names.NOT_EXECUTED_YES
-        unreadable += tuple(header_text(_NOT_RUN_NAME, mark) for mark in sorted(unread_marks))
+        markers = _not_run_markers(headers)
+        odd_markers = markers - names.NOT_EXECUTED_YES
+        unreadable += tuple(header_text(_NOT_RUN_NAME, value) for value in sorted(odd_markers))
         wrong_upstream = status == names.WRONG_UPSTREAM_STATUS
-        is_marked = bool(marks) and not unread_marks and _may_bear_mark(status)
+        is_proved = bool(markers) and not odd_markers and _can_be_not_run(status)
         return AnswerMetadata(
             request_id=None if request_id is None else RequestId(request_id.decode("latin-1")),
             signed=names.SIGNATURE in found,
-            not_run=is_marked or wrong_upstream,
-            claims_not_run=bool(marks & names.NOT_EXECUTED_YES) or status in NOT_RUN_STATUSES,
+            not_run=is_proved or wrong_upstream,
+            claims_not_run=bool(markers & names.NOT_EXECUTED_YES) or status in NOT_RUN_STATUSES,
             wrong_upstream=wrong_upstream,
             load=load,
             leaving=said.leaving,
@@ -143,14 +143,17 @@
     return status
 
 
-def _not_run_marks(headers: Headers) -> frozenset[bytes]:
-    """Return the values of the headers that say whether the request was run."""
+def _not_run_markers(headers: Headers) -> frozenset[bytes]:
+    """Return the values of the headers that say that the request was not run."""
     found = (value for name, value in headers if name.lower() == names.NOT_EXECUTED)
     return frozenset(value.strip().lower() for value in found)
 
 
-def _may_bear_mark(status: int) -> bool:
-    """Return whether a marker "not run" can be true with a status; other answers were run for."""
+def _can_be_not_run(status: int) -> bool:
+    """Return whether an answer with this status may say that its request was not run.
+
+    An upstream that answers with another one has run the request, so its marker is an error.
+    """
     return 400 <= status < 500 or status == NOT_RUN_STATUS
 
 
--- a/src/cassiawalk/sockets.py
+++ b/src/cassiawalk/sockets.py
@@ -46,16 +46,21 @@
 
 
 _TCP_CLOSED, _TCP_CLOSE_WAIT = 7, 8  # first byte of TCP_INFO
+_RETRANSMISSIONS_OFFSET, _PROBES_OFFSET = 2, 3  # in TCP_INFO, 1 byte each
 _LAST_RECEIVED_OFFSET = 52  # of tcpi_last_data_recv in TCP_INFO, 4 bytes, in milliseconds
 
 
-class _HasOptions(t.Protocol):
-    def setsockopt(self, level: int, name: int, value: bytes, /) -> None: ...
+class HasOptions(t.Protocol):
+    """A socket, as far as its options go."""
 
-    def getsockopt(self, level: int, name: int, size: int, /) -> bytes: ...
+    def setsockopt(self, level: int, name: int, value: int | bytes, /) -> None:
+        """Set an option."""
 
+    def getsockopt(self, level: int, name: int, size: int, /) -> bytes:
+        """Return the bytes of an option."""
 
-def has_peer_left(sock: _HasOptions) -> bool:
+
+def has_peer_left(sock: HasOptions) -> bool:
     """Return whether the other side has closed, also while what it sent before is unread.
 
     Where the system does not tell, it counts as there.
@@ -63,7 +68,7 @@
     return _tcp_state(sock) in (_TCP_CLOSED, _TCP_CLOSE_WAIT)
 
 
-def is_connection_reset(sock: _HasOptions) -> bool:
+def is_connection_reset(sock: HasOptions) -> bool:
     """Return whether an open socket's connection was reset, also if its stream had ended before.
 
     Where the system does not tell, it was not.
@@ -71,14 +76,14 @@
     return _tcp_state(sock) == _TCP_CLOSED
 
 
-def _tcp_state(sock: _HasOptions) -> int | None:
+def _tcp_state(sock: HasOptions) -> int | None:
     try:
         return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
     except OSError:
         return None
 
 
-def since_received_s(sock: _HasOptions) -> float:
+def since_received_s(sock: HasOptions) -> float:
     """Return how long ago the last bytes arrived, whether they have been read or not, in seconds.
 
     Where the system does not tell, it is 0.
@@ -94,6 +99,20 @@
     return milliseconds / 1000
 
 
-def set_reset_on_close(sock: _HasOptions, enabled: bool = True) -> None:
+def unanswered_segments(sock: HasOptions) -> int | None:
+    """Return how many segments or probes in a row were not acknowledged.
+
+    :return: None where the system does not tell.
+    """
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _PROBES_OFFSET + 1)
+    except OSError:
+        return None
+    if len(info) <= _PROBES_OFFSET:
+        return None
+    return max(info[_RETRANSMISSIONS_OFFSET], info[_PROBES_OFFSET])
+
+
+def set_reset_on_close(sock: HasOptions, enabled: bool = True) -> None:
     """Make any close a reset, also that by the end of this process, or an orderly one again."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", enabled, 0))
--- a/src/cassiawalk/storeview/directory.py
+++ b/src/cassiawalk/storeview/directory.py
@@ -262,8 +262,8 @@
             return True
         if not self._is_configured(known.registration.service):
             return False
-        heard_s = self._clock.monotonic() - known.heard_at
-        silent_for_s = min(heard_s, self.outages.since_recovery_s)  # it can't write in an outage
+        unheard_s = self._clock.monotonic() - known.heard_at
+        silent_for_s = min(unheard_s, self.outages.since_recovery_s)  # it can't write in an outage
         return contradicts(known, registration, silent_for_s=silent_for_s)
 
     def _displaces(self, one: Registration, other: Registration) -> bool:
--- a/src/cassiawalk/storeview/followers.py
+++ b/src/cassiawalk/storeview/followers.py
@@ -194,7 +194,7 @@
                 upstream_id, record.offset, may_have_expired=may_have_expired, gapless=gapless
             )
             return
-        if self._was_gone_later(record):
+        if self._is_outdated(record):
             return
         self._renewals[record.key] += 1
         registration = self._decode(record.key, record.value)
@@ -211,10 +211,11 @@
             self._raw[record.key] = record
             self._removed.pop(record.key, None)
 
-    def _was_gone_later(self, record: KeyedRecord) -> bool:
-        """Return whether an upstream was missing from all entries there were after a change.
+    def _is_outdated(self, record: KeyedRecord) -> bool:
+        """Return whether the upstream of an entry was missing from all entries at a later time.
 
-        A host that has copied all entries since its last read reads what was before them, too.
+        A host that has copied all entries since its last read goes on where that ended, and so
+        reads records from before the copy.
         """
         is_old = self._gap_at is None and record.offset <= self._removals_known_after
         return is_old and self._directory.get(UpstreamId(record.key)) is None
--- a/tests/test_long_requests.py
+++ b/tests/test_long_requests.py
@@ -57,8 +57,9 @@
         retransmissions, probes = self._counts.pop(0)
         return struct.pack("8B", 1, 0, retransmissions, probes, 0, 0, 0, 0)
 
-    def setsockopt(self, level: int, name: int, value: int, /) -> None:
+    def setsockopt(self, level: int, name: int, value: int | bytes, /) -> None:
         assert (level, name) == (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        assert isinstance(value, int)
         self.limits_ms.append(value)
 
 
